--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN = $(VENV)/bin
+STAMP = $(VENV)/.installed
+
+.PHONY: demo test lint measure bench slopes generate
+
+$(STAMP): requirements-dev.txt constraints.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --disable-pip-version-check -c constraints.txt -r requirements-dev.txt
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m standins.demo
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+measure: $(STAMP)
+	$(BIN)/python -m benchmarks.measure
+
+bench: $(STAMP)
+	$(BIN)/python -m benchmarks.relay
+
+slopes: $(STAMP)
+	$(BIN)/python -m benchmarks.slopes
+
+generate: $(STAMP)
+	$(BIN)/python -m grpc_tools.protoc -Iprotos --python_out=packages/entry/hornbeamstand_entry --grpc_python_out=packages/entry/hornbeamstand_entry protos/peer.proto
--- /dev/null
+++ b/packages/core/hornbeamstand_core/controllers/membership.py
@@ -0,0 +1,419 @@
+"""Heartbeats, the lease, and changes of the view, at one entry VM.
+
+The view is one record of the cell at the platform, changed by compare-and-swap.
+A few members, the renewers, read it and renew the leases of every member that
+they hear, so the calls to the platform grow with cells, not with VMs.
+"""
+
+from ..hashing import rank
+from ..peer_messages import Heartbeat
+from ..records import Record
+from ..view import LEAVING
+from .fence import Fence
+
+# Members of a cell that renew its leases and read its view.
+N_RENEWERS = 2
+# Parts of the lease time.
+HEARTBEAT_SHARE = 0.125
+ROUND_SHARE = 0.25
+SILENT_SHARE = 0.5
+SELF_RENEW_SHARE = 0.6
+
+
+class SendHeartbeat(Record):
+    """Send a heartbeat to a peer."""
+
+    __slots__ = ("address", "heartbeat")
+
+    def __init__(self, address, heartbeat):
+        self.address = address
+        self.heartbeat = heartbeat
+
+
+class StartRound(Record):
+    """Read the view, then renew some leases and check others.
+
+    ``marks`` maps members to the heartbeat times that the round confirms.
+    """
+
+    __slots__ = ("renew_ids", "check_ids", "marks")
+
+    def __init__(self, renew_ids, check_ids, marks):
+        self.renew_ids = renew_ids
+        self.check_ids = check_ids
+        self.marks = marks
+
+
+class RoundDone(Record):
+    """The platform's answers to one round."""
+
+    __slots__ = ("view", "revision", "lapsed_ids", "marks")
+
+    def __init__(self, view, revision, lapsed_ids, marks):
+        self.view = view
+        self.revision = revision
+        self.lapsed_ids = lapsed_ids
+        self.marks = marks
+
+
+class RoundFailed(Record):
+    """The platform did not answer a round."""
+
+    __slots__ = ()
+
+
+class GrantLease(Record):
+    """Ask the platform for a lease for this VM."""
+
+    __slots__ = ()
+
+
+class LeaseGranted(Record):
+    """The platform granted a lease."""
+
+    __slots__ = ("lease_id",)
+
+    def __init__(self, lease_id):
+        self.lease_id = lease_id
+
+
+class WriteView(Record):
+    """Write the next view if the platform still holds ``revision``."""
+
+    __slots__ = ("view", "revision")
+
+    def __init__(self, view, revision):
+        self.view = view
+        self.revision = revision
+
+
+class FetchPeerState(Record):
+    """Ask a peer for its view and configuration; it has newer ones."""
+
+    __slots__ = ("member_id", "address")
+
+    def __init__(self, member_id, address):
+        self.member_id = member_id
+        self.address = address
+
+
+class Heard(Record):
+    """The newest heartbeat of a peer and when it came."""
+
+    __slots__ = ("heartbeat", "at_ms")
+
+    def __init__(self, heartbeat, at_ms):
+        self.heartbeat = heartbeat
+        self.at_ms = at_ms
+
+
+class Membership(Record):
+    """One VM's part in its cell.
+
+    Parameters
+    ----------
+    me : Member
+        This VM, without a lease yet.
+    ownership : Ownership
+        Told of each adopted view and heartbeat.
+    lease_ms : float
+        Lease time of every member.
+    """
+
+    __slots__ = (
+        "me",
+        "ownership",
+        "lease_ms",
+        "fence",
+        "revision",
+        "wants_exit",
+        "platform_ok_since_ms",
+        "is_stopped",
+        "_heard",
+        "_echoed_at_ms",
+        "_platform_echoes",
+        "_lapsed_ids",
+        "_beat_at_ms",
+        "_round_at_ms",
+        "_is_round_running",
+        "_is_lease_asked",
+    )
+
+    def __init__(self, me, ownership, lease_ms):
+        self.me = me
+        self.ownership = ownership
+        self.lease_ms = lease_ms
+        self.fence = Fence(lease_ms)
+        self.revision = 0
+        self.wants_exit = False
+        self.platform_ok_since_ms = None
+        self.is_stopped = False
+        self._heard = {}
+        self._echoed_at_ms = {}
+        self._platform_echoes = {}
+        self._lapsed_ids = frozenset()
+        self._beat_at_ms = float("-inf")
+        self._round_at_ms = float("-inf")
+        self._is_round_running = False
+        self._is_lease_asked = False
+
+    @property
+    def view(self):
+        """Return the adopted view."""
+        return self.ownership.view
+
+    @property
+    def is_member(self):
+        """Tell whether the adopted view has this VM."""
+        return self.me.member_id in self.view.members
+
+    def _peers(self):
+        my_id = self.me.member_id
+        return [m for m in self.view.members.values() if m.member_id != my_id]
+
+    # Time.
+
+    def tick(self, now_ms):
+        """Send what is due; returns messages."""
+        out = []
+        if now_ms - self._beat_at_ms >= self.lease_ms * HEARTBEAT_SHARE:
+            out += self.beat(now_ms)
+        if self._is_round_due(now_ms):
+            out.append(self._start_round(now_ms))
+        return out
+
+    def beat(self, now_ms):
+        """Return heartbeats to every peer."""
+        self._beat_at_ms = now_ms
+        return [
+            SendHeartbeat(peer.peer_address, self._make_heartbeat(peer, now_ms))
+            for peer in self._peers()
+        ]
+
+    def _make_heartbeat(self, peer, now_ms):
+        peer_id = peer.member_id
+        heard = self._heard.get(peer_id)
+        echo_at_ms = None
+        if heard is not None:
+            echo_at_ms = heard.heartbeat.sent_at_ms
+        epoch = self.ownership.epoch
+        return Heartbeat(
+            self.me.member_id,
+            peer_id,
+            epoch.view_version,
+            epoch.config_version,
+            now_ms,
+            echo_at_ms,
+            self._platform_echoes.get(peer_id),
+            self._silent_ms(now_ms),
+            list(self.ownership.pending),
+            self.ownership.records_for(peer_id),
+            self.ownership.draining_for(peer_id),
+            self._rooms_for(peer_id, now_ms),
+        )
+
+    def _rooms_for(self, peer_id, now_ms):
+        rooms = []
+        for name, members in self.ownership.serving_sets.items():
+            if self.me.member_id in members:
+                rooms.append(self.ownership.balancer.services[name].room(now_ms))
+        return rooms
+
+    def _silent_ms(self, now_ms):
+        silent = {}
+        for member_id, at_ms in self._echoed_at_ms.items():
+            age_ms = now_ms - at_ms
+            if age_ms > self.lease_ms * SILENT_SHARE:
+                silent[member_id] = age_ms
+        for peer in self._peers():
+            if peer.member_id not in self._echoed_at_ms:
+                silent[peer.member_id] = now_ms
+        return silent
+
+    def _is_round_due(self, now_ms):
+        if self._is_round_running:
+            return False
+        if now_ms - self._round_at_ms < self.lease_ms * ROUND_SHARE:
+            return False
+        return not self.is_member or self._is_renewer() or self._lacks_renewal(now_ms)
+
+    def _is_renewer(self):
+        renewers = rank(self.view.members, "renewers")[:N_RENEWERS]
+        return self.me.member_id in renewers or self.wants_exit
+
+    def _lacks_renewal(self, now_ms):
+        age_ms = now_ms - self.fence.platform_at_ms
+        return age_ms > self.lease_ms * SELF_RENEW_SHARE
+
+    def _start_round(self, now_ms):
+        self._round_at_ms = now_ms
+        self._is_round_running = True
+        marks = {self.me.member_id: now_ms}
+        renew_ids = [self.me.lease_id] if self.me.lease_id else []
+        check_ids = []
+        for peer in self._peers():
+            heard = self._heard.get(peer.member_id)
+            if heard is not None and self._is_fresh(heard.at_ms, now_ms):
+                marks[peer.member_id] = heard.heartbeat.sent_at_ms
+                renew_ids.append(peer.lease_id)
+            else:
+                check_ids.append(peer.lease_id)
+        return StartRound(renew_ids, check_ids, marks)
+
+    def _is_fresh(self, at_ms, now_ms):
+        return now_ms - at_ms <= self.lease_ms * SILENT_SHARE
+
+    # Heartbeats.
+
+    def note_heartbeat(self, heartbeat, now_ms):
+        """Take a peer's heartbeat; returns messages."""
+        sender_id = heartbeat.sender_id
+        if heartbeat.receiver_id != self.me.member_id:
+            return []
+        previous = self._heard.get(sender_id)
+        if previous and previous.heartbeat.sent_at_ms >= heartbeat.sent_at_ms:
+            return []
+        self._heard[sender_id] = Heard(heartbeat, now_ms)
+        if sender_id in self.view.members:
+            self._echoed_at_ms[sender_id] = now_ms
+        if heartbeat.echo_at_ms is not None:
+            self.fence.note_echo(sender_id, heartbeat.echo_at_ms)
+        if heartbeat.platform_echo_at_ms is not None:
+            self.fence.note_platform(heartbeat.platform_echo_at_ms)
+        self.ownership.note_heartbeat(heartbeat, now_ms)
+        return self._catch_up(heartbeat)
+
+    def _catch_up(self, heartbeat):
+        epoch = self.ownership.epoch
+        is_newer = (
+            heartbeat.view_version > epoch.view_version
+            or heartbeat.config_version > epoch.config_version
+        )
+        sender = self.view.members.get(heartbeat.sender_id)
+        if not is_newer or sender is None:
+            return []
+        return [FetchPeerState(sender.member_id, sender.peer_address)]
+
+    # The platform.
+
+    def note_round(self, done, now_ms):
+        """Take the platform's answers; returns messages."""
+        self._is_round_running = False
+        if self.platform_ok_since_ms is None:
+            self.platform_ok_since_ms = now_ms
+        self._lapsed_ids = frozenset(done.lapsed_ids)
+        out = []
+        if done.revision >= self.revision:
+            self.revision = done.revision
+            out += self.adopt_view(done.view, now_ms)
+        self._note_renewed(done)
+        return out + self._change_view(now_ms)
+
+    def _note_renewed(self, done):
+        for member_id, mark_ms in done.marks.items():
+            member = done.view.members.get(member_id)
+            if member is None or member.lease_id in self._lapsed_ids:
+                continue
+            if member_id == self.me.member_id:
+                self.fence.note_platform(mark_ms)
+            else:
+                self._platform_echoes[member_id] = mark_ms
+
+    def note_round_failed(self):
+        """Take the platform's silence."""
+        self._is_round_running = False
+        self._is_lease_asked = False
+        self.platform_ok_since_ms = None
+
+    def note_lease(self, granted, now_ms):
+        """Take a lease and join with it; returns messages."""
+        self._is_lease_asked = False
+        self.me.lease_id = granted.lease_id
+        self._round_at_ms = float("-inf")
+        return []
+
+    def _change_view(self, now_ms):
+        if self.wants_exit:
+            return self._exit()
+        if not self.me.lease_id or self.me.lease_id in self._lapsed_ids:
+            return self._ask_lease()
+        if self.view.members.get(self.me.member_id) != self.me:
+            return [WriteView(self.view.with_member(self.me), self.revision)]
+        return self._remove_crashed(now_ms)
+
+    def _ask_lease(self):
+        if self._is_lease_asked:
+            return []
+        self._is_lease_asked = True
+        return [GrantLease()]
+
+    def _exit(self):
+        if not self.is_member:
+            self.is_stopped = True
+            return []
+        view = self.view.without([self.me.member_id], is_clean=True)
+        return [WriteView(view, self.revision)]
+
+    def _remove_crashed(self, now_ms):
+        crashed = [
+            peer.member_id
+            for peer in self._peers()
+            if peer.lease_id in self._lapsed_ids
+            and self._is_silent_to_all(peer.member_id, now_ms)
+        ]
+        if not crashed or not self._may_remove(now_ms):
+            return []
+        return [WriteView(self.view.without(crashed, is_clean=False), self.revision)]
+
+    def _may_remove(self, now_ms):
+        steady_ms = now_ms - self.platform_ok_since_ms
+        if steady_ms < self.lease_ms:
+            return False
+        return len(self._fresh_peers(now_ms)) + 1 >= self.view.n_majority
+
+    def _fresh_peers(self, now_ms):
+        fresh = []
+        for peer in self._peers():
+            heard = self._heard.get(peer.member_id)
+            if heard is not None and self._is_fresh(heard.at_ms, now_ms):
+                fresh.append(heard.heartbeat)
+        return fresh
+
+    def _is_silent_to_all(self, member_id, now_ms):
+        own_age_ms = now_ms - self._echoed_at_ms.get(member_id, float("-inf"))
+        ages = [own_age_ms]
+        for heartbeat in self._fresh_peers(now_ms):
+            ages.append(heartbeat.silent_ms.get(member_id, 0.0))
+        return min(ages) >= self.lease_ms
+
+    def adopt_view(self, view, now_ms):
+        """Take a view if it is newer; returns messages."""
+        if view.version <= self.view.version:
+            return []
+        self.ownership.adopt_view(view, self._echoed_at_ms, now_ms)
+        return self.beat(now_ms)
+
+    def adopt_configuration(self, configuration, now_ms):
+        """Take a configuration if it is newer; returns messages."""
+        if configuration.version <= self.ownership.configuration.version:
+            return []
+        self.ownership.adopt_configuration(configuration, now_ms)
+        return self.beat(now_ms)
+
+    # Planned stop.
+
+    def start_leaving(self):
+        """Ask for the leaving state; the next round writes it."""
+        self.me = self.me.with_state(LEAVING)
+        self._round_at_ms = float("-inf")
+
+    def start_exit(self):
+        """Ask to be taken out of the view; the next rounds write it."""
+        self.wants_exit = True
+        self._round_at_ms = float("-inf")
+
+    def fence_end_ms(self, now_ms):
+        """Return until when this VM may dispatch."""
+        if not self.is_member:
+            return float("-inf")
+        return self.fence.end_at_ms(self.view, now_ms)
--- /dev/null
+++ b/packages/core/hornbeamstand_core/controllers/node.py
@@ -0,0 +1,167 @@
+"""The set of controllers of one entry VM behind one message interface.
+
+The tasks of a process, or a test on a virtual clock, post messages here and
+perform the messages that come back.
+"""
+
+from ..messages import Release, RoomNews
+from ..peer_messages import Heartbeat
+from ..records import Record
+from .balancer import Balancer
+from .membership import LeaseGranted, Membership, RoundDone, RoundFailed
+from .ownership import Ownership
+from .stopping import Stopping
+
+
+class SendRoom(Record):
+    """Tell a peer of a change of spare room."""
+
+    __slots__ = ("address", "news")
+
+    def __init__(self, address, news):
+        self.address = address
+        self.news = news
+
+
+class AdoptConfiguration(Record):
+    """A newer configuration was accepted."""
+
+    __slots__ = ("configuration",)
+
+    def __init__(self, configuration):
+        self.configuration = configuration
+
+
+class AdoptView(Record):
+    """A peer or the platform has a newer view."""
+
+    __slots__ = ("view",)
+
+    def __init__(self, view):
+        self.view = view
+
+
+class BeginStop(Record):
+    """A planned stop was asked for."""
+
+    __slots__ = ("deadline_ms",)
+
+    def __init__(self, deadline_ms):
+        self.deadline_ms = deadline_ms
+
+
+class Tick(Record):
+    """Time has passed."""
+
+    __slots__ = ("n_requests",)
+
+    def __init__(self, n_requests=0):
+        self.n_requests = n_requests
+
+
+class Node(Record):
+    """Every controller of one entry VM.
+
+    Parameters
+    ----------
+    me : Member
+        This VM.
+    lease_ms : float
+        Lease time of the cell's members.
+    configuration : Configuration
+        The one to start with.
+    make_choice, make_limit : callable
+        Build the closures of each service.
+    now_ms : float
+        The present time.
+    """
+
+    __slots__ = ("balancer", "ownership", "membership", "stopping")
+
+    def __init__(self, me, lease_ms, configuration, make_choice, make_limit, now_ms):
+        self.balancer = Balancer(me.member_id, make_choice, make_limit)
+        self.ownership = Ownership(
+            me.member_id, self.balancer, lease_ms, configuration, now_ms
+        )
+        self.membership = Membership(me, self.ownership, lease_ms)
+        self.stopping = Stopping(self.membership)
+
+    def handle(self, message, now_ms):
+        """Take one message; returns the messages it leads to."""
+        handler = HANDLERS.get(type(message))
+        if handler is not None:
+            out = handler(self, message, now_ms)
+            self.balancer.extend_fence(self.membership.fence_end_ms(now_ms))
+            return out
+        if type(message) is Release:
+            self.ownership.note_release(message.permit)
+        out = self.balancer.handle(message, now_ms)
+        return out + self._room_changes(message, now_ms)
+
+    def _room_changes(self, message, now_ms):
+        if type(message) is RoomNews:
+            return []
+        name = message_service_name(message)
+        service = self.balancer.services.get(name)
+        members = self.ownership.serving_sets.get(name, ())
+        if service is None or len(members) < 2:
+            return []
+        out = []
+        for news in service.changed_room(now_ms):
+            for peer_id in members:
+                peer = self.membership.view.members.get(peer_id)
+                if peer_id != self.balancer.member_id and peer is not None:
+                    out.append(SendRoom(peer.peer_address, news))
+        return out
+
+    def _tick(self, message, now_ms):
+        self.stopping.n_requests = message.n_requests
+        self.stopping.tick(now_ms)
+        self.ownership.settle(now_ms)
+        return self.membership.tick(now_ms) + self.balancer.tick(now_ms)
+
+    def _note_heartbeat(self, message, now_ms):
+        out = self.membership.note_heartbeat(message, now_ms)
+        for news in message.rooms:
+            if news.service_name in self.balancer.services:
+                out += self.balancer.handle(news, now_ms)
+        return out
+
+    def _note_round(self, message, now_ms):
+        return self.membership.note_round(message, now_ms)
+
+    def _note_round_failed(self, message, now_ms):
+        self.membership.note_round_failed()
+        return []
+
+    def _note_lease(self, message, now_ms):
+        return self.membership.note_lease(message, now_ms)
+
+    def _adopt_configuration(self, message, now_ms):
+        return self.membership.adopt_configuration(message.configuration, now_ms)
+
+    def _adopt_view(self, message, now_ms):
+        return self.membership.adopt_view(message.view, now_ms)
+
+    def _begin_stop(self, message, now_ms):
+        self.stopping.begin(now_ms, message.deadline_ms)
+        return []
+
+
+def message_service_name(message):
+    """Return the service that a request's message concerns, or ''."""
+    if type(message) is Release:
+        return message.permit.service_name
+    return getattr(message, "service_name", "")
+
+
+HANDLERS = {
+    Tick: Node._tick,
+    Heartbeat: Node._note_heartbeat,
+    RoundDone: Node._note_round,
+    RoundFailed: Node._note_round_failed,
+    LeaseGranted: Node._note_lease,
+    AdoptConfiguration: Node._adopt_configuration,
+    AdoptView: Node._adopt_view,
+    BeginStop: Node._begin_stop,
+}
--- /dev/null
+++ b/packages/core/hornbeamstand_core/controllers/service.py
@@ -0,0 +1,355 @@
+"""The controller of one service at one entry VM.
+
+Owns the counts of the targets that this VM owns, the queue for them, and the
+budgets. Every dispatch goes through ``_grant``; nothing else adds to the
+requests in flight.
+"""
+
+from ..messages import (
+    NOT_RUN,
+    TIMED_OUT,
+    Decision,
+    Granted,
+    HandOver,
+    Permit,
+    Refusal,
+    RoomNews,
+    SendFailure,
+    SendProbe,
+)
+from ..records import Record
+from .budgets import RateBudget, RatioBudget
+from .cold_start import count_good_completion, enter_cold, note_report
+from .health import note_failure, note_good, note_latency
+from .peer_room import PeerRoom
+from .queueing import WaitQueue
+from .target_state import COLD, DRAINING, READY, TargetState
+
+BASE_WEIGHT = 0.02
+# Share of the time left that an expected wait may take before a refusal.
+WAIT_SHARE_MAX = 1.0
+# A ready target that answered this recently needs no probe.
+PROBE_IDLE_MS = 1000.0
+
+
+class ServiceController(Record):
+    """Decide for one service which request goes to which target, and when.
+
+    Parameters
+    ----------
+    name : str
+        The service.
+    spec : ServiceSpec
+        Its configuration.
+    member_id : str
+        This VM.
+    choose, adjust_limit : callable
+        See ``choice`` and ``limits``.
+    hop_ms : float
+        Expected time from this VM to a peer, one way.
+    """
+
+    __slots__ = (
+        "name",
+        "spec",
+        "member_id",
+        "targets",
+        "queue",
+        "peers",
+        "base_ms",
+        "fence_at_ms",
+        "retry_budget",
+        "probe_budget",
+        "_choose",
+        "_adjust_limit",
+        "_news_sent",
+    )
+
+    def __init__(self, name, spec, member_id, choose, adjust_limit, hop_ms=1.5):
+        self.name = name
+        self.spec = spec
+        self.member_id = member_id
+        self.targets = {}
+        self.queue = WaitQueue()
+        self.peers = PeerRoom(hop_ms)
+        self.base_ms = None
+        self.fence_at_ms = 0.0
+        self.retry_budget = RatioBudget(spec.retry.budget_ratio)
+        self.probe_budget = RateBudget(0.0, 0.0)
+        self._choose = choose
+        self._adjust_limit = adjust_limit
+        self._news_sent = None
+
+    # Ownership and configuration.
+
+    def gain_target(self, target_id, is_open):
+        """Start to own a target, in cold start; returns its state."""
+        state = TargetState(target_id, self.spec.targets[target_id], is_open)
+        enter_cold(state, self.spec.cold_start)
+        self.targets[target_id] = state
+        self._set_probe_rate()
+        return state
+
+    def lose_target(self, target_id):
+        """Stop owning a target; returns its last state."""
+        state = self.targets.pop(target_id)
+        self._set_probe_rate()
+        return state
+
+    def adopt_spec(self, spec, is_open):
+        """Take a new configuration for the targets already owned."""
+        self.spec = spec
+        self.retry_budget.ratio = spec.retry.budget_ratio
+        for target_id, state in self.targets.items():
+            state.spec = spec.targets[target_id]
+            was_open = state.is_open
+            state.is_open = is_open(state.spec)
+            if state.is_open and not was_open:
+                enter_cold(state, spec.cold_start)
+            state.limit = min(state.limit, float(state.ceiling))
+        self._set_probe_rate()
+
+    def _set_probe_rate(self):
+        share = len(self.targets) / max(1, len(self.spec.targets))
+        self.probe_budget.rate_per_s = self.spec.probe.budget_per_s * share
+
+    # Requests.
+
+    def acquire(self, message, now_ms):
+        """Grant a slot, hand over, queue or refuse; returns messages."""
+        if now_ms >= self.fence_at_ms:
+            return self._leave_to_peer(message, "lease lapsed", now_ms)
+        state = self._find_target(message, now_ms)
+        if state is not None and len(self.queue) == 0:
+            return self._grant(message, state, now_ms)
+        if message.may_hand_over:
+            peer_id = self._find_peer(now_ms)
+            if peer_id is not None:
+                return self._hand_over(message, peer_id)
+        return self._enqueue(message, now_ms)
+
+    def _find_target(self, message, now_ms):
+        free = [state for state in self.targets.values() if state.n_free(now_ms) > 0]
+        if not free:
+            return None
+        untried = [s for s in free if s.target_id not in message.excluded_ids]
+        return self._choose(untried or free, now_ms, self.base_ms)
+
+    def _find_peer(self, now_ms):
+        wait_ms = self.expected_wait_ms(now_ms)
+        if wait_ms <= 2 * self.peers.hop_ms:
+            return None
+        return self.peers.find_free() or self.peers.find_shorter(wait_ms)
+
+    def _leave_to_peer(self, message, reason, now_ms):
+        peer_id = self.peers.find_free() or self.peers.find_shorter(float("inf"))
+        if message.may_hand_over and peer_id is not None:
+            return self._hand_over(message, peer_id)
+        return self._refuse(message, reason)
+
+    def _grant(self, message, state, now_ms):
+        state.started_at_ms[message.request_id] = now_ms
+        state.n_dispatched += 1
+        if not message.is_retry:
+            self.retry_budget.earn()
+        permit = Permit(
+            self.name,
+            state.target_id,
+            state.spec.address,
+            message.request_id,
+            now_ms,
+        )
+        return [
+            Granted(message.request_id, permit),
+            Decision(self.name, message.request_id, "send", state.target_id),
+        ]
+
+    def _hand_over(self, message, peer_id):
+        self.peers.count_handed(peer_id)
+        return [
+            Granted(message.request_id, HandOver(peer_id)),
+            Decision(self.name, message.request_id, "hand over", peer_id),
+        ]
+
+    def _refuse(self, message, reason):
+        refusal = Refusal(reason, NOT_RUN, 503, "choose", self.name)
+        return [
+            Granted(message.request_id, refusal),
+            Decision(self.name, message.request_id, "refuse", "", reason),
+        ]
+
+    def _enqueue(self, message, now_ms):
+        if len(self.queue) >= self.spec.queue_max:
+            return self._refuse(message, "queue full")
+        end_at_ms = now_ms + self.expected_wait_ms(now_ms) + (self.base_ms or 0.0)
+        if end_at_ms > message.deadline_at_ms:
+            return self._refuse(message, "wait exceeds deadline")
+        self.queue.add(message, now_ms)
+        return [Decision(self.name, message.request_id, "wait", "")]
+
+    def withdraw(self, message, now_ms):
+        """Take a request out of the queue."""
+        waiting = self.queue.remove(message.request_id)
+        if waiting is None:
+            return []
+        return self._refuse(waiting.acquire, "caller gone")
+
+    def release(self, message, now_ms):
+        """Take a permit back and learn from its result; returns messages."""
+        permit = message.permit
+        state = self.targets.get(permit.target_id)
+        if state is None:
+            return []
+        if state.started_at_ms.pop(permit.request_id, None) is None:
+            return []
+        latency_ms = now_ms - permit.granted_at_ms
+        self._learn(state, message.result, latency_ms, now_ms)
+        return self.drain(now_ms)
+
+    def drain(self, now_ms):
+        """Serve waiting requests as far as there is room; returns messages."""
+        out = []
+        for waiting in self.queue.take_expired(now_ms):
+            out += self._refuse(waiting.acquire, "deadline passed")
+        if now_ms >= self.fence_at_ms:
+            return out + self._empty_queue(now_ms)
+        for waiting in self.queue:
+            served = self._serve(waiting.acquire, now_ms)
+            if served is None:
+                break
+            out += served
+        return out
+
+    def _serve(self, message, now_ms):
+        state = self._find_target(message, now_ms)
+        if state is not None:
+            self.queue.remove(message.request_id)
+            return self._grant(message, state, now_ms)
+        peer_id = self.peers.find_free()
+        if not message.may_hand_over or peer_id is None:
+            return None
+        self.queue.remove(message.request_id)
+        return self._hand_over(message, peer_id)
+
+    def _empty_queue(self, now_ms):
+        out = []
+        for waiting in self.queue:
+            self.queue.remove(waiting.acquire.request_id)
+            out += self._leave_to_peer(waiting.acquire, "lease lapsed", now_ms)
+        return out
+
+    # Learning.
+
+    def _learn(self, state, result, latency_ms, now_ms):
+        rules = self.spec.cold_start
+        if isinstance(result, SendFailure):
+            self._learn_failure(state, result, latency_ms, now_ms)
+            return
+        if result.report is not None:
+            self.note_report(state, result.report)
+        if result.did_not_run:
+            self._adjust_limit(state, latency_ms, self.base_ms, True)
+            return
+        if result.status >= 500:
+            note_failure(state, now_ms, rules)
+            return
+        note_good(state)
+        if note_latency(state, latency_ms, now_ms) and state.phase == READY:
+            enter_cold(state, rules)
+            return
+        self._note_base(latency_ms)
+        if state.phase == COLD:
+            count_good_completion(state, rules)
+        else:
+            self._adjust_limit(state, latency_ms, self.base_ms, False)
+
+    def _learn_failure(self, state, failure, latency_ms, now_ms):
+        if failure.kind == "caller-gone":
+            return
+        if failure.kind == TIMED_OUT:
+            note_latency(state, latency_ms, now_ms)
+            self._adjust_limit(state, latency_ms, self.base_ms, True)
+        note_failure(state, now_ms, self.spec.cold_start)
+
+    def _note_base(self, latency_ms):
+        if self.base_ms is None:
+            self.base_ms = latency_ms
+        self.base_ms += BASE_WEIGHT * (latency_ms - self.base_ms)
+
+    def note_report(self, state, report):
+        """Follow a target's report of its start and its draining."""
+        if report.state == DRAINING:
+            state.phase = DRAINING
+            return
+        if state.phase == DRAINING:
+            enter_cold(state, self.spec.cold_start)
+        note_report(state, report, self.spec.cold_start)
+
+    # Estimates and news.
+
+    def n_free(self, now_ms):
+        """Count the free slots of the owned targets."""
+        if now_ms >= self.fence_at_ms:
+            return 0
+        return sum(state.n_free(now_ms) for state in self.targets.values())
+
+    def expected_wait_ms(self, now_ms):
+        """Return the wait that a request queued now could expect."""
+        base_ms = self.base_ms or 0.0
+        n_slots = 0
+        for state in self.targets.values():
+            if state.is_open and now_ms >= state.ejected_until_ms:
+                n_slots += int(state.limit)
+        if n_slots == 0:
+            return float("inf")
+        return base_ms * (len(self.queue) + 1) / n_slots
+
+    def room(self, now_ms):
+        """Return this VM's news for its peers."""
+        n_free = self.n_free(now_ms)
+        wait_ms = 0.0 if n_free else self.expected_wait_ms(now_ms)
+        return RoomNews(self.name, self.member_id, n_free, len(self.queue), wait_ms)
+
+    def changed_room(self, now_ms):
+        """Return news if the VM got its first or lost its last free slot."""
+        news = self.room(now_ms)
+        edge = (news.n_free > 0, news.n_free > 2)
+        if edge == self._news_sent:
+            return []
+        self._news_sent = edge
+        return [news]
+
+    # Probes.
+
+    def find_probe(self, now_ms):
+        """Return the probe to send now, if one is due and in the budget."""
+        doubtful = [s for s in self.targets.values() if self._is_doubtful(s, now_ms)]
+        if not doubtful:
+            return []
+        state = min(doubtful, key=lambda s: max(s.probed_at_ms, s.sampled_at_ms))
+        if not self.probe_budget.take(now_ms):
+            return []
+        state.probed_at_ms = now_ms
+        state.is_probing = True
+        path = self.spec.probe.path
+        return [SendProbe(self.name, state.target_id, state.spec.address, path)]
+
+    def _is_doubtful(self, state, now_ms):
+        if state.is_probing or not state.is_open:
+            return False
+        last_ms = max(state.probed_at_ms, state.sampled_at_ms)
+        return now_ms - last_ms > PROBE_IDLE_MS
+
+    def note_probe(self, message, now_ms):
+        """Take a probe's result; returns messages."""
+        state = self.targets.get(message.target_id)
+        if state is None:
+            return []
+        state.is_probing = False
+        if message.report is None:
+            note_failure(state, now_ms, self.spec.cold_start)
+            return []
+        self.note_report(state, message.report)
+        if now_ms < state.ejected_until_ms:
+            state.ejected_until_ms = now_ms
+        return self.drain(now_ms)
--- /dev/null
+++ b/packages/core/hornbeamstand_core/controllers/stopping.py
@@ -0,0 +1,80 @@
+"""The steps of a planned stop.
+
+Announce (the view says leaving, so lookups stop naming this VM and its targets
+move), wait until callers' cached answers have run out and nothing is in flight,
+exit the view, done. The deadline ends the waiting sooner.
+"""
+
+from ..records import Record
+
+RUNNING = "running"
+ANNOUNCING = "announcing"
+DRAINING = "draining"
+EXITING = "exiting"
+STOPPED = "stopped"
+
+
+class Stopping(Record):
+    """Where a planned stop stands.
+
+    Parameters
+    ----------
+    membership : Membership
+        Writes the leaving state and the exit.
+    """
+
+    __slots__ = (
+        "membership",
+        "phase",
+        "drained_from_ms",
+        "deadline_at_ms",
+        "n_requests",
+    )
+
+    def __init__(self, membership):
+        self.membership = membership
+        self.phase = RUNNING
+        self.drained_from_ms = None
+        self.deadline_at_ms = float("inf")
+        self.n_requests = 0
+
+    def begin(self, now_ms, deadline_ms):
+        """Start the stop; it ends at the deadline at the latest."""
+        if self.phase != RUNNING:
+            self.deadline_at_ms = now_ms
+            return
+        self.phase = ANNOUNCING
+        self.deadline_at_ms = now_ms + deadline_ms
+        self.membership.start_leaving()
+
+    def tick(self, now_ms):
+        """Go on to the next step if it is due; returns the phase."""
+        if self.phase == RUNNING or self.phase == STOPPED:
+            return self.phase
+        if now_ms >= self.deadline_at_ms:
+            self.phase = STOPPED
+        elif self.phase == ANNOUNCING:
+            self._end_announcing(now_ms)
+        elif self.phase == DRAINING:
+            self._end_draining(now_ms)
+        elif self.phase == EXITING and self.membership.is_stopped:
+            self.phase = STOPPED
+        return self.phase
+
+    def _end_announcing(self, now_ms):
+        view = self.membership.view
+        me = view.members.get(self.membership.me.member_id)
+        if me is not None and me.state != "leaving":
+            return
+        specs = self.membership.ownership.configuration.services.values()
+        cached_ms = max((spec.lookup_ttl_ms for spec in specs), default=0)
+        self.drained_from_ms = now_ms + cached_ms
+        self.phase = DRAINING
+
+    def _end_draining(self, now_ms):
+        if now_ms < self.drained_from_ms or self.n_requests > 0:
+            return
+        if self.membership.ownership.has_records():
+            return
+        self.phase = EXITING
+        self.membership.start_exit()
--- /dev/null
+++ b/packages/core/hornbeamstand_core/controllers/target_state.py
@@ -0,0 +1,84 @@
+"""What the owner of a target knows about it."""
+
+from ..records import Record
+
+COLD = "cold"
+READY = "ready"
+DRAINING = "draining"
+EJECTED = "ejected"
+
+# Limit of a target whose configuration declares no slots.
+LEARNED_LIMIT_MAX = 64
+
+
+class TargetState(Record):
+    """One target's counts, learned limit and recent behaviour.
+
+    ``limit`` is the number of requests it may have in flight now;
+    ``inherited_counts`` maps earlier owners to their requests still in flight;
+    ``started_at_ms`` maps requests in flight to their dispatch time.
+    """
+
+    __slots__ = (
+        "target_id",
+        "spec",
+        "is_open",
+        "phase",
+        "limit",
+        "inherited_counts",
+        "started_at_ms",
+        "n_good_in_phase",
+        "n_failures_in_row",
+        "latency_ms",
+        "sampled_at_ms",
+        "start_id",
+        "ejected_until_ms",
+        "ejection_ms",
+        "probed_at_ms",
+        "is_probing",
+        "n_dispatched",
+    )
+
+    def __init__(self, target_id, spec, is_open):
+        self.target_id = target_id
+        self.spec = spec
+        self.is_open = is_open
+        self.phase = COLD
+        self.limit = 1.0
+        self.inherited_counts = {}
+        self.started_at_ms = {}
+        self.n_good_in_phase = 0
+        self.n_failures_in_row = 0
+        self.latency_ms = None
+        self.sampled_at_ms = 0.0
+        self.start_id = ""
+        self.ejected_until_ms = 0.0
+        self.ejection_ms = 0.0
+        self.probed_at_ms = float("-inf")
+        self.is_probing = False
+        self.n_dispatched = 0
+
+    @property
+    def ceiling(self):
+        """Return the greatest limit: the declared slots if there are any."""
+        return self.spec.slots or LEARNED_LIMIT_MAX
+
+    @property
+    def n_in_flight(self):
+        """Count the requests in flight, earlier owners' included."""
+        return len(self.started_at_ms) + sum(self.inherited_counts.values())
+
+    def n_free(self, now_ms):
+        """Count the requests that may be sent now."""
+        if not self.is_open or self.phase == DRAINING:
+            return 0
+        if now_ms < self.ejected_until_ms:
+            return 0
+        return max(0, int(self.limit) - self.n_in_flight)
+
+    def set_inherited(self, member_id, n_left):
+        """Set an earlier owner's requests still in flight."""
+        if n_left > 0:
+            self.inherited_counts[member_id] = n_left
+        else:
+            self.inherited_counts.pop(member_id, None)
--- /dev/null
+++ b/packages/core/hornbeamstand_core/errors.py
@@ -0,0 +1,37 @@
+"""Typed errors; each names the step and the peer at which it arose."""
+
+
+class HornbeamError(Exception):
+    """Base of the project's errors.
+
+    Parameters
+    ----------
+    step : str
+        What was being done, such as ``"platform.read"``.
+    peer : str
+        The other side: an address, a key or a file.
+    detail : str
+        What went wrong, in one sentence.
+    """
+
+    def __init__(self, step, peer, detail):
+        super().__init__(f"{step}: {peer}: {detail}")
+        self.step = step
+        self.peer = peer
+        self.detail = detail
+
+
+class ConfigError(HornbeamError):
+    """A settings or configuration file was rejected."""
+
+
+class PlatformError(HornbeamError):
+    """The platform's store did not answer, or answered with an error."""
+
+
+class ConflictError(HornbeamError):
+    """A compare-and-swap found another revision than expected."""
+
+
+class PeerError(HornbeamError):
+    """Another entry VM did not answer."""
--- /dev/null
+++ b/packages/core/hornbeamstand_core/filters/__init__.py
@@ -0,0 +1,31 @@
+"""The request filter chain.
+
+A filter takes the next handler and returns a handler. A handler is a generator
+function: it takes a Call, yields effects (see ``messages``) to whoever drives
+it, and returns ``Ok(Answer)`` or ``Err(Refusal)``.
+"""
+
+from .account import account
+from .admit import make_admit
+from .chain import build_chain, build_default_chain
+from .choose import choose
+from .classify import classify
+from .deadline import deadline
+from .dispatch import dispatch
+from .identify import make_identify
+from .orders import orders
+from .retry import retry
+
+__all__ = [
+    "account",
+    "build_chain",
+    "build_default_chain",
+    "choose",
+    "classify",
+    "deadline",
+    "dispatch",
+    "make_admit",
+    "make_identify",
+    "orders",
+    "retry",
+]
--- /dev/null
+++ b/packages/core/hornbeamstand_core/filters/choose.py
@@ -0,0 +1,29 @@
+"""Gets a slot on a target, or a peer that has one."""
+
+from result import Err
+
+from ..messages import Acquire, HandOver, Refusal
+from .forwarding import forward
+
+
+def choose(next_handler):
+    """Acquire a permit, wait for it, or hand the call to a peer once."""
+
+    def handle(call):
+        request = call.request
+        reply = yield Acquire(
+            request.service_name,
+            request.request_id,
+            call.deadline_at_ms,
+            call.tried_target_ids,
+            may_hand_over=request.n_hops + call.n_forwards == 0,
+            is_retry=call.n_dispatches > 0,
+        )
+        if isinstance(reply, Refusal):
+            return Err(reply)
+        if isinstance(reply, HandOver):
+            return (yield from forward(call, reply.peer_id, is_recorded=True))
+        call.permit = reply
+        return (yield from next_handler(call))
+
+    return handle
--- /dev/null
+++ b/packages/core/hornbeamstand_core/filters/deadline.py
@@ -0,0 +1,21 @@
+"""Sets the time by which a call must be answered."""
+
+from result import Err
+
+from ..messages import Refusal
+
+
+def deadline(next_handler):
+    """Take the caller's deadline, capped, or the service's default."""
+
+    def handle(call):
+        asked_ms = call.request.deadline_ms
+        if asked_ms is None:
+            asked_ms = call.service.deadline_ms
+        if asked_ms <= 0:
+            return Err(Refusal("deadline passed", status=504, step="deadline"))
+        granted_ms = min(asked_ms, call.service.deadline_max_ms)
+        call.deadline_at_ms = call.request.arrived_at_ms + granted_ms
+        return (yield from next_handler(call))
+
+    return handle
--- /dev/null
+++ b/packages/core/hornbeamstand_core/filters/dispatch.py
@@ -0,0 +1,21 @@
+"""Sends a call to the target it holds a permit for."""
+
+from result import Err, Ok
+
+from ..messages import Answer, Refusal, Release, Send, SendFailure
+from .forwarding import failure_refusal
+
+
+def dispatch(call):
+    """Exchange the request with the target and give the permit back."""
+    permit = call.permit
+    call.n_dispatches += 1
+    call.tried_target_ids += (permit.target_id,)
+    reply = yield Send(permit, call.deadline_at_ms, call.is_idempotent)
+    yield Release(permit, reply)
+    call.permit = None
+    if isinstance(reply, SendFailure):
+        return Err(failure_refusal(reply, "dispatch"))
+    if reply.did_not_run:
+        return Err(Refusal("target shed it", step="dispatch", peer=permit.target_id))
+    return Ok(Answer(reply.status, reply.payload, permit.target_id))
--- /dev/null
+++ b/packages/core/hornbeamstand_core/filters/forwarding.py
@@ -0,0 +1,23 @@
+"""Hands a call to another entry VM and reads its reply."""
+
+from result import Err, Ok
+
+from ..messages import NOT_RUN, UNKNOWN, Answer, Forward, Refusal, SendFailure
+
+
+def failure_refusal(failure, step):
+    """Return the truthful refusal for a failed exchange."""
+    certainty = UNKNOWN if failure.may_have_run else NOT_RUN
+    status = 504 if failure.kind == "timed-out" else 502
+    return Refusal(failure.kind, certainty, status, step, failure.peer)
+
+
+def forward(call, peer_id, is_recorded=False):
+    """Send the call to a peer; its answer or refusal is the call's."""
+    call.n_forwards += 1
+    reply = yield Forward(peer_id, call.deadline_at_ms, call.is_idempotent, is_recorded)
+    if isinstance(reply, SendFailure):
+        return Err(failure_refusal(reply, "forward"))
+    if reply.refusal is not None:
+        return Err(reply.refusal)
+    return Ok(Answer(reply.status, reply.payload, target_id=peer_id))
--- /dev/null
+++ b/packages/core/hornbeamstand_core/filters/orders.py
@@ -0,0 +1,43 @@
+"""Runs an order with an idempotency key at most once, over resends."""
+
+from result import Err, Ok
+
+from ..messages import (
+    Answer,
+    OrderElsewhere,
+    OrderKnown,
+    Refusal,
+    ReserveOrder,
+    SettleOrder,
+)
+from .forwarding import forward
+
+
+def as_result(outcome):
+    """Wrap an Answer as Ok and a Refusal as Err."""
+    return Ok(outcome) if isinstance(outcome, Answer) else Err(outcome)
+
+
+def orders(next_handler):
+    """Record a keyed order at its home before the rest of the chain runs it."""
+
+    def handle(call):
+        request = call.request
+        key = request.idempotency_key
+        if call.is_idempotent or key is None or request.is_recorded:
+            return (yield from next_handler(call))
+        reply = yield ReserveOrder(
+            request.service_name, key, call.deadline_at_ms, request.n_hops
+        )
+        if isinstance(reply, OrderElsewhere):
+            return (yield from forward(call, reply.peer_id))
+        if isinstance(reply, OrderKnown):
+            return as_result(reply.outcome)
+        if isinstance(reply, Refusal):
+            return Err(reply)
+        outcome = yield from next_handler(call)
+        settled = outcome.ok_value if outcome.is_ok() else outcome.err_value
+        yield SettleOrder(request.service_name, key, settled)
+        return outcome
+
+    return handle
--- /dev/null
+++ b/packages/core/hornbeamstand_core/messages.py
@@ -0,0 +1,384 @@
+"""Messages between a request's filter chain, the controllers and the tasks.
+
+Times that end in ``_at_ms`` are readings of the local clock; durations end in
+``_ms`` alone. A message never holds a socket or encoded bytes: ``payload`` and
+``body`` are opaque to the core.
+"""
+
+from .records import Record
+
+
+class Request(Record):
+    """One request as the front end received it.
+
+    ``deadline_ms`` is the caller's remaining time, or None; ``n_hops`` counts
+    the entry VMs that handed the request on.
+    """
+
+    __slots__ = (
+        "request_id",
+        "service_name",
+        "method",
+        "path",
+        "idempotency_key",
+        "deadline_ms",
+        "arrived_at_ms",
+        "n_hops",
+        "is_recorded",
+    )
+
+    def __init__(
+        self,
+        request_id,
+        service_name,
+        method="GET",
+        path="/",
+        idempotency_key=None,
+        deadline_ms=None,
+        arrived_at_ms=0.0,
+        n_hops=0,
+        is_recorded=False,
+    ):
+        self.request_id = request_id
+        self.service_name = service_name
+        self.method = method
+        self.path = path
+        self.idempotency_key = idempotency_key
+        self.deadline_ms = deadline_ms
+        self.arrived_at_ms = arrived_at_ms
+        self.n_hops = n_hops
+        self.is_recorded = is_recorded
+
+
+class Call(Record):
+    """What the filters have decided about one request so far."""
+
+    __slots__ = (
+        "request",
+        "service",
+        "deadline_at_ms",
+        "is_idempotent",
+        "n_dispatches",
+        "n_forwards",
+        "tried_target_ids",
+        "permit",
+    )
+
+    def __init__(self, request):
+        self.request = request
+        self.service = None
+        self.deadline_at_ms = None
+        self.is_idempotent = False
+        self.n_dispatches = 0
+        self.n_forwards = 0
+        self.tried_target_ids = ()
+        self.permit = None
+
+
+# Outcomes of a call.
+
+
+class Answer(Record):
+    """A whole answer of a target; ``payload`` is the front end's own."""
+
+    __slots__ = ("status", "payload", "target_id", "latency_ms")
+
+    def __init__(self, status, payload=None, target_id="", latency_ms=0.0):
+        self.status = status
+        self.payload = payload
+        self.target_id = target_id
+        self.latency_ms = latency_ms
+
+
+NOT_RUN = "not-run"
+UNKNOWN = "outcome-unknown"
+
+
+class Refusal(Record):
+    """An answer of the system itself.
+
+    ``certainty`` is ``NOT_RUN`` only if no byte of the request can have
+    reached a target, or the target said that it did not run it.
+    """
+
+    __slots__ = ("reason", "certainty", "status", "step", "peer")
+
+    def __init__(self, reason, certainty=NOT_RUN, status=503, step="", peer=""):
+        self.reason = reason
+        self.certainty = certainty
+        self.status = status
+        self.step = step
+        self.peer = peer
+
+
+# Effects: a filter yields one, the driver performs it and sends the reply back.
+
+
+class Acquire(Record):
+    """Ask the balancer for a slot; replies Permit, HandOver or Refusal."""
+
+    __slots__ = (
+        "service_name",
+        "request_id",
+        "deadline_at_ms",
+        "excluded_ids",
+        "may_hand_over",
+        "is_retry",
+    )
+
+    def __init__(
+        self,
+        service_name,
+        request_id,
+        deadline_at_ms,
+        excluded_ids=(),
+        may_hand_over=True,
+        is_retry=False,
+    ):
+        self.service_name = service_name
+        self.request_id = request_id
+        self.deadline_at_ms = deadline_at_ms
+        self.excluded_ids = excluded_ids
+        self.may_hand_over = may_hand_over
+        self.is_retry = is_retry
+
+
+class Permit(Record):
+    """The right to send one request to one target, once."""
+
+    __slots__ = ("service_name", "target_id", "address", "request_id", "granted_at_ms")
+
+    def __init__(self, service_name, target_id, address, request_id, granted_at_ms):
+        self.service_name = service_name
+        self.target_id = target_id
+        self.address = address
+        self.request_id = request_id
+        self.granted_at_ms = granted_at_ms
+
+
+class HandOver(Record):
+    """Send the request to another entry VM instead."""
+
+    __slots__ = ("peer_id",)
+
+    def __init__(self, peer_id):
+        self.peer_id = peer_id
+
+
+class Send(Record):
+    """Send the request to the permit's target; replies Reply or SendFailure."""
+
+    __slots__ = ("permit", "deadline_at_ms", "is_idempotent")
+
+    def __init__(self, permit, deadline_at_ms, is_idempotent):
+        self.permit = permit
+        self.deadline_at_ms = deadline_at_ms
+        self.is_idempotent = is_idempotent
+
+
+class Forward(Record):
+    """Send the request to a peer; replies Reply or SendFailure."""
+
+    __slots__ = ("peer_id", "deadline_at_ms", "is_idempotent", "is_recorded")
+
+    def __init__(self, peer_id, deadline_at_ms, is_idempotent, is_recorded=False):
+        self.peer_id = peer_id
+        self.deadline_at_ms = deadline_at_ms
+        self.is_idempotent = is_idempotent
+        self.is_recorded = is_recorded
+
+
+class Reply(Record):
+    """A whole answer, with the target's report on itself."""
+
+    __slots__ = ("status", "payload", "report", "did_not_run", "refusal")
+
+    def __init__(
+        self, status, payload=None, report=None, did_not_run=False, refusal=None
+    ):
+        self.status = status
+        self.payload = payload
+        self.report = report
+        self.did_not_run = did_not_run
+        self.refusal = refusal
+
+
+class Report(Record):
+    """What a target says of itself; it may lag or mislead."""
+
+    __slots__ = ("start_id", "state", "n_in_flight")
+
+    def __init__(self, start_id="", state="ready", n_in_flight=0):
+        self.start_id = start_id
+        self.state = state
+        self.n_in_flight = n_in_flight
+
+
+CONNECT_FAILED = "connect-failed"
+TIMED_OUT = "timed-out"
+BROKEN = "broken-answer"
+CANCELLED = "caller-gone"
+
+
+class SendFailure(Record):
+    """No whole answer came; ``may_have_run`` if any byte was sent."""
+
+    __slots__ = ("kind", "may_have_run", "peer")
+
+    def __init__(self, kind, may_have_run, peer=""):
+        self.kind = kind
+        self.may_have_run = may_have_run
+        self.peer = peer
+
+
+class Release(Record):
+    """Give a permit back with what came of it; no reply."""
+
+    __slots__ = ("permit", "result")
+
+    def __init__(self, permit, result):
+        self.permit = permit
+        self.result = result
+
+
+class AskRetry(Record):
+    """Ask the service's retry budget for one retry; replies True or False."""
+
+    __slots__ = ("service_name",)
+
+    def __init__(self, service_name):
+        self.service_name = service_name
+
+
+class Withdraw(Record):
+    """Take a waiting request out of the queue; its caller is gone."""
+
+    __slots__ = ("service_name", "request_id")
+
+    def __init__(self, service_name, request_id):
+        self.service_name = service_name
+        self.request_id = request_id
+
+
+class ReserveOrder(Record):
+    """Record an order before dispatch; replies with one of the Order classes."""
+
+    __slots__ = ("service_name", "key", "deadline_at_ms", "n_hops")
+
+    def __init__(self, service_name, key, deadline_at_ms, n_hops):
+        self.service_name = service_name
+        self.key = key
+        self.deadline_at_ms = deadline_at_ms
+        self.n_hops = n_hops
+
+
+class OrderOpen(Record):
+    """The order is recorded twice and may be dispatched here."""
+
+    __slots__ = ()
+
+
+class OrderKnown(Record):
+    """The order ran before; ``outcome`` is its Answer or Refusal."""
+
+    __slots__ = ("outcome",)
+
+    def __init__(self, outcome):
+        self.outcome = outcome
+
+
+class OrderElsewhere(Record):
+    """The key's home is another entry VM."""
+
+    __slots__ = ("peer_id",)
+
+    def __init__(self, peer_id):
+        self.peer_id = peer_id
+
+
+class SettleOrder(Record):
+    """Keep an order's outcome for resends; no reply."""
+
+    __slots__ = ("service_name", "key", "outcome")
+
+    def __init__(self, service_name, key, outcome):
+        self.service_name = service_name
+        self.key = key
+        self.outcome = outcome
+
+
+class Account(Record):
+    """Count one finished call; no reply."""
+
+    __slots__ = ("call", "outcome")
+
+    def __init__(self, call, outcome):
+        self.call = call
+        self.outcome = outcome
+
+
+# Messages out of the balancer.
+
+
+class Granted(Record):
+    """The reply to a waiting Acquire."""
+
+    __slots__ = ("request_id", "reply")
+
+    def __init__(self, request_id, reply):
+        self.request_id = request_id
+        self.reply = reply
+
+
+class Decision(Record):
+    """One routing decision, for the decision log."""
+
+    __slots__ = ("service_name", "request_id", "action", "to", "detail")
+
+    def __init__(self, service_name, request_id, action, to, detail=""):
+        self.service_name = service_name
+        self.request_id = request_id
+        self.action = action
+        self.to = to
+        self.detail = detail
+
+
+class SendProbe(Record):
+    """Ask a target's health endpoint."""
+
+    __slots__ = ("service_name", "target_id", "address", "path")
+
+    def __init__(self, service_name, target_id, address, path):
+        self.service_name = service_name
+        self.target_id = target_id
+        self.address = address
+        self.path = path
+
+
+class ProbeResult(Record):
+    """A probe's end; ``report`` is None if it failed."""
+
+    __slots__ = ("service_name", "target_id", "report", "latency_ms")
+
+    def __init__(self, service_name, target_id, report, latency_ms):
+        self.service_name = service_name
+        self.target_id = target_id
+        self.report = report
+        self.latency_ms = latency_ms
+
+
+class RoomNews(Record):
+    """One VM's spare room for one service.
+
+    ``n_free`` slots are free, ``n_waiting`` requests wait and ``wait_ms`` is
+    the wait that a request queued now could expect.
+    """
+
+    __slots__ = ("service_name", "member_id", "n_free", "n_waiting", "wait_ms")
+
+    def __init__(self, service_name, member_id, n_free, n_waiting, wait_ms):
+        self.service_name = service_name
+        self.member_id = member_id
+        self.n_free = n_free
+        self.n_waiting = n_waiting
+        self.wait_ms = wait_ms
--- /dev/null
+++ b/packages/core/hornbeamstand_core/records.py
@@ -0,0 +1,19 @@
+"""The base of every data class: slots, equality and a readable form."""
+
+
+class Record:
+    """Compare and print instances by the values of their slots."""
+
+    __slots__ = ()
+
+    def _values(self):
+        return tuple(getattr(self, name) for name in self.__slots__)
+
+    def __eq__(self, other):
+        return type(self) is type(other) and self._values() == other._values()
+
+    __hash__ = None
+
+    def __repr__(self):
+        fields = ", ".join(f"{name}={getattr(self, name)!r}" for name in self.__slots__)
+        return f"{type(self).__name__}({fields})"
--- /dev/null
+++ b/packages/core/hornbeamstand_core/view.py
@@ -0,0 +1,104 @@
+"""The membership view of a cell: which entry VMs there are, under one version."""
+
+from .records import Record
+
+ACTIVE = "active"
+LEAVING = "leaving"
+# Members that left cleanly are remembered in the view for this many exits.
+N_CLEAN_EXITS_KEPT = 16
+
+
+class Member(Record):
+    """One entry VM of a cell.
+
+    ``lease_id`` is its lease at the platform; a VM that comes back has a new
+    member id and a new lease.
+    """
+
+    __slots__ = (
+        "member_id",
+        "front_address",
+        "peer_address",
+        "failure_domain",
+        "state",
+        "lease_id",
+    )
+
+    def __init__(
+        self,
+        member_id,
+        front_address,
+        peer_address,
+        failure_domain,
+        state=ACTIVE,
+        lease_id="",
+    ):
+        self.member_id = member_id
+        self.front_address = front_address
+        self.peer_address = peer_address
+        self.failure_domain = failure_domain
+        self.state = state
+        self.lease_id = lease_id
+
+    def with_state(self, state):
+        """Return a copy in another state."""
+        return Member(
+            self.member_id,
+            self.front_address,
+            self.peer_address,
+            self.failure_domain,
+            state,
+            self.lease_id,
+        )
+
+
+class View(Record):
+    """The members of one cell; ``version`` grows by one with each change."""
+
+    __slots__ = ("version", "members", "clean_exits")
+
+    def __init__(self, version, members, clean_exits=()):
+        self.version = version
+        self.members = members
+        self.clean_exits = tuple(clean_exits)
+
+    @classmethod
+    def empty(cls):
+        """Return the view before anyone joined."""
+        return cls(0, {})
+
+    def active_members(self):
+        """Return the members that take new work, by id."""
+        return [m for _, m in sorted(self.members.items()) if m.state == ACTIVE]
+
+    def with_member(self, member):
+        """Return the next view, with one member added or replaced."""
+        members = {**self.members, member.member_id: member}
+        return View(self.version + 1, members, self.clean_exits)
+
+    def without(self, member_ids, is_clean):
+        """Return the next view, without some members."""
+        members = {
+            member_id: member
+            for member_id, member in self.members.items()
+            if member_id not in member_ids
+        }
+        exits = self.clean_exits
+        if is_clean:
+            exits = (*exits, *member_ids)[-N_CLEAN_EXITS_KEPT:]
+        return View(self.version + 1, members, exits)
+
+    @property
+    def n_majority(self):
+        """Return how many members make a majority."""
+        return len(self.members) // 2 + 1
+
+
+class Epoch(Record):
+    """What ownership is a function of: view version and configuration version."""
+
+    __slots__ = ("view_version", "config_version")
+
+    def __init__(self, view_version, config_version):
+        self.view_version = view_version
+        self.config_version = config_version
