--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,4 @@
 
 generate: $(STAMP)
 	$(BIN)/python -m grpc_tools.protoc -Iprotos --python_out=packages/entry/hornbeamstand_entry --grpc_python_out=packages/entry/hornbeamstand_entry protos/peer.proto
+	sed -i "s/^import peer_pb2/from . import peer_pb2/" packages/entry/hornbeamstand_entry/peer_pb2_grpc.py
--- a/packages/core/hornbeamstand_core/controllers/balancer.py
+++ b/packages/core/hornbeamstand_core/controllers/balancer.py
@@ -10,11 +10,10 @@
     RoomNews,
     Withdraw,
 )
-from ..records import Record
 from .service import ServiceController
 
 
-class Balancer(Record):
+class Balancer:
     """Route each message to the controller of its service.
 
     Parameters
--- a/packages/core/hornbeamstand_core/controllers/budgets.py
+++ b/packages/core/hornbeamstand_core/controllers/budgets.py
@@ -1,12 +1,10 @@
 """Token budgets for probes and retries."""
 
-from ..records import Record
-
 # Retries a service may save up while nothing fails.
 RETRY_TOKENS_MAX = 10.0
 
 
-class RateBudget(Record):
+class RateBudget:
     """Tokens that come back with time; holds one at most.
 
     Parameters
@@ -34,7 +32,7 @@
         return True
 
 
-class RatioBudget(Record):
+class RatioBudget:
     """Tokens earned by first dispatches and spent by retries."""
 
     __slots__ = ("ratio", "_n_tokens")
--- a/packages/core/hornbeamstand_core/controllers/fence.py
+++ b/packages/core/hornbeamstand_core/controllers/fence.py
@@ -8,13 +8,11 @@
 confirmation stays good when other members come or go.
 """
 
-from ..records import Record
-
 # Two VMs' clocks may differ in rate by this much.
 DRIFT_RATIO = 0.01
 
 
-class Fence(Record):
+class Fence:
     """Confirmations that this VM is a member, on the local clock."""
 
     __slots__ = ("lease_ms", "platform_at_ms", "_echoed_at_ms")
--- a/packages/core/hornbeamstand_core/controllers/membership.py
+++ b/packages/core/hornbeamstand_core/controllers/membership.py
@@ -107,7 +107,7 @@
         self.at_ms = at_ms
 
 
-class Membership(Record):
+class Membership:
     """One VM's part in its cell.
 
     Parameters
--- a/packages/core/hornbeamstand_core/controllers/node.py
+++ b/packages/core/hornbeamstand_core/controllers/node.py
@@ -5,6 +5,7 @@
 """
 
 from ..messages import Release, RoomNews
+from ..order_messages import EpochAdopted
 from ..peer_messages import Heartbeat
 from ..records import Record
 from .balancer import Balancer
@@ -59,7 +60,7 @@
         self.n_requests = n_requests
 
 
-class Node(Record):
+class Node:
     """Every controller of one entry VM.
 
     Parameters
@@ -90,14 +91,21 @@
         """Take one message; returns the messages it leads to."""
         handler = HANDLERS.get(type(message))
         if handler is not None:
-            out = handler(self, message, now_ms)
-            self.balancer.extend_fence(self.membership.fence_end_ms(now_ms))
-            return out
+            return self._control(handler, message, now_ms)
         if type(message) is Release:
             self.ownership.note_release(message.permit)
         out = self.balancer.handle(message, now_ms)
         return out + self._room_changes(message, now_ms)
 
+    def _control(self, handler, message, now_ms):
+        before = self.ownership.epoch
+        out = handler(self, message, now_ms)
+        self.balancer.extend_fence(self.membership.fence_end_ms(now_ms))
+        if self.ownership.epoch != before:
+            ownership = self.ownership
+            out.append(EpochAdopted(ownership.view, ownership.configuration))
+        return out
+
     def _room_changes(self, message, now_ms):
         if type(message) is RoomNews:
             return []
@@ -114,36 +122,44 @@
                     out.append(SendRoom(peer.peer_address, news))
         return out
 
-    def _tick(self, message, now_ms):
+    def tick(self, message, now_ms):
+        """Send what is due; returns messages."""
         self.stopping.n_requests = message.n_requests
         self.stopping.tick(now_ms)
         self.ownership.settle(now_ms)
         return self.membership.tick(now_ms) + self.balancer.tick(now_ms)
 
-    def _note_heartbeat(self, message, now_ms):
+    def note_heartbeat(self, message, now_ms):
+        """Take a peer's heartbeat and its news; returns messages."""
         out = self.membership.note_heartbeat(message, now_ms)
         for news in message.rooms:
             if news.service_name in self.balancer.services:
                 out += self.balancer.handle(news, now_ms)
         return out
 
-    def _note_round(self, message, now_ms):
+    def note_round(self, message, now_ms):
+        """Take the platform's answers; returns messages."""
         return self.membership.note_round(message, now_ms)
 
-    def _note_round_failed(self, message, now_ms):
+    def note_round_failed(self, message, now_ms):
+        """Take the platform's silence; returns messages."""
         self.membership.note_round_failed()
         return []
 
-    def _note_lease(self, message, now_ms):
+    def note_lease(self, message, now_ms):
+        """Take a granted lease; returns messages."""
         return self.membership.note_lease(message, now_ms)
 
-    def _adopt_configuration(self, message, now_ms):
+    def adopt_configuration(self, message, now_ms):
+        """Take a newer configuration; returns messages."""
         return self.membership.adopt_configuration(message.configuration, now_ms)
 
-    def _adopt_view(self, message, now_ms):
+    def adopt_view(self, message, now_ms):
+        """Take a newer view; returns messages."""
         return self.membership.adopt_view(message.view, now_ms)
 
-    def _begin_stop(self, message, now_ms):
+    def begin_stop(self, message, now_ms):
+        """Start a planned stop, or end one at once; returns messages."""
         self.stopping.begin(now_ms, message.deadline_ms)
         return []
 
@@ -156,12 +172,12 @@
 
 
 HANDLERS = {
-    Tick: Node._tick,
-    Heartbeat: Node._note_heartbeat,
-    RoundDone: Node._note_round,
-    RoundFailed: Node._note_round_failed,
-    LeaseGranted: Node._note_lease,
-    AdoptConfiguration: Node._adopt_configuration,
-    AdoptView: Node._adopt_view,
-    BeginStop: Node._begin_stop,
+    Tick: Node.tick,
+    Heartbeat: Node.note_heartbeat,
+    RoundDone: Node.note_round,
+    RoundFailed: Node.note_round_failed,
+    LeaseGranted: Node.note_lease,
+    AdoptConfiguration: Node.adopt_configuration,
+    AdoptView: Node.adopt_view,
+    BeginStop: Node.begin_stop,
 }
--- a/packages/core/hornbeamstand_core/controllers/ownership.py
+++ b/packages/core/hornbeamstand_core/controllers/ownership.py
@@ -37,7 +37,7 @@
         self.last_echo_at_ms = last_echo_at_ms
 
 
-class Ownership(Record):
+class Ownership:
     """Hold the balancer's targets to the owners of the current epoch.
 
     Parameters
--- a/packages/core/hornbeamstand_core/controllers/peer_room.py
+++ b/packages/core/hornbeamstand_core/controllers/peer_room.py
@@ -1,9 +1,7 @@
 """What this VM knows of its peers' spare room for one service."""
 
-from ..records import Record
 
-
-class PeerRoom(Record):
+class PeerRoom:
     """The newest news of each peer, less what was handed over since."""
 
     __slots__ = ("hop_ms", "_news")
--- a/packages/core/hornbeamstand_core/controllers/queueing.py
+++ b/packages/core/hornbeamstand_core/controllers/queueing.py
@@ -15,7 +15,7 @@
         self.since_ms = since_ms
 
 
-class WaitQueue(Record):
+class WaitQueue:
     """Waiting requests by id, in order of arrival."""
 
     __slots__ = ("_waiting",)
--- a/packages/core/hornbeamstand_core/controllers/service.py
+++ b/packages/core/hornbeamstand_core/controllers/service.py
@@ -17,7 +17,6 @@
     SendFailure,
     SendProbe,
 )
-from ..records import Record
 from .budgets import RateBudget, RatioBudget
 from .cold_start import count_good_completion, enter_cold, note_report
 from .health import note_failure, note_good, note_latency
@@ -32,7 +31,7 @@
 PROBE_IDLE_MS = 1000.0
 
 
-class ServiceController(Record):
+class ServiceController:
     """Decide for one service which request goes to which target, and when.
 
     Parameters
--- a/packages/core/hornbeamstand_core/controllers/stopping.py
+++ b/packages/core/hornbeamstand_core/controllers/stopping.py
@@ -5,8 +5,6 @@
 exit the view, done. The deadline ends the waiting sooner.
 """
 
-from ..records import Record
-
 RUNNING = "running"
 ANNOUNCING = "announcing"
 DRAINING = "draining"
@@ -14,7 +12,7 @@
 STOPPED = "stopped"
 
 
-class Stopping(Record):
+class Stopping:
     """Where a planned stop stands.
 
     Parameters
--- a/packages/core/hornbeamstand_core/controllers/target_state.py
+++ b/packages/core/hornbeamstand_core/controllers/target_state.py
@@ -1,7 +1,5 @@
 """What the owner of a target knows about it."""
 
-from ..records import Record
-
 COLD = "cold"
 READY = "ready"
 DRAINING = "draining"
@@ -11,7 +9,7 @@
 LEARNED_LIMIT_MAX = 64
 
 
-class TargetState(Record):
+class TargetState:
     """One target's counts, learned limit and recent behaviour.
 
     ``limit`` is the number of requests it may have in flight now;
--- a/packages/core/hornbeamstand_core/filters/forwarding.py
+++ b/packages/core/hornbeamstand_core/filters/forwarding.py
@@ -20,4 +20,4 @@
         return Err(failure_refusal(reply, "forward"))
     if reply.refusal is not None:
         return Err(reply.refusal)
-    return Ok(Answer(reply.status, reply.payload, target_id=peer_id))
+    return Ok(Answer(reply.status, reply.payload, target_id=reply.target_id))
--- a/packages/core/hornbeamstand_core/filters/orders.py
+++ b/packages/core/hornbeamstand_core/filters/orders.py
@@ -3,6 +3,8 @@
 from result import Err, Ok
 
 from ..messages import (
+    NOT_RUN,
+    UNKNOWN,
     Answer,
     OrderElsewhere,
     OrderKnown,
@@ -18,6 +20,22 @@
     return Ok(outcome) if isinstance(outcome, Answer) else Err(outcome)
 
 
+def doubt_resend(request, outcome):
+    """Weaken a "not run" that only this attempt can vouch for.
+
+    A resend refused before its key's home was asked may have run earlier.
+    """
+    if outcome.is_ok() or request.is_first_attempt:
+        return outcome
+    refusal = outcome.err_value
+    if refusal.certainty != NOT_RUN or refusal.step != "forward":
+        return outcome
+    weaker = Refusal(
+        refusal.reason, UNKNOWN, refusal.status, refusal.step, refusal.peer
+    )
+    return Err(weaker)
+
+
 def orders(next_handler):
     """Record a keyed order at its home before the rest of the chain runs it."""
 
@@ -27,10 +45,16 @@
         if call.is_idempotent or key is None or request.is_recorded:
             return (yield from next_handler(call))
         reply = yield ReserveOrder(
-            request.service_name, key, call.deadline_at_ms, request.n_hops
+            request.service_name,
+            key,
+            request.request_id,
+            call.deadline_at_ms,
+            request.n_hops,
+            request.is_first_attempt,
         )
         if isinstance(reply, OrderElsewhere):
-            return (yield from forward(call, reply.peer_id))
+            outcome = yield from forward(call, reply.peer_id)
+            return doubt_resend(request, outcome)
         if isinstance(reply, OrderKnown):
             return as_result(reply.outcome)
         if isinstance(reply, Refusal):
--- a/packages/core/hornbeamstand_core/hashing.py
+++ b/packages/core/hornbeamstand_core/hashing.py
@@ -5,7 +5,7 @@
 
 def score(member_id, key):
     """Return the weight of a member for a key, equal on every VM."""
-    return xxhash.xxh64_intdigest(f"{member_id}\x00{key}")
+    return xxhash.xxh64_intdigest(f"{member_id}\x00{key}".encode())
 
 
 def rank(member_ids, key):
--- a/packages/core/hornbeamstand_core/messages.py
+++ b/packages/core/hornbeamstand_core/messages.py
@@ -12,7 +12,9 @@
     """One request as the front end received it.
 
     ``deadline_ms`` is the caller's remaining time, or None; ``n_hops`` counts
-    the entry VMs that handed the request on.
+    the entry VMs that handed the request on. ``is_recorded`` means that the
+    order's home has recorded it; ``is_first_attempt`` that the caller says it
+    never sent this idempotency key before.
     """
 
     __slots__ = (
@@ -25,6 +27,7 @@
         "arrived_at_ms",
         "n_hops",
         "is_recorded",
+        "is_first_attempt",
     )
 
     def __init__(
@@ -38,6 +41,7 @@
         arrived_at_ms=0.0,
         n_hops=0,
         is_recorded=False,
+        is_first_attempt=False,
     ):
         self.request_id = request_id
         self.service_name = service_name
@@ -48,6 +52,7 @@
         self.arrived_at_ms = arrived_at_ms
         self.n_hops = n_hops
         self.is_recorded = is_recorded
+        self.is_first_attempt = is_first_attempt
 
 
 class Call(Record):
@@ -189,18 +194,35 @@
 
 
 class Reply(Record):
-    """A whole answer, with the target's report on itself."""
+    """A whole answer, with the target's report on itself.
 
-    __slots__ = ("status", "payload", "report", "did_not_run", "refusal")
+    A peer's answer has its ``refusal``, or the ``target_id`` that ran it.
+    """
+
+    __slots__ = (
+        "status",
+        "payload",
+        "report",
+        "did_not_run",
+        "refusal",
+        "target_id",
+    )
 
     def __init__(
-        self, status, payload=None, report=None, did_not_run=False, refusal=None
+        self,
+        status,
+        payload=None,
+        report=None,
+        did_not_run=False,
+        refusal=None,
+        target_id="",
     ):
         self.status = status
         self.payload = payload
         self.report = report
         self.did_not_run = did_not_run
         self.refusal = refusal
+        self.target_id = target_id
 
 
 class Report(Record):
@@ -263,13 +285,24 @@
 class ReserveOrder(Record):
     """Record an order before dispatch; replies with one of the Order classes."""
 
-    __slots__ = ("service_name", "key", "deadline_at_ms", "n_hops")
+    __slots__ = (
+        "service_name",
+        "key",
+        "request_id",
+        "deadline_at_ms",
+        "n_hops",
+        "is_first_attempt",
+    )
 
-    def __init__(self, service_name, key, deadline_at_ms, n_hops):
+    def __init__(
+        self, service_name, key, request_id, deadline_at_ms, n_hops, is_first_attempt
+    ):
         self.service_name = service_name
         self.key = key
+        self.request_id = request_id
         self.deadline_at_ms = deadline_at_ms
         self.n_hops = n_hops
+        self.is_first_attempt = is_first_attempt
 
 
 class OrderOpen(Record):
--- /dev/null
+++ b/packages/ctl/hornbeamstand_ctl/base.py
@@ -0,0 +1,46 @@
+"""The folder's base: the digests of its files when it was last in step.
+
+Kept in a file of the folder, so that it travels with a checkout. A publish
+compares folder, base and published files, and so can't undo a newer edit.
+"""
+
+from pathlib import Path
+
+import msgspec
+from hornbeamstand_core.errors import ConfigError
+from hornbeamstand_wire.folder import digest
+from result import Err, Ok
+
+BASE_NAME = ".hornbeamstand-base"
+
+
+def read_base(folder):
+    """Return Ok of a dict of file name to digest; empty if there is no base."""
+    path = Path(folder) / BASE_NAME
+    if not path.exists():
+        return Ok({})
+    try:
+        return Ok(msgspec.json.decode(path.read_bytes(), type=dict[str, str]))
+    except (OSError, msgspec.DecodeError) as error:
+        return Err(ConfigError("read", BASE_NAME, str(error)))
+
+
+def write_base(folder, digests):
+    """Remember the published digests."""
+    raw = msgspec.json.format(msgspec.json.encode(digests, order="sorted"), indent=1)
+    (Path(folder) / BASE_NAME).write_bytes(raw + b"\n")
+
+
+def take_over(folder, plan):
+    """Write the files that only others changed into the folder."""
+    for name in plan.taken_over:
+        path = Path(folder) / name
+        if name in plan.texts:
+            path.write_text(plan.texts[name], encoding="utf-8")
+        else:
+            path.unlink(missing_ok=True)
+
+
+def digests_of(texts):
+    """Return a dict of file name to digest."""
+    return {name: digest(text) for name, text in texts.items()}
--- /dev/null
+++ b/packages/ctl/hornbeamstand_ctl/main.py
@@ -0,0 +1,145 @@
+"""The `hornbeamctl` command."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import time  # noqa: E402
+from typing import Annotated  # noqa: E402
+
+import typer  # noqa: E402
+from hornbeamstand_wire.folder import read_folder  # noqa: E402
+from hornbeamstand_wire.platform import PlatformClient  # noqa: E402
+
+from . import __version__  # noqa: E402
+from .base import digests_of  # noqa: E402
+from .operations import check_folder, plan_folder, publish_folder  # noqa: E402
+from .status import describe_status, fetch_status  # noqa: E402
+
+EXIT_FAILED = 1
+EXIT_BAD_INPUT = 2
+PLATFORM_TIMEOUT_MS = 2000
+WATCH_INTERVAL_S = 0.3
+
+app = typer.Typer(
+    help="Check, compare and publish the operators' folder.",
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+)
+Folder = Annotated[str, typer.Argument(help="the folder of JSON files")]
+Platform = Annotated[
+    str, typer.Option("--platform", help="IP address and port of the platform")
+]
+
+
+def show_version(is_asked: bool):
+    """Print the version and exit."""
+    if is_asked:
+        typer.echo(f"hornbeamctl {__version__}")
+        raise typer.Exit
+
+
+@app.callback()
+def options(
+    version: Annotated[
+        bool,
+        typer.Option("--version", callback=show_version, is_eager=True),
+    ] = False,
+):
+    """Drive hornbeamstand by a folder of small files."""
+
+
+def unwrap(result, exit_code=EXIT_FAILED):
+    """Return an Ok value, or print the error and exit."""
+    if result.is_err():
+        typer.echo(f"error: {result.err_value}", err=True)
+        raise typer.Exit(exit_code)
+    return result.ok_value
+
+
+@app.command()
+def check(folder: Folder):
+    """Check a folder; changes nothing."""
+    configuration = unwrap(check_folder(folder), EXIT_BAD_INPUT)
+    n_targets = sum(len(s.targets) for s in configuration.services.values())
+    typer.echo(f"ok: {len(configuration.services)} services, {n_targets} targets")
+
+
+@app.command()
+def diff(folder: Folder, platform: Platform):
+    """Show what a publish would change."""
+    plan = unwrap(plan_folder(folder, connect(platform)))
+    show_plan(plan)
+
+
+def connect(address):
+    """Return a client of the platform."""
+    return PlatformClient.from_config(address, PLATFORM_TIMEOUT_MS)
+
+
+def show_plan(plan):
+    """Print the files that a publish writes, removes or takes over."""
+    for word, names in (
+        ("changed", plan.changed),
+        ("removed", plan.removed),
+        ("taken over", plan.taken_over),
+    ):
+        for name in names:
+            typer.echo(f"{word}: {name}")
+    if not (plan.changed or plan.removed or plan.taken_over):
+        typer.echo("no difference")
+
+
+@app.command()
+def publish(folder: Folder, platform: Platform):
+    """Publish a folder as the next version."""
+    plan, head = unwrap(publish_folder(folder, connect(platform)))
+    show_plan(plan)
+    typer.echo(f"published: version {head.version}")
+
+
+@app.command()
+def watch(folder: Folder, platform: Platform):
+    """Publish the folder now and after each edit; a bad edit is reported."""
+    client = connect(platform)
+    seen = None
+    while True:
+        texts = read_folder(folder)
+        digests = digests_of(texts.ok_value) if texts.is_ok() else None
+        if digests != seen:
+            seen = report_publish(folder, client, digests)
+        time.sleep(WATCH_INTERVAL_S)
+
+
+def report_publish(folder, client, digests):
+    """Publish once; returns the digests that are dealt with."""
+    published = publish_folder(folder, client)
+    if published.is_ok():
+        _, head = published.ok_value
+        typer.echo(f"published: version {head.version}")
+        return digests_of(read_folder(folder).ok_value)
+    error = published.err_value
+    typer.echo(f"error: {error}", err=True)
+    # A platform that is down is tried again; a bad folder waits for an edit.
+    return None if error.step.startswith("platform") else digests
+
+
+@app.command()
+def status(
+    vms: Annotated[list[str], typer.Argument(help="admin addresses of entry VMs")],
+):
+    """Show version, members, owners and limits on each VM."""
+    n_silent = 0
+    for address in vms:
+        found = fetch_status(address)
+        n_silent += found is None
+        for line in describe_status(address, found):
+            typer.echo(line)
+    if n_silent:
+        raise typer.Exit(EXIT_FAILED)
+
+
+def main():
+    """Run the command line."""
+    app()
--- /dev/null
+++ b/packages/ctl/hornbeamstand_ctl/operations.py
@@ -0,0 +1,43 @@
+"""What the commands do, as functions that return Results."""
+
+from hornbeamstand_wire.folder import merge_texts, read_folder
+from hornbeamstand_wire.published import plan_publish, publish
+from result import Ok
+
+from .base import read_base, take_over, write_base
+
+
+def check_folder(folder):
+    """Return Ok of the folder's Configuration, or Err."""
+    return read_folder(folder).and_then(merge_texts)
+
+
+def plan_folder(folder, platform):
+    """Return Ok of the Plan of a publish, or Err."""
+    texts = read_folder(folder)
+    if texts.is_err():
+        return texts
+    base = read_base(folder)
+    if base.is_err():
+        return base
+    return plan_publish(platform, texts.ok_value, base.ok_value)
+
+
+def publish_folder(folder, platform):
+    """Publish a folder; returns Ok of (Plan, Head), or Err.
+
+    Files that only others changed since the base are taken over.
+    """
+    planned = plan_folder(folder, platform)
+    if planned.is_err():
+        return planned
+    plan = planned.ok_value
+    published = publish(
+        platform, read_folder(folder).ok_value, read_base(folder).ok_value
+    )
+    if published.is_err():
+        return published
+    head = published.ok_value
+    take_over(folder, plan)
+    write_base(folder, head.digests())
+    return Ok((plan, head))
--- /dev/null
+++ b/packages/entry/hornbeamstand_entry/admin.py
@@ -0,0 +1,83 @@
+"""The operators' HTTP endpoints: status and metrics."""
+
+import resource
+
+from hornbeamstand_core.messages import Refusal
+
+from .responses import respond_json, respond_refusal
+
+
+def make_admin_app(process):
+    """Return the WSGI application of the admin address."""
+
+    def app(environ, start_response):
+        path = environ["PATH_INFO"]
+        if path == "/status":
+            return respond_json(start_response, 200, make_status(process))
+        if path == "/metrics":
+            set_gauges(process)
+            raw = process.metrics.render()
+            kind = ("Content-Type", "text/plain; version=0.0.4")
+            start_response("200 OK", [kind, ("Content-Length", str(len(raw)))])
+            return [raw]
+        refusal = Refusal("unknown path", status=404, step="admin")
+        return respond_refusal(start_response, refusal, [])
+
+    return app
+
+
+def make_status(process):
+    """Return what ``hornbeamctl status`` shows of one VM."""
+    node = process.node
+    now_ms = process.clock.now_ms()
+    ownership = node.ownership
+    return {
+        "vm_id": process.settings.vm_id,
+        "member_id": node.balancer.member_id,
+        "phase": node.stopping.phase,
+        "config_version": ownership.configuration.version,
+        "view_version": ownership.view.version,
+        "members": {
+            member.member_id: member.state for member in ownership.view.members.values()
+        },
+        "may_dispatch_for_ms": max(0.0, node.membership.fence_end_ms(now_ms) - now_ms),
+        "platform": node.membership.platform_ok_since_ms is not None,
+        "pending": sorted(ownership.pending),
+        "n_orders": len(process.orders.book),
+        "services": {
+            name: service_status(service, now_ms)
+            for name, service in node.balancer.services.items()
+        },
+    }
+
+
+def service_status(service, now_ms):
+    """Return one service's queue and owned targets."""
+    targets = {}
+    for target_id, state in service.targets.items():
+        targets[target_id] = {
+            "phase": state.phase if now_ms >= state.ejected_until_ms else "ejected",
+            "is_open": state.is_open,
+            "limit": round(state.limit, 2),
+            "n_in_flight": state.n_in_flight,
+            "n_dispatched": state.n_dispatched,
+            "latency_ms": round(state.latency_ms or 0.0, 3),
+        }
+    return {"n_waiting": len(service.queue), "targets": targets}
+
+
+def set_gauges(process):
+    """Bring the gauges up to date before they are rendered."""
+    gauge = process.metrics.set_gauge
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    gauge("processor_s", usage.ru_utime + usage.ru_stime)
+    gauge("peer_sent_bytes", process.datagrams.n_bytes_sent)
+    gauge("peer_sent_datagrams", process.datagrams.n_sent)
+    gauge("probes_sent", process.prober.n_sent)
+    gauge("orders_kept", len(process.orders.book))
+    gauge("requests_inside", process.decider.n_requests)
+    for name, service in process.node.balancer.services.items():
+        gauge("waiting", len(service.queue), service=name)
+        for target_id, state in service.targets.items():
+            gauge("target_limit", state.limit, service=name, target=target_id)
+            gauge("in_flight", state.n_in_flight, service=name, target=target_id)
--- /dev/null
+++ b/packages/entry/hornbeamstand_entry/encoding.py
@@ -0,0 +1,67 @@
+"""HTTP requests to targets and peers as bytes, and their answers as messages."""
+
+from hornbeamstand_core.messages import Refusal, Reply, Report, RoomNews
+
+from . import headers
+
+
+def encode_request(method, path, header_items, body):
+    """Return the bytes of one HTTP/1.1 request."""
+    lines = [f"{method} {path} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in header_items]
+    if body or method in ("POST", "PUT", "PATCH"):
+        lines.append(f"Content-Length: {len(body)}")
+    head = "\r\n".join(lines) + "\r\n\r\n"
+    return head.encode("latin-1") + body
+
+
+def read_report(response):
+    """Return the target's report on itself, or None."""
+    state = response.get(headers.STATE)
+    if state is None:
+        return None
+    n_in_flight = response.get(headers.IN_FLIGHT, "0")
+    return Report(
+        response.get(headers.START_ID, ""),
+        state,
+        int(n_in_flight) if n_in_flight.isdigit() else 0,
+    )
+
+
+def target_reply(response):
+    """Return the Reply of a target's answer; the payload is the response."""
+    did_not_run = response.get(headers.NOT_RUN) == "1"
+    return Reply(
+        response.status_code, response, read_report(response), did_not_run=did_not_run
+    )
+
+
+def peer_reply(response, peer_id):
+    """Return the Reply of a peer's answer, its refusal included."""
+    refusal = None
+    reason = response.get(headers.REFUSAL)
+    if reason is not None:
+        refusal = Refusal(
+            reason,
+            response.get(headers.OUTCOME, ""),
+            response.status_code,
+            response.get(headers.STEP, ""),
+            peer_id,
+        )
+    target_id = response.get(headers.TARGET, peer_id)
+    return Reply(response.status_code, response, refusal=refusal, target_id=target_id)
+
+
+def encode_room(news):
+    """Return the header value of a VM's spare room."""
+    return f"{news.n_free},{news.n_waiting},{news.wait_ms:.1f}"
+
+
+def decode_room(text, service_name, member_id):
+    """Return RoomNews of a header value, or None if it is malformed."""
+    parts = text.split(",")
+    try:
+        n_free, n_waiting, wait_ms = int(parts[0]), int(parts[1]), float(parts[2])
+    except (ValueError, IndexError):
+        return None
+    return RoomNews(service_name, member_id, n_free, n_waiting, wait_ms)
--- /dev/null
+++ b/packages/entry/hornbeamstand_entry/front.py
@@ -0,0 +1,240 @@
+"""The HTTP front end: lookups, requests, and orders' second records.
+
+Runs in the greenlet that the WSGI server keeps for each caller's connection.
+"""
+
+import socket
+
+import gevent
+from gevent.pywsgi import WSGIHandler, WSGIServer
+from hornbeamstand_core.messages import NOT_RUN, Call, Refusal, Request
+
+from . import headers
+from .context import CALLER_GONE, RequestContext
+from .encoding import encode_room
+from .lookup import answer_lookup
+from .performers import drive
+from .responses import respond_outcome, respond_refusal
+
+LOOKUP_PREFIX = "/lookup/"
+SERVICES_PREFIX = "/services/"
+READ_BYTES = 65536
+# Headers that the system sets itself on what it passes on.
+OWN_HEADERS = frozenset(
+    name.upper().replace("-", "_")
+    for name in (
+        headers.DEADLINE,
+        headers.REQUEST_ID,
+        headers.IDEMPOTENCY_KEY,
+        headers.HOPS,
+        headers.RECORDED,
+        *headers.HOP_BY_HOP,
+    )
+)
+
+
+class CallerHandler(WSGIHandler):
+    """Serves one caller's connection."""
+
+    def handle(self):
+        """Set the socket up before the first request."""
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.socket.settimeout(self.server.caller_idle_s)
+        super().handle()
+
+    def get_environ(self):
+        """Give the application the socket, to notice a caller that goes away."""
+        environ = super().get_environ()
+        environ["hornbeamstand.socket"] = self.socket
+        return environ
+
+
+class BodyError(Exception):
+    """The request's body was too large or did not arrive."""
+
+    def __init__(self, refusal):
+        super().__init__(refusal.reason)
+        self.refusal = refusal
+
+
+class Front:
+    """State of the front end.
+
+    Parameters
+    ----------
+    node : Node
+        Read for lookups and spare room.
+    chain : callable
+        The filter chain's handler.
+    performers : dict
+        See ``performers``.
+    decider : Decider
+        Counts the requests inside the VM.
+    orders : OrdersTask
+        Takes second records from peers.
+    clock, settings :
+        The process's clock and settings.
+    """
+
+    __slots__ = (
+        "node",
+        "chain",
+        "performers",
+        "decider",
+        "orders",
+        "clock",
+        "settings",
+        "_n_seen",
+    )
+
+    def __init__(self, node, chain, performers, decider, orders, clock, settings):
+        self.node = node
+        self.chain = chain
+        self.performers = performers
+        self.decider = decider
+        self.orders = orders
+        self.clock = clock
+        self.settings = settings
+        self._n_seen = 0
+
+    def app(self, environ, start_response):
+        """Serve one HTTP request (the WSGI application)."""
+        path = environ["PATH_INFO"]
+        if path.startswith(SERVICES_PREFIX):
+            return self._serve_request(environ, start_response)
+        if path.startswith(LOOKUP_PREFIX):
+            name = path.removeprefix(LOOKUP_PREFIX)
+            return answer_lookup(self.node, name, start_response)
+        if path == "/peer/orders":
+            raw = environ["wsgi.input"].read(self.settings.body_max_bytes)
+            return self.orders.answer_peer(raw, start_response)
+        refusal = Refusal("unknown path", status=404, step="front")
+        return respond_refusal(start_response, refusal, [])
+
+    def _serve_request(self, environ, start_response):
+        arrived_at_ms = self.clock.now_ms()
+        self.decider.n_requests += 1
+        try:
+            request, path = self._read_request(environ, arrived_at_ms)
+            try:
+                body = read_body(environ, self.settings.body_max_bytes)
+            except BodyError as error:
+                close = ("Connection", "close")
+                return respond_refusal(start_response, error.refusal, [close])
+            context = RequestContext(request, path, passed_headers(environ), body)
+            outcome = self._run(environ, context)
+            extra = [(headers.REQUEST_ID, request.request_id.partition("~")[0])]
+            if request.n_hops:
+                extra += self._room_header(request.service_name)
+            return respond_outcome(start_response, outcome, extra)
+        finally:
+            self.decider.n_requests -= 1
+
+    def _run(self, environ, context):
+        sock = environ["hornbeamstand.socket"]
+        watcher = watch_caller(sock, context.mailbox)
+        try:
+            return drive(self.chain, Call(context.request), context, self.performers)
+        finally:
+            watcher.stop()
+            watcher.close()
+
+    def _read_request(self, environ, arrived_at_ms):
+        rest = environ["PATH_INFO"].removeprefix(SERVICES_PREFIX)
+        name, _, path = rest.partition("/")
+        path = f"/{path}"
+        self._n_seen += 1
+        given_id = environ.get("HTTP_HORNBEAM_REQUEST_ID")
+        given_id = given_id or f"{self.settings.vm_id}-{self._n_seen}"
+        request = Request(
+            f"{given_id}~{self._n_seen}",
+            name,
+            environ["REQUEST_METHOD"],
+            path,
+            environ.get("HTTP_IDEMPOTENCY_KEY"),
+            read_number(environ.get("HTTP_HORNBEAM_DEADLINE_MS")),
+            arrived_at_ms,
+            int(read_number(environ.get("HTTP_HORNBEAM_HOPS")) or 0),
+            environ.get("HTTP_HORNBEAM_RECORDED") == "1",
+            environ.get("HTTP_HORNBEAM_ATTEMPT") == "1",
+        )
+        query = environ["QUERY_STRING"]
+        return request, f"{path}?{query}" if query else path
+
+    def _room_header(self, name):
+        service = self.node.balancer.services.get(name)
+        if service is None:
+            return []
+        return [(headers.ROOM, encode_room(service.room(self.clock.now_ms())))]
+
+
+def read_number(text):
+    """Return a header's number, or None if it is absent or malformed."""
+    try:
+        return float(text) if text is not None else None
+    except ValueError:
+        return None
+
+
+def passed_headers(environ):
+    """Return the caller's headers that go on to the target."""
+    items = []
+    for name, value in environ.items():
+        if name.startswith("HTTP_") and name[5:] not in OWN_HEADERS:
+            items.append((name[5:].replace("_", "-").title(), value))
+    content_type = environ.get("CONTENT_TYPE")
+    if content_type:
+        items.append(("Content-Type", content_type))
+    return items
+
+
+def read_body(environ, body_max_bytes):
+    """Return the whole request body; raises BodyError."""
+    length = environ.get("CONTENT_LENGTH")
+    is_chunked = environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked"
+    if not length and not is_chunked:
+        return b""
+    too_large = BodyError(Refusal("body too large", NOT_RUN, 413, "front"))
+    if length and int(length) > body_max_bytes:
+        raise too_large
+    try:
+        body = environ["wsgi.input"].read(body_max_bytes + 1)
+    except (OSError, gevent.Timeout) as error:
+        raise BodyError(Refusal("body broke off", NOT_RUN, 408, "front")) from error
+    if len(body) > body_max_bytes:
+        raise too_large
+    if length and len(body) < int(length):
+        raise BodyError(Refusal("body broke off", NOT_RUN, 400, "front"))
+    return body
+
+
+def watch_caller(sock, mailbox):
+    """Post CALLER_GONE when the caller closes; returns the watcher."""
+    watcher = gevent.get_hub().loop.io(sock.fileno(), 1)
+
+    def look():
+        watcher.stop()
+        try:
+            data = sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        # Bytes are the caller's next request, sent ahead.
+        if not data:
+            mailbox.put(CALLER_GONE)
+
+    watcher.start(look)
+    return watcher
+
+
+def start_server(address, app, caller_idle_ms, stack, handler_class=CallerHandler):
+    """Listen and serve an application; the stack ends it."""
+    host, _, port = address.rpartition(":")
+    server = WSGIServer(
+        (host, int(port)), app, log=None, error_log=None, handler_class=handler_class
+    )
+    server.caller_idle_s = caller_idle_ms / 1000.0
+    server.start()
+    stack.callback(server.stop, timeout=0)
+    return server
--- /dev/null
+++ b/packages/entry/hornbeamstand_entry/main.py
@@ -0,0 +1,71 @@
+"""The `hornbeamstand` command."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+from typing import Annotated  # noqa: E402
+
+import typer  # noqa: E402
+
+from . import __version__  # noqa: E402
+from .settings import load_settings  # noqa: E402
+
+EXIT_BAD_INPUT = 2
+
+app = typer.Typer(
+    help="The entry VM process of hornbeamstand.",
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+)
+SettingsOption = Annotated[
+    str, typer.Option("--settings", help="JSON settings file of this VM")
+]
+
+
+def show_version(is_asked: bool):
+    """Print the version and exit."""
+    if is_asked:
+        typer.echo(f"hornbeamstand {__version__}")
+        raise typer.Exit
+
+
+@app.callback()
+def options(
+    version: Annotated[
+        bool,
+        typer.Option("--version", callback=show_version, is_eager=True),
+    ] = False,
+):
+    """Run or check one entry VM."""
+
+
+def read_settings(file):
+    """Return the settings, or print the error and exit with status 2."""
+    loaded = load_settings(file)
+    if loaded.is_err():
+        typer.echo(f"error: {loaded.err_value}", err=True)
+        raise typer.Exit(EXIT_BAD_INPUT)
+    return loaded.ok_value
+
+
+@app.command()
+def run(settings: SettingsOption):
+    """Run the entry VM; SIGTERM asks for a planned stop."""
+    checked = read_settings(settings)
+    from .process import run_process
+
+    raise typer.Exit(run_process(checked))
+
+
+@app.command("check-settings")
+def check_settings(settings: SettingsOption):
+    """Check a settings file and exit."""
+    checked = read_settings(settings)
+    typer.echo(f"ok: settings of VM {checked.vm_id}")
+
+
+def main():
+    """Run the command line."""
+    app()
--- /dev/null
+++ b/packages/entry/hornbeamstand_entry/process.py
@@ -0,0 +1,225 @@
+"""Puts the tasks of one entry VM together and runs them until the stop ends."""
+
+import secrets
+import signal
+from contextlib import ExitStack
+from random import Random
+
+import gevent
+from gevent.event import Event
+from hornbeamstand_core.config import Configuration
+from hornbeamstand_core.controllers import choice, limits
+from hornbeamstand_core.controllers.membership import FetchPeerState
+from hornbeamstand_core.controllers.node import BeginStop, Node
+from hornbeamstand_core.controllers.orders import OrderBook
+from hornbeamstand_core.controllers.stopping import STOPPED
+from hornbeamstand_core.filters import build_default_chain
+from hornbeamstand_core.messages import Refusal
+from hornbeamstand_core.view import Member
+from hornbeamstand_wire.platform import PlatformClient
+
+from .admin import make_admin_app
+from .clock import make_process_clock
+from .front import Front, start_server
+from .logs import make_logs
+from .metrics import Metrics
+from .performers import make_performers
+from .tasks.datagrams import Datagrams
+from .tasks.decider import Decider
+from .tasks.follower import WATCH_MS, Follower
+from .tasks.orders_task import OrdersTask
+from .tasks.peer_state import PeerFetch, init_grpc
+from .tasks.platform_task import PlatformTask
+from .tasks.pools import Pools
+from .tasks.prober import Prober
+
+LOG_FLUSH_MS = 50.0
+STOP_POLL_MS = 20.0
+START_ID_BYTES = 4
+
+CHOICES = {
+    "least-expected-latency": lambda rng: choice.make_least_expected_latency(),
+    "least-in-flight": lambda rng: choice.make_least_in_flight(),
+    "power-of-two": choice.make_power_of_two,
+    "round-robin": lambda rng: choice.make_round_robin(),
+}
+LIMITS = {
+    "aimd": limits.make_aimd,
+    "gradient": limits.make_gradient,
+    "fixed": limits.make_fixed,
+}
+
+
+class Process:
+    """One entry VM's tasks."""
+
+    __slots__ = (
+        "settings",
+        "clock",
+        "log",
+        "node",
+        "decider",
+        "orders",
+        "follower",
+        "datagrams",
+        "prober",
+        "metrics",
+        "pools",
+        "peer_fetch",
+        "front",
+    )
+
+    @classmethod
+    def from_config(cls, settings, stack):
+        """Build every task; the exit stack owns what must be closed."""
+        self = cls()
+        self.settings = settings
+        self.clock = make_process_clock()
+        self.log, flush = make_logs(settings.log_format, settings.vm_id)
+        stack.callback(flush)
+        flusher = gevent.spawn(flush_forever, flush)
+        stack.callback(flusher.kill)
+        self.node = make_node(settings, self.clock)
+        decision_log = self.log("route") if settings.decision_log else None
+        self.decider = Decider(self.node, self.clock, decision_log)
+        self.pools = Pools(self.clock, stack)
+        self.metrics = Metrics()
+        book = OrderBook(self.node.balancer.member_id, self.clock.now_ms())
+        self.orders = OrdersTask(book, self.pools, self.clock)
+        self._build_control(stack)
+        self._build_front()
+        return self
+
+    def _build_control(self, stack):
+        settings = self.settings
+        timeout_ms = settings.platform_timeout_ms
+        platform = PlatformClient.from_config(settings.platform_address, timeout_ms)
+        stack.callback(platform.close)
+        watch_ms = timeout_ms + WATCH_MS
+        watcher = PlatformClient.from_config(settings.platform_address, watch_ms)
+        stack.callback(watcher.close)
+        self.follower = Follower(platform, watcher, self.decider, self.log("config"))
+        self.datagrams = Datagrams(settings.peer_address, self.decider)
+        self.prober = Prober(self.pools, self.decider, self.clock)
+        self.peer_fetch = PeerFetch(
+            self.node, self.decider, self.follower, self.log("peer")
+        )
+        platform_task = PlatformTask(
+            platform,
+            settings.cell,
+            settings.lease_ms,
+            self.decider,
+            self.log("member"),
+        )
+        self.decider.connect(
+            platform_task, self.datagrams, self.prober, self.peer_fetch, self.orders
+        )
+        self.datagrams.start(stack)
+        self.peer_fetch.start(settings.peer_address, stack)
+        platform_task.start(stack)
+        self.prober.start(stack)
+        self.orders.start(stack)
+        self.decider.start(stack)
+        self.follower.start(stack)
+        for address in settings.seed_peers:
+            self.peer_fetch.post(FetchPeerState("", address))
+
+    def _build_front(self):
+        settings = self.settings
+        chain = build_default_chain(
+            lambda name: self.node.ownership.configuration.services.get(name),
+            make_find_refusal(self.decider, settings.n_requests_max),
+        )
+        performers = make_performers(
+            self.node,
+            self.decider,
+            self.orders,
+            self.pools,
+            self.metrics,
+            self.clock,
+            settings,
+        )
+        self.front = Front(
+            self.node,
+            chain,
+            performers,
+            self.decider,
+            self.orders,
+            self.clock,
+            settings,
+        )
+
+
+def make_node(settings, clock):
+    """Return the controllers of this VM."""
+    start_id = secrets.token_hex(START_ID_BYTES)
+    me = Member(
+        f"{settings.vm_id}-{start_id}",
+        settings.front_address,
+        settings.peer_address,
+        settings.failure_domain,
+    )
+    rng = Random(start_id)
+    return Node(
+        me,
+        settings.lease_ms,
+        Configuration.empty(),
+        lambda: CHOICES[settings.choice](rng),
+        LIMITS[settings.limit],
+        clock.now_ms(),
+    )
+
+
+def make_find_refusal(decider, n_requests_max):
+    """Return a function that refuses calls when the VM is overloaded.
+
+    A service of priority 9 may use every place, one of priority 0 half.
+    """
+
+    def find_refusal(call):
+        share = 0.5 + call.service.priority / 18.0
+        if decider.n_requests <= n_requests_max * share:
+            return None
+        return Refusal("entry VM overloaded", step="admit")
+
+    return find_refusal
+
+
+def flush_forever(flush):
+    """Write the kept log lines at intervals."""
+    while True:
+        gevent.sleep(LOG_FLUSH_MS / 1000.0)
+        flush()
+
+
+def run_process(settings):
+    """Run one entry VM until its planned stop is over; returns the exit code."""
+    init_grpc()
+    with ExitStack() as stack:
+        process = Process.from_config(settings, stack)
+        log = process.log("process")
+        idle_ms = settings.caller_idle_ms
+        start_server(settings.front_address, process.front.app, idle_ms, stack)
+        admin = make_admin_app(process)
+        start_server(settings.admin_address, admin, idle_ms, stack)
+        log.info("process: started", front=settings.front_address)
+        wait_for_stop(process, log)
+        log.info("process: stopped")
+    return 0
+
+
+def wait_for_stop(process, log):
+    """Wait for SIGTERM or SIGINT, then until the planned stop is over."""
+    asked = Event()
+
+    def ask():
+        log.info("process: planned stop asked for")
+        stop_ms = process.settings.stop_deadline_ms
+        process.decider.task.post(BeginStop(stop_ms))
+        asked.set()
+
+    gevent.signal_handler(signal.SIGTERM, ask)
+    gevent.signal_handler(signal.SIGINT, ask)
+    asked.wait()
+    while process.node.stopping.phase != STOPPED:
+        gevent.sleep(STOP_POLL_MS / 1000.0)
--- /dev/null
+++ b/packages/entry/hornbeamstand_entry/responses.py
@@ -0,0 +1,71 @@
+"""HTTP answers to callers and peers."""
+
+import msgspec
+
+from . import headers
+
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    408: "Request Timeout",
+    409: "Conflict",
+    413: "Content Too Large",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+    508: "Loop Detected",
+}
+
+
+def status_line(status):
+    """Return the WSGI status of a code."""
+    return f"{status} {REASONS.get(status, 'Status')}"
+
+
+def respond_json(start_response, status, body, extra=()):
+    """Answer with JSON."""
+    raw = msgspec.json.encode(body)
+    items = [("Content-Type", "application/json"), ("Content-Length", str(len(raw)))]
+    start_response(status_line(status), [*items, *extra])
+    return [raw]
+
+
+def respond_refusal(start_response, refusal, extra):
+    """Answer with the system's own refusal, in headers and JSON."""
+    body = {
+        "refused": refusal.reason,
+        "outcome": refusal.certainty,
+        "step": refusal.step,
+        "peer": refusal.peer,
+    }
+    items = [
+        (headers.OUTCOME, refusal.certainty),
+        (headers.REFUSAL, refusal.reason),
+        (headers.STEP, refusal.step),
+        *extra,
+    ]
+    return respond_json(start_response, refusal.status, body, items)
+
+
+def respond_outcome(start_response, outcome, extra):
+    """Answer a call with its outcome."""
+    if outcome.is_err():
+        return respond_refusal(start_response, outcome.err_value, extra)
+    answer = outcome.ok_value
+    response = answer.payload
+    items = [
+        (name, value)
+        for name, value in response.items()
+        if name.lower() not in headers.HOP_BY_HOP
+        and not name.lower().startswith("hornbeam-")
+    ]
+    body = bytes(response.body)
+    length = str(len(body))
+    if response.method == "HEAD":
+        length = response.get("content-length", "0")
+    items.append(("Content-Length", length))
+    items.append((headers.OUTCOME, headers.OUTCOME_RAN))
+    items.append((headers.TARGET, answer.target_id))
+    start_response(status_line(answer.status), [*items, *extra])
+    return [body] if body else []
--- /dev/null
+++ b/packages/entry/hornbeamstand_entry/tasks/connections.py
@@ -0,0 +1,320 @@
+"""Connections to one address: a pool task, and a task for each connection.
+
+A connection task owns its socket. It sends one request, reads the whole answer,
+replies to the requester and reports to its pool. A connection whose exchange
+was abandoned is closed, never used again.
+"""
+
+import socket
+
+import gevent
+from gevent import socket as gevent_socket
+from geventhttpclient.response import HTTPResponse
+from hornbeamstand_core.messages import BROKEN, CONNECT_FAILED, TIMED_OUT, SendFailure
+from hornbeamstand_core.records import Record
+
+from .task import Task, receive
+
+CONNECT_TIMEOUT_MS = 1000.0
+# A request that may run only once uses a connection that answered this lately.
+PROVEN_MS = 1000.0
+IDLE_MAX_MS = 30_000.0
+N_IDLE_MAX = 64
+READ_BYTES = 65536
+
+
+class Exchange:
+    """One request to send and the mailbox for its answer.
+
+    ``not_after_ms`` is the latest time to send the first byte.
+    """
+
+    __slots__ = (
+        "method",
+        "request_bytes",
+        "not_after_ms",
+        "must_be_proven",
+        "answer_max_bytes",
+        "reply_to",
+        "is_sent",
+        "is_cancelled",
+        "connection",
+    )
+
+    def __init__(
+        self,
+        method,
+        request_bytes,
+        not_after_ms,
+        must_be_proven,
+        answer_max_bytes,
+        reply_to,
+    ):
+        self.method = method
+        self.request_bytes = request_bytes
+        self.not_after_ms = not_after_ms
+        self.must_be_proven = must_be_proven
+        self.answer_max_bytes = answer_max_bytes
+        self.reply_to = reply_to
+        self.is_sent = False
+        self.is_cancelled = False
+        self.connection = None
+
+    def receive_end(self, timeout_ms):
+        """Return the exchange's result or a message of another kind.
+
+        Late ends of earlier exchanges are dropped: an answer is only ever
+        taken for its own request. None after the timeout.
+        """
+        while True:
+            message = receive(self.reply_to, timeout_ms)
+            if type(message) is not Done:
+                return message
+            if message.exchange is self:
+                return message.result
+
+    def cancel(self):
+        """Close the connection that carries the exchange, if any does."""
+        self.is_cancelled = True
+        connection = self.connection
+        if connection is not None and connection.current is self:
+            connection.task.greenlet.kill(block=False)
+
+
+class Connection:
+    """One connection's task, its exchange, and when it last proved to work."""
+
+    __slots__ = ("task", "sock", "current", "opened_at_ms", "proven_at_ms")
+
+    def __init__(self, name):
+        self.task = Task(name)
+        self.sock = None
+        self.current = None
+        self.opened_at_ms = 0.0
+        self.proven_at_ms = float("-inf")
+
+
+class Done(Record):
+    """The end of an exchange: a response or a SendFailure."""
+
+    __slots__ = ("exchange", "result")
+
+    def __init__(self, exchange, result):
+        self.exchange = exchange
+        self.result = result
+
+
+class Idle(Record):
+    """A connection finished an exchange and can carry another."""
+
+    __slots__ = ("connection",)
+
+    def __init__(self, connection):
+        self.connection = connection
+
+
+class Closed(Record):
+    """A connection ended; ``was_silent`` if an old one gave no answer."""
+
+    __slots__ = ("connection", "was_silent")
+
+    def __init__(self, connection, was_silent):
+        self.connection = connection
+        self.was_silent = was_silent
+
+
+class ConnectionPool:
+    """The task that hands exchanges to connections of one address.
+
+    Parameters
+    ----------
+    address : str
+        IP address and port.
+    clock : Clock
+        The process's clock.
+    """
+
+    __slots__ = ("address", "clock", "task", "_idle", "_all", "_silent_at_ms")
+
+    def __init__(self, address, clock):
+        self.address = address
+        self.clock = clock
+        self.task = Task(f"pool {address}")
+        self._idle = []
+        self._all = set()
+        self._silent_at_ms = float("-inf")
+
+    def start(self, stack):
+        """Start the task; the stack ends it and its connections."""
+        self.task.start(self._run, stack)
+        stack.callback(self._close_all)
+
+    def _run(self):
+        while True:
+            message = self.task.mailbox.get()
+            if type(message) is Exchange:
+                self._assign(message)
+            elif type(message) is Idle:
+                self._note_idle(message.connection)
+            else:
+                self._note_closed(message)
+
+    def _assign(self, exchange):
+        if exchange.is_cancelled:
+            return
+        connection = self._take_idle(exchange.must_be_proven)
+        if connection is None:
+            connection = self._open()
+        exchange.connection = connection
+        connection.current = exchange
+        connection.task.post(exchange)
+
+    def _take_idle(self, must_be_proven):
+        now_ms = self.clock.now_ms()
+        while self._idle:
+            connection = self._idle.pop()
+            age_ms = now_ms - connection.proven_at_ms
+            limit_ms = PROVEN_MS if must_be_proven else IDLE_MAX_MS
+            if age_ms <= limit_ms:
+                return connection
+            connection.task.greenlet.kill(block=False)
+        return None
+
+    def _open(self):
+        connection = Connection(f"connection {self.address}")
+        self._all.add(connection.task)
+        connection.task.greenlet = gevent.spawn(
+            run_connection, connection, self.address, self.task, self.clock
+        )
+        return connection
+
+    def _note_idle(self, connection):
+        if connection.opened_at_ms < self._silent_at_ms:
+            connection.task.greenlet.kill(block=False)
+            return
+        if len(self._idle) >= N_IDLE_MAX:
+            connection.task.greenlet.kill(block=False)
+            return
+        self._idle.append(connection)
+        if self._silent_at_ms > float("-inf"):
+            self._retire_older()
+
+    def _retire_older(self):
+        older = [c for c in self._idle if c.opened_at_ms < self._silent_at_ms]
+        for connection in older:
+            self._idle.remove(connection)
+            connection.task.greenlet.kill(block=False)
+
+    def _note_closed(self, closed):
+        self._all.discard(closed.connection.task)
+        if closed.was_silent:
+            self._silent_at_ms = self.clock.now_ms()
+
+    def _close_all(self):
+        gevent.killall([task.greenlet for task in self._all], block=False)
+
+
+def run_connection(connection, address, pool, clock):
+    """Carry exchanges over one socket until one fails."""
+    closed = Closed(connection, False)
+    try:
+        while True:
+            exchange = connection.task.mailbox.get()
+            if not carry(connection, exchange, address, pool, clock, closed):
+                return
+            connection.current = None
+            connection.proven_at_ms = clock.now_ms()
+            pool.post(Idle(connection))
+    finally:
+        if connection.sock is not None:
+            connection.sock.close()
+        pool.post(closed)
+
+
+def carry(connection, exchange, address, pool, clock, closed):
+    """Perform one exchange; returns whether the connection stays good."""
+    is_reused = connection.sock is not None
+    if is_reused and is_ended(connection.sock):
+        pool.post(exchange)
+        return False
+    if not is_reused and not connect(connection, address, clock):
+        reply(exchange, SendFailure(CONNECT_FAILED, False, address))
+        return False
+    if clock.now_ms() >= exchange.not_after_ms or exchange.is_cancelled:
+        reply(exchange, SendFailure(TIMED_OUT, False, address))
+        return False
+    try:
+        exchange.is_sent = True
+        connection.sock.sendall(exchange.request_bytes)
+        response = read_response(connection.sock, exchange)
+    except gevent.GreenletExit:
+        closed.was_silent = is_reused
+        raise
+    except Exception as error:
+        # The socket and the HTTP parser each raise their own types.
+        reply(exchange, SendFailure(BROKEN, True, f"{address} {error!r}"))
+        return False
+    reply(exchange, response)
+    return not response.should_close()
+
+
+def reply(exchange, result):
+    """Tell the requester how its exchange ended."""
+    exchange.reply_to.put(Done(exchange, result))
+
+
+def is_ended(sock):
+    """Tell whether the other side closed an idle connection."""
+    try:
+        # An idle connection has nothing to read; bytes would be a stray answer.
+        sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
+
+
+def connect(connection, address, clock):
+    """Open the connection; returns whether that worked."""
+    host, _, port = address.rpartition(":")
+    try:
+        connection.sock = gevent_socket.create_connection(
+            (host, int(port)), timeout=CONNECT_TIMEOUT_MS / 1000.0
+        )
+    except OSError:
+        return False
+    connection.sock.settimeout(None)
+    connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    connection.opened_at_ms = clock.now_ms()
+    return True
+
+
+class AnswerError(Exception):
+    """An answer broke off, is too long, or has no stated length."""
+
+
+class WholeResponse(HTTPResponse):
+    """A response that is kept in memory; ``body`` is complete at the end."""
+
+    @property
+    def body(self):
+        """Return the bytes of the body read so far."""
+        return self._body_buffer
+
+
+def read_response(sock, exchange):
+    """Read one whole answer; raises AnswerError if it is not whole.
+
+    An answer that states no length ends with its connection, so that a cut
+    can't be told from its end: it is an error as well.
+    """
+    response = WholeResponse(exchange.method)
+    while not response.message_complete or response.status_code < 200:
+        data = sock.recv(READ_BYTES)
+        if not data:
+            raise AnswerError("ended before it was whole")
+        response.feed(data)
+        if len(response.body) > exchange.answer_max_bytes:
+            raise AnswerError("is longer than answer_max_bytes")
+    return response
--- /dev/null
+++ b/packages/entry/hornbeamstand_entry/tasks/datagrams.py
@@ -0,0 +1,61 @@
+"""The task that owns the UDP socket for heartbeats and news of spare room.
+
+Both are repeated or replaced by newer ones, so a lost datagram does no harm.
+"""
+
+import gevent
+from gevent import socket
+
+from ..peer_codec import datagram_of, decode_datagram
+from .task import Task
+
+DATAGRAM_MAX_BYTES = 65507
+
+
+class Datagrams:
+    """The UDP socket of one VM and how much went through it."""
+
+    __slots__ = ("address", "decider", "task", "n_bytes_sent", "n_sent", "_sock")
+
+    def __init__(self, address, decider):
+        self.address = address
+        self.decider = decider
+        self.task = Task("datagrams")
+        self.n_bytes_sent = 0
+        self.n_sent = 0
+        self._sock = None
+
+    def post(self, message):
+        """Send a SendHeartbeat or SendRoom."""
+        self.task.post(message)
+
+    def start(self, stack):
+        """Bind the socket and start to receive and send."""
+        host, _, port = self.address.rpartition(":")
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        stack.callback(self._sock.close)
+        self._sock.bind((host, int(port)))
+        self.task.start(self._send_loop, stack)
+        receiver = gevent.spawn(self._receive_loop)
+        stack.callback(receiver.kill)
+
+    def _send_loop(self):
+        while True:
+            address, raw = datagram_of(self.task.mailbox.get())
+            host, _, port = address.rpartition(":")
+            try:
+                self._sock.sendto(raw, (host, int(port)))
+            except OSError:
+                continue
+            self.n_sent += 1
+            self.n_bytes_sent += len(raw)
+
+    def _receive_loop(self):
+        while True:
+            try:
+                raw, _ = self._sock.recvfrom(DATAGRAM_MAX_BYTES)
+            except ConnectionError:
+                continue
+            message = decode_datagram(raw)
+            if message is not None:
+                self.decider.task.post(message)
--- /dev/null
+++ b/packages/entry/hornbeamstand_entry/tasks/decider.py
@@ -0,0 +1,113 @@
+"""The task that owns the controllers.
+
+Every other task posts messages here; the messages that the controllers return
+are routed to the tasks that perform them.
+"""
+
+from hornbeamstand_core.controllers.membership import (
+    FetchPeerState,
+    GrantLease,
+    SendHeartbeat,
+    StartRound,
+    WriteView,
+)
+from hornbeamstand_core.controllers.node import SendRoom, Tick
+from hornbeamstand_core.messages import AskRetry, Decision, Granted, SendProbe
+from hornbeamstand_core.order_messages import EpochAdopted
+from hornbeamstand_core.records import Record
+
+from .task import Task, run_loop
+
+TICK_MS = 5.0
+
+
+class Ask(Record):
+    """A message whose reply goes to a mailbox."""
+
+    __slots__ = ("message", "reply_to")
+
+    def __init__(self, message, reply_to):
+        self.message = message
+        self.reply_to = reply_to
+
+
+class Decider:
+    """The controllers, and the mailboxes that wait for their replies.
+
+    Parameters
+    ----------
+    node : Node
+        The controllers.
+    clock : Clock
+        The process's clock.
+    log : structlog logger
+        For decisions; None turns them off.
+    """
+
+    __slots__ = ("node", "clock", "log", "task", "n_requests", "_waiting", "_routes")
+
+    def __init__(self, node, clock, log):
+        self.node = node
+        self.clock = clock
+        self.log = log
+        self.task = Task("decider")
+        self.n_requests = 0
+        self._waiting = {}
+        self._routes = {Granted: self._reply, Decision: self._log_decision}
+
+    def connect(self, platform, datagrams, prober, peer_fetch, orders):
+        """Name the tasks that perform the controllers' messages."""
+        self._routes[SendProbe] = prober.post
+        self._routes[SendHeartbeat] = datagrams.post
+        self._routes[SendRoom] = datagrams.post
+        self._routes[StartRound] = platform.post
+        self._routes[GrantLease] = platform.post
+        self._routes[WriteView] = platform.post
+        self._routes[FetchPeerState] = peer_fetch.post
+        self._routes[EpochAdopted] = orders.task.post
+
+    def start(self, stack):
+        """Start the task."""
+        mailbox = self.task.mailbox
+        self.task.start(
+            lambda: run_loop(mailbox, self._handle, self._tick, TICK_MS, self.clock),
+            stack,
+        )
+
+    def _handle(self, message):
+        if type(message) is Ask:
+            self._handle_ask(message)
+            return
+        self._perform(self.node.handle(message, self.clock.now_ms()))
+
+    def _handle_ask(self, ask):
+        message = ask.message
+        if type(message) is AskRetry:
+            reply = self.node.handle(message, self.clock.now_ms())
+            ask.reply_to.put(bool(reply and reply[0]))
+            return
+        self._waiting[message.request_id] = ask.reply_to
+        self._perform(self.node.handle(message, self.clock.now_ms()))
+
+    def _tick(self):
+        self._perform(self.node.handle(Tick(self.n_requests), self.clock.now_ms()))
+
+    def _perform(self, messages):
+        for message in messages:
+            self._routes[type(message)](message)
+
+    def _reply(self, granted):
+        reply_to = self._waiting.pop(granted.request_id, None)
+        if reply_to is not None:
+            reply_to.put(granted.reply)
+
+    def _log_decision(self, decision):
+        if self.log is None:
+            return
+        self.log.info(
+            f"route: {decision.action}",
+            service=decision.service_name,
+            request=decision.request_id,
+            to=decision.to,
+            detail=decision.detail,
+        )
--- /dev/null
+++ b/packages/entry/hornbeamstand_entry/tasks/follower.py
@@ -0,0 +1,128 @@
+"""The task that follows the published configuration.
+
+A watch at the platform wakes it. While the platform is down the last good
+configuration stays in force; a newer one may come from a peer.
+"""
+
+import gevent
+from hornbeamstand_core.controllers.node import AdoptConfiguration
+from hornbeamstand_core.records import Record
+from hornbeamstand_wire.published import (
+    HEAD_KEY,
+    Head,
+    fetch_texts,
+    merge_version,
+    read_head,
+)
+
+from .task import Task
+
+WATCH_MS = 10_000.0
+RETRY_MS = 250.0
+
+
+class PeerFiles(Record):
+    """A peer's configuration files and their version."""
+
+    __slots__ = ("version", "texts")
+
+    def __init__(self, version, texts):
+        self.version = version
+        self.texts = texts
+
+
+class Follower:
+    """The newest accepted configuration files.
+
+    Parameters
+    ----------
+    platform, watcher : PlatformClient
+        For reads, and for the watch, which waits longer.
+    decider : Decider
+        Told of each accepted configuration.
+    log : structlog logger
+        The config part's log.
+    """
+
+    __slots__ = (
+        "platform",
+        "watcher",
+        "decider",
+        "log",
+        "task",
+        "version",
+        "texts",
+        "_digests",
+    )
+
+    def __init__(self, platform, watcher, decider, log):
+        self.platform = platform
+        self.watcher = watcher
+        self.decider = decider
+        self.log = log
+        self.task = Task("follower")
+        self.version = 0
+        self.texts = {}
+        self._digests = {}
+
+    def start(self, stack):
+        """Start to follow the platform and to take peers' files."""
+        self.task.start(self._take_peer_files, stack)
+        watching = gevent.spawn(self._watch)
+        stack.callback(watching.kill)
+
+    def _watch(self):
+        revision = 0
+        while True:
+            if self._follow():
+                revision = self._head_revision(revision)
+            else:
+                gevent.sleep(RETRY_MS / 1000.0)
+
+    def _head_revision(self, revision):
+        seen = self.watcher.watch(HEAD_KEY, revision, WATCH_MS)
+        if seen.is_err():
+            gevent.sleep(RETRY_MS / 1000.0)
+            return revision
+        return seen.ok_value.revision
+
+    def _follow(self):
+        read = read_head(self.platform)
+        if read.is_err():
+            return False
+        head = read.ok_value
+        if head.version <= self.version:
+            return True
+        fetched = fetch_texts(self.platform, head, self._known())
+        if fetched.is_err():
+            return False
+        self._accept(head.version, fetched.ok_value, head)
+        return True
+
+    def _known(self):
+        return {
+            (name, self._digests[name]): text
+            for name, text in self.texts.items()
+            if name in self._digests
+        }
+
+    def _take_peer_files(self):
+        while True:
+            files = self.task.mailbox.get()
+            if files.version > self.version:
+                self._accept(files.version, files.texts, None)
+
+    def _accept(self, version, texts, head):
+        merged = merge_version(texts, version)
+        if merged.is_err():
+            self.log.error(
+                "config: version rejected, the last good one stays",
+                version=version,
+                error=str(merged.err_value),
+            )
+            return
+        self.version = version
+        self.texts = texts
+        self._digests = head.digests() if isinstance(head, Head) else {}
+        self.log.info("config: version accepted", version=version)
+        self.decider.task.post(AdoptConfiguration(merged.ok_value))
--- /dev/null
+++ b/packages/entry/hornbeamstand_entry/tasks/orders_task.py
@@ -0,0 +1,144 @@
+"""The task that owns the order book and copies orders to peers."""
+
+import gevent
+from hornbeamstand_core.messages import Answer, Granted, ReserveOrder, SettleOrder
+from hornbeamstand_core.order_messages import (
+    EpochAdopted,
+    OrdersReceived,
+    OrdersSent,
+)
+from hornbeamstand_core.records import Record
+
+from ..encoding import encode_request
+from ..peer_codec import KeptResponse, decode_orders, encode_orders
+from ..responses import respond_json
+from .connections import Exchange
+from .decider import Ask
+from .task import Task, receive, run_loop
+
+COPY_TIMEOUT_MS = 300.0
+# A transfer is repeated until its peer acknowledges it or leaves the view.
+TRANSFER_RETRY_MS = 250.0
+TICK_MS = 50.0
+ACK_TIMEOUT_MS = 200.0
+ANSWER_MAX_BYTES = 4096
+
+
+class Received(Record):
+    """Orders from a peer and where to acknowledge them."""
+
+    __slots__ = ("message", "reply_to")
+
+    def __init__(self, message, reply_to):
+        self.message = message
+        self.reply_to = reply_to
+
+
+class OrdersTask:
+    """The order book of one VM.
+
+    Parameters
+    ----------
+    book : OrderBook
+        The controller.
+    pools : Pools
+        Connections to peers.
+    clock : Clock
+        The process's clock.
+    """
+
+    __slots__ = ("book", "pools", "clock", "task", "_waiting", "_handlers")
+
+    def __init__(self, book, pools, clock):
+        self.book = book
+        self.pools = pools
+        self.clock = clock
+        self.task = Task("orders")
+        self._waiting = {}
+        self._handlers = {
+            ReserveOrder: book.reserve,
+            SettleOrder: book.settle,
+            OrdersSent: book.note_sent,
+            OrdersReceived: book.note_received,
+            EpochAdopted: book.adopt_epoch,
+        }
+
+    def start(self, stack):
+        """Start the task."""
+        mailbox = self.task.mailbox
+        self.task.start(
+            lambda: run_loop(mailbox, self._handle, self._tick, TICK_MS, self.clock),
+            stack,
+        )
+
+    def _handle(self, message):
+        reply_to = None
+        if type(message) is Ask:
+            self._waiting[message.message.request_id] = message.reply_to
+            message = message.message
+        elif type(message) is Received:
+            reply_to = message.reply_to
+            message = message.message
+        elif type(message) is SettleOrder:
+            keep_payload(message)
+        out = self._handlers[type(message)](message, self.clock.now_ms())
+        if reply_to is not None:
+            reply_to.put(True)
+        self._perform(out)
+
+    def _tick(self):
+        self._perform(self.book.tick(self.clock.now_ms()))
+
+    def _perform(self, messages):
+        for message in messages:
+            if type(message) is Granted:
+                reply_to = self._waiting.pop(message.request_id, None)
+                if reply_to is not None:
+                    reply_to.put(message.reply)
+            else:
+                gevent.spawn(self._copy, message)
+
+    def _copy(self, sent):
+        while True:
+            is_stored = self._send(sent)
+            if is_stored or not sent.transfer_version:
+                break
+            if self.book.view.version != sent.transfer_version:
+                return
+            gevent.sleep(TRANSFER_RETRY_MS / 1000.0)
+        self.task.post(OrdersSent(sent, is_stored))
+
+    def _send(self, sent):
+        peer = self.book.view.members.get(sent.peer_id)
+        if peer is None:
+            return False
+        address = peer.front_address
+        body = encode_orders(self.book.member_id, sent)
+        wire = encode_request("POST", "/peer/orders", [("Host", address)], body)
+        mailbox = Task("copy").mailbox
+        not_after_ms = self.clock.now_ms() + COPY_TIMEOUT_MS
+        exchange = Exchange("POST", wire, not_after_ms, True, ANSWER_MAX_BYTES, mailbox)
+        self.pools.post(address, exchange)
+        response = exchange.receive_end(COPY_TIMEOUT_MS)
+        if response is None:
+            exchange.cancel()
+        return getattr(response, "status_code", 0) == 200
+
+    def answer_peer(self, raw, start_response):
+        """Keep a peer's orders, then acknowledge (a WSGI answer)."""
+        message = decode_orders(raw)
+        if message is None:
+            return respond_json(start_response, 400, {"error": "malformed orders"})
+        mailbox = Task("ack").mailbox
+        self.task.post(Received(message, mailbox))
+        if receive(mailbox, ACK_TIMEOUT_MS) is None:
+            return respond_json(start_response, 503, {"error": "busy"})
+        return respond_json(start_response, 200, {})
+
+
+def keep_payload(message):
+    """Replace a live response by the copy that resends are answered with."""
+    outcome = message.outcome
+    if isinstance(outcome, Answer) and not isinstance(outcome.payload, KeptResponse):
+        kept = KeptResponse.from_response(outcome.payload)
+        message.outcome = Answer(outcome.status, kept, outcome.target_id)
--- /dev/null
+++ b/packages/entry/hornbeamstand_entry/tasks/peer_state.py
@@ -0,0 +1,118 @@
+"""Fetches a peer's newer view and configuration by gRPC, and serves them."""
+
+import grpc
+import grpc.experimental.gevent
+import msgspec
+from gevent.threadpool import ThreadPoolExecutor
+from hornbeamstand_core.controllers.node import AdoptView
+from hornbeamstand_wire.view_codec import view_from_value, view_to_value
+
+from .. import peer_pb2, peer_pb2_grpc
+from .follower import PeerFiles
+from .task import Task
+
+FETCH_TIMEOUT_MS = 1000.0
+N_SERVER_WORKERS = 4
+
+
+def init_grpc():
+    """Make grpcio wait in gevent's hub; call once, before any channel."""
+    grpc.experimental.gevent.init_gevent()
+
+
+class PeerServicer(peer_pb2_grpc.PeerServicer):
+    """Answers FetchState from the VM's present state."""
+
+    def __init__(self, node, follower):
+        self.node = node
+        self.follower = follower
+
+    def FetchState(self, request, context):
+        """Return what is newer here than the caller's versions."""
+        state = peer_pb2.State()
+        view = self.node.membership.view
+        state.view_version = view.version
+        if view.version > request.view_version:
+            state.view_json = msgspec.json.encode(view_to_value(view))
+        state.config_version = self.follower.version
+        if self.follower.version > request.config_version:
+            state.config_files.update(self.follower.texts)
+        return state
+
+
+class PeerFetch:
+    """Fetches state from peers, one call at a time.
+
+    Parameters
+    ----------
+    node : Node
+        Read for the present epoch.
+    decider, follower : task objects
+        Take the fetched view and files.
+    log : structlog logger
+        The peer part's log.
+    """
+
+    __slots__ = ("node", "decider", "follower", "log", "task", "_channels")
+
+    def __init__(self, node, decider, follower, log):
+        self.node = node
+        self.decider = decider
+        self.follower = follower
+        self.log = log
+        self.task = Task("peer fetch")
+        self._channels = {}
+
+    def post(self, message):
+        """Take a FetchPeerState."""
+        self.task.post(message)
+
+    def start(self, address, stack):
+        """Serve this VM's state and start to fetch peers'."""
+        server = grpc.server(ThreadPoolExecutor(N_SERVER_WORKERS))
+        servicer = PeerServicer(self.node, self.follower)
+        peer_pb2_grpc.add_PeerServicer_to_server(servicer, server)
+        server.add_insecure_port(address)
+        server.start()
+        stack.callback(server.stop, None)
+        stack.callback(self._close)
+        self.task.start(self._run, stack)
+
+    def _close(self):
+        for channel in self._channels.values():
+            channel.close()
+
+    def _run(self):
+        while True:
+            message = self.task.mailbox.get()
+            self._fetch(message.address)
+            self._skip_repeats(message)
+
+    def _skip_repeats(self, message):
+        # Each heartbeat of a newer peer asks again while a fetch is running.
+        mailbox = self.task.mailbox
+        while not mailbox.empty() and mailbox.peek().address == message.address:
+            mailbox.get()
+
+    def _fetch(self, address):
+        view_version = self.node.membership.view.version
+        request = peer_pb2.StateRequest(
+            view_version=view_version, config_version=self.follower.version
+        )
+        try:
+            stub = peer_pb2_grpc.PeerStub(self._channel(address))
+            state = stub.FetchState(request, timeout=FETCH_TIMEOUT_MS / 1000.0)
+        except grpc.RpcError as error:
+            self.log.warning("peer: fetch failed", peer=address, error=str(error))
+            return
+        if state.view_version > view_version:
+            view = view_from_value(msgspec.json.decode(state.view_json))
+            self.decider.task.post(AdoptView(view))
+        if state.config_version > self.follower.version:
+            files = PeerFiles(state.config_version, dict(state.config_files))
+            self.follower.task.post(files)
+
+    def _channel(self, address):
+        if address not in self._channels:
+            self._channels[address] = grpc.insecure_channel(address)
+        return self._channels[address]
--- /dev/null
+++ b/packages/entry/hornbeamstand_entry/tasks/platform_task.py
@@ -0,0 +1,82 @@
+"""The task that calls the platform for the membership controller."""
+
+from hornbeamstand_core.controllers.membership import (
+    GrantLease,
+    LeaseGranted,
+    RoundDone,
+    RoundFailed,
+    StartRound,
+)
+from hornbeamstand_core.controllers.node import AdoptView
+from hornbeamstand_wire.view_codec import view_from_value, view_key, view_to_value
+
+from .task import Task
+
+
+class PlatformTask:
+    """Performs rounds, lease grants and view writes, one at a time."""
+
+    __slots__ = ("platform", "cell", "lease_ms", "decider", "log", "task")
+
+    def __init__(self, platform, cell, lease_ms, decider, log):
+        self.platform = platform
+        self.cell = cell
+        self.lease_ms = lease_ms
+        self.decider = decider
+        self.log = log
+        self.task = Task("platform")
+
+    def post(self, message):
+        """Take a message of the membership controller."""
+        self.task.post(message)
+
+    def start(self, stack):
+        """Start the task."""
+        self.task.start(self._run, stack)
+
+    def _run(self):
+        while True:
+            message = self.task.mailbox.get()
+            if type(message) is StartRound:
+                reply = self._perform_round(message)
+            elif type(message) is GrantLease:
+                reply = self._grant()
+            else:
+                reply = self._write(message)
+            if reply is not None:
+                self.decider.task.post(reply)
+
+    def _perform_round(self, message):
+        read = self.platform.get(view_key(self.cell))
+        if read.is_err():
+            return self._fail(read.err_value)
+        renewed = self.platform.renew_leases(message.renew_ids, message.check_ids)
+        if renewed.is_err():
+            return self._fail(renewed.err_value)
+        stored = read.ok_value
+        view = view_from_value(stored.value)
+        return RoundDone(view, stored.revision, renewed.ok_value, message.marks)
+
+    def _grant(self):
+        granted = self.platform.grant_lease(self.lease_ms)
+        if granted.is_err():
+            return self._fail(granted.err_value)
+        return LeaseGranted(granted.ok_value)
+
+    def _write(self, message):
+        value = view_to_value(message.view)
+        key = view_key(self.cell)
+        written = self.platform.put_certain(key, value, message.revision)
+        if written.is_err():
+            self.log.info("member: view write lost", error=str(written.err_value))
+            return None
+        self.log.info(
+            "member: view written",
+            version=message.view.version,
+            members=sorted(message.view.members),
+        )
+        return AdoptView(message.view)
+
+    def _fail(self, error):
+        self.log.warning("platform: call failed", error=str(error))
+        return RoundFailed()
--- /dev/null
+++ b/packages/entry/hornbeamstand_entry/tasks/pools.py
@@ -0,0 +1,23 @@
+"""The connection pools of a process, by address."""
+
+from .connections import ConnectionPool
+
+
+class Pools:
+    """Makes a pool for each address when it is first used."""
+
+    __slots__ = ("clock", "stack", "_pools")
+
+    def __init__(self, clock, stack):
+        self.clock = clock
+        self.stack = stack
+        self._pools = {}
+
+    def post(self, address, exchange):
+        """Give an exchange to the pool of its address."""
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = ConnectionPool(address, self.clock)
+            pool.start(self.stack)
+            self._pools[address] = pool
+        pool.task.post(exchange)
--- /dev/null
+++ b/packages/entry/hornbeamstand_entry/tasks/prober.py
@@ -0,0 +1,62 @@
+"""The task that sends probes and reports what came of them."""
+
+import gevent
+from hornbeamstand_core.messages import ProbeResult
+
+from ..encoding import encode_request, read_report
+from .connections import Exchange
+from .task import Task
+
+PROBE_TIMEOUT_MS = 1000.0
+PROBE_ANSWER_MAX_BYTES = 65536
+
+
+class Prober:
+    """Sends each probe in a greenlet of its own."""
+
+    __slots__ = ("pools", "decider", "clock", "task", "n_sent")
+
+    def __init__(self, pools, decider, clock):
+        self.pools = pools
+        self.decider = decider
+        self.clock = clock
+        self.task = Task("prober")
+        self.n_sent = 0
+
+    def post(self, message):
+        """Take a SendProbe."""
+        self.task.post(message)
+
+    def start(self, stack):
+        """Start the task."""
+        self.task.start(self._run, stack)
+
+    def _run(self):
+        while True:
+            probe = self.task.mailbox.get()
+            self.n_sent += 1
+            gevent.spawn(self._probe, probe)
+
+    def _probe(self, probe):
+        started_at_ms = self.clock.now_ms()
+        wire = encode_request("GET", probe.path, [("Host", probe.address)], b"")
+        mailbox = Task("probe").mailbox
+        exchange = Exchange(
+            "GET",
+            wire,
+            started_at_ms + PROBE_TIMEOUT_MS,
+            False,
+            PROBE_ANSWER_MAX_BYTES,
+            mailbox,
+        )
+        self.pools.post(probe.address, exchange)
+        response = exchange.receive_end(PROBE_TIMEOUT_MS)
+        if response is None:
+            exchange.cancel()
+        report = None
+        if getattr(response, "status_code", 0) == 200:
+            report = read_report(response)
+        latency_ms = self.clock.now_ms() - started_at_ms
+        self.decider.task.post(
+            ProbeResult(probe.service_name, probe.target_id, report, latency_ms)
+        )
--- /dev/null
+++ b/packages/entry/hornbeamstand_entry/tasks/task.py
@@ -0,0 +1,60 @@
+"""Mailboxes and the loop that every task runs."""
+
+import os
+
+import gevent
+from gevent.queue import Empty, SimpleQueue
+
+# Status of a process that one of its tasks failed in (sysexits' EX_SOFTWARE).
+EXIT_TASK_FAILED = 70
+
+
+def end_failed_process(greenlet):
+    """End the process at once: without one of its tasks its state is wrong.
+
+    The error is on standard error already. Peers see a crash, which they handle.
+    """
+    os._exit(EXIT_TASK_FAILED)
+
+
+class Task:
+    """A named greenlet with a mailbox."""
+
+    __slots__ = ("name", "mailbox", "greenlet")
+
+    def __init__(self, name):
+        self.name = name
+        self.mailbox = SimpleQueue()
+        self.greenlet = None
+
+    def post(self, message):
+        """Put a message into the task's mailbox; never waits."""
+        self.mailbox.put(message)
+
+    def start(self, run, stack):
+        """Run ``run`` in a greenlet that the exit stack ends."""
+        self.greenlet = gevent.spawn(run)
+        self.greenlet.link_exception(end_failed_process)
+        stack.callback(self.greenlet.kill)
+
+
+def receive(mailbox, timeout_ms):
+    """Return the next message, or None after the timeout in milliseconds."""
+    try:
+        return mailbox.get(timeout=max(0.0, timeout_ms) / 1000.0)
+    except Empty:
+        return None
+
+
+def run_loop(mailbox, handle, tick, tick_ms, clock):
+    """Handle messages as they come and call ``tick`` every ``tick_ms``."""
+    next_tick_ms = clock.now_ms()
+    while True:
+        now_ms = clock.now_ms()
+        if now_ms >= next_tick_ms:
+            tick()
+            next_tick_ms = now_ms + tick_ms
+            continue
+        message = receive(mailbox, next_tick_ms - now_ms)
+        if message is not None:
+            handle(message)
--- /dev/null
+++ b/packages/wire/hornbeamstand_wire/schema.py
@@ -0,0 +1,174 @@
+"""Checks decoded JSON against a plain class and builds it.
+
+The annotations of a class's ``__init__`` are its schema; msgspec checks types,
+bounds and unknown fields, one object at a time, so that an error names the
+exact field.
+"""
+
+import inspect
+import types
+from functools import cache
+from typing import Annotated, Union, get_args, get_origin, get_type_hints
+
+import msgspec
+from hornbeamstand_core.config import Bounds
+from hornbeamstand_core.errors import ConfigError
+from hornbeamstand_core.records import Record
+from result import Err, Ok
+
+
+class Field(Record):
+    """One field of a schema class."""
+
+    __slots__ = ("name", "type", "bounds", "default")
+
+    def __init__(self, name, type, bounds, default):
+        self.name = name
+        self.type = type
+        self.bounds = bounds
+        self.default = default
+
+    @property
+    def is_required(self):
+        """Tell whether the field has no default."""
+        return self.default is inspect.Parameter.empty
+
+
+@cache
+def list_fields(cls):
+    """Return the fields of a schema class, in order."""
+    hints = get_type_hints(cls.__init__, include_extras=True)
+    parameters = inspect.signature(cls.__init__).parameters
+    fields = []
+    for name, parameter in parameters.items():
+        if name == "self":
+            continue
+        plain, bounds = split_annotation(hints[name])
+        fields.append(Field(name, plain, bounds, parameter.default))
+    return fields
+
+
+def split_annotation(annotation):
+    """Return the type and the Bounds of an annotation."""
+    if get_origin(annotation) is Annotated:
+        plain, bounds = get_args(annotation)
+        return plain, bounds
+    return annotation, Bounds()
+
+
+def nested_class(plain):
+    """Return the schema class inside a type, or None."""
+    for part in (plain, *get_args(plain)):
+        if inspect.isclass(part) and issubclass(part, Record):
+            return part
+    return None
+
+
+def checked_type(field):
+    """Return the msgspec type of one field; nested objects stay raw."""
+    if nested_class(field.type) is not None:
+        return raw_type(field)
+    bounds = field.bounds
+    meta = {}
+    if bounds.minimum is not None:
+        meta["ge"] = bounds.minimum
+    if bounds.maximum is not None:
+        meta["le"] = bounds.maximum
+    if bounds.pattern is not None:
+        meta["pattern"] = bounds.pattern
+    if not meta:
+        return field.type
+    if get_origin(field.type) in (Union, types.UnionType):
+        inner = next(t for t in get_args(field.type) if t is not type(None))
+        return Annotated[inner, msgspec.Meta(**meta)] | None
+    return Annotated[field.type, msgspec.Meta(**meta)]
+
+
+def raw_type(field):
+    """Return the type of a field whose objects are checked one by one."""
+    if get_origin(field.type) is list:
+        return list[dict]
+    if field.default is None:
+        return dict | None
+    return dict
+
+
+@cache
+def struct_of(cls):
+    """Return the msgspec struct that checks one object of a schema class."""
+    members = []
+    for field in list_fields(cls):
+        if field.is_required:
+            members.append((field.name, checked_type(field)))
+            continue
+        default = field.default
+        if default == ():
+            default = msgspec.field(default_factory=list)
+        members.append((field.name, checked_type(field), default))
+    return msgspec.defstruct(cls.__name__, members, forbid_unknown_fields=True)
+
+
+def build(cls, raw, source, path=""):
+    """Build a schema class from decoded JSON.
+
+    Parameters
+    ----------
+    cls : type
+        The schema class.
+    raw : object
+        Decoded JSON.
+    source : str
+        The file, for errors.
+    path : str
+        The object's own field path, for errors.
+
+    Returns
+    -------
+    Result
+        ``Ok`` of an instance, or ``Err`` of a ConfigError.
+    """
+    try:
+        checked = msgspec.convert(raw, struct_of(cls))
+    except msgspec.ValidationError as error:
+        return Err(ConfigError("check", source, describe(error, path)))
+    values = {}
+    for field in list_fields(cls):
+        value = getattr(checked, field.name)
+        field_path = f"{path}.{field.name}" if path else field.name
+        built = build_value(field, value, source, field_path)
+        if built.is_err():
+            return built
+        values[field.name] = built.ok_value
+    return Ok(cls(**values))
+
+
+def build_value(field, value, source, path):
+    """Build the nested objects of one field."""
+    cls = nested_class(field.type)
+    if cls is None or value is None:
+        return Ok(value)
+    if isinstance(value, list):
+        return build_items(cls, enumerate(value), source, path, list)
+    if get_origin(field.type) is dict:
+        return build_items(cls, value.items(), source, path, dict)
+    return build(cls, value, source, path)
+
+
+def build_items(cls, items, source, path, make):
+    """Build each object of a list or dict."""
+    built = {}
+    for key, raw in items:
+        item = build(cls, raw, source, f"{path}.{key}")
+        if item.is_err():
+            return item
+        built[key] = item.ok_value
+    return Ok(built if make is dict else list(built.values()))
+
+
+def describe(error, path):
+    """Turn a msgspec message into ``field: problem``."""
+    message = str(error)
+    problem, _, at = message.partition(" - at `$")
+    at = at.rstrip("`").lstrip(".")
+    field = ".".join(part for part in (path, at) if part) or "(top)"
+    return f"field {field}: {problem}"
--- /dev/null
+++ b/standins/cluster.py
@@ -0,0 +1,218 @@
+"""Starts a platform, targets and entry VMs as processes for demo and tests."""
+
+import json
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from contextlib import ExitStack
+from pathlib import Path
+
+from geventhttpclient import HTTPClient
+
+ROOT = Path(__file__).resolve().parent.parent
+HOST = "127.0.0.1"
+START_TIMEOUT_S = 20.0
+
+
+def free_addresses(n_wanted):
+    """Return addresses of ports that are free now for TCP and UDP."""
+    with ExitStack() as stack:
+        addresses = []
+        while len(addresses) < n_wanted:
+            tcp = stack.enter_context(socket.socket())
+            tcp.bind((HOST, 0))
+            port = tcp.getsockname()[1]
+            udp = stack.enter_context(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
+            try:
+                udp.bind((HOST, port))
+            except OSError:
+                continue
+            addresses.append(f"{HOST}:{port}")
+        return addresses
+
+
+def request(address, method, path, body=None, headers=None, timeout_s=5.0):
+    """Send one request on a connection of its own.
+
+    Returns (status, header dict with lower-case names, body bytes).
+    """
+    host, _, port = address.rpartition(":")
+    client = HTTPClient(
+        host, int(port), connection_timeout=timeout_s, network_timeout=timeout_s
+    )
+    try:
+        raw = json.dumps(body).encode() if isinstance(body, dict) else body or b""
+        answer = client.request(method, path, body=raw, headers=headers or {})
+        content = bytes(answer.read())
+        found = {name.lower(): value for name, value in answer.items()}
+        return answer.status_code, found, content
+    finally:
+        client.close()
+
+
+class Vm:
+    """One entry VM process."""
+
+    __slots__ = ("index", "settings", "process", "log_file")
+
+    def __init__(self, index, settings, process, log_file):
+        self.index = index
+        self.settings = settings
+        self.process = process
+        self.log_file = log_file
+
+    @property
+    def front(self):
+        """Return the address for callers."""
+        return self.settings["front_address"]
+
+    def status(self):
+        """Return the VM's status."""
+        return json.loads(request(self.settings["admin_address"], "GET", "/status")[2])
+
+    def signal(self, number):
+        """Send a signal to the process."""
+        self.process.send_signal(number)
+
+    def stop(self):
+        """Ask for a planned stop; returns the exit code."""
+        self.signal(signal.SIGTERM)
+        return self.process.wait(timeout=60)
+
+
+class Cluster:
+    """The processes of one run, ended when the context is left.
+
+    Parameters
+    ----------
+    domains : list of str
+        Failure domains, given to the VMs in turn.
+    overrides : dict
+        Settings that differ from the defaults.
+    """
+
+    def __init__(self, domains, overrides=None):
+        self.domains = domains
+        self.overrides = overrides or {}
+        self.vms = []
+        self.platform = None
+        self.folder = Path(tempfile.mkdtemp(prefix="hornbeamstand-"))
+        self._stack = ExitStack()
+        self._n_vms = 0
+
+    def __enter__(self):
+        self._stack.callback(shutil.rmtree, self.folder, ignore_errors=True)
+        return self
+
+    def __exit__(self, *exc_info):
+        self._stack.close()
+
+    def spawn(self, arguments, log_name):
+        """Start a process that is killed at the end; returns it."""
+        log_file = self.folder / log_name
+        out = self._stack.enter_context(open(log_file, "wb"))
+        process = subprocess.Popen(
+            arguments, stdout=out, stderr=subprocess.STDOUT, cwd=ROOT
+        )
+        self._stack.callback(end_process, process)
+        return process, log_file
+
+    def start_platform(self):
+        """Start the stand-in platform."""
+        self.platform = free_addresses(1)[0]
+        arguments = [sys.executable, "-m", "standins.platform", self.platform]
+        self.spawn(arguments, "platform.log")
+        wait_until(lambda: request(self.platform, "GET", "/calls")[0] == 200)
+
+    def start_targets(self, specs):
+        """Start stand-in targets in one process."""
+        file = self.folder / "targets.json"
+        file.write_text(json.dumps(specs))
+        arguments = [sys.executable, "-m", "standins.target", str(file)]
+        self.spawn(arguments, "targets.log")
+        last = specs[-1]["address"]
+        wait_until(lambda: request(last, "GET", "/health")[0] == 200)
+
+    def start_vm(self):
+        """Start one entry VM; returns it."""
+        index = self._n_vms
+        self._n_vms += 1
+        front, peer, admin = free_addresses(3)
+        settings = {
+            "vm_id": f"vm{index + 1}",
+            "failure_domain": self.domains[index % len(self.domains)],
+            "cell": "cell1",
+            "front_address": front,
+            "peer_address": peer,
+            "admin_address": admin,
+            "platform_address": self.platform,
+            **self.overrides,
+        }
+        file = self.folder / f"vm{index + 1}.json"
+        file.write_text(json.dumps(settings))
+        binary = str(Path(sys.executable).parent / "hornbeamstand")
+        arguments = [binary, "run", "--settings", str(file)]
+        process, log_file = self.spawn(arguments, f"vm{index + 1}.log")
+        vm = Vm(index, settings, process, log_file)
+        self.vms.append(vm)
+        return vm
+
+    def publish(self, folder):
+        """Publish a folder by hornbeamctl; returns its output."""
+        return self.ctl("publish", str(folder), "--platform", self.platform)
+
+    def ctl(self, *arguments):
+        """Run hornbeamctl; returns its output, raises if it fails."""
+        binary = str(Path(sys.executable).parent / "hornbeamctl")
+        done = subprocess.run(
+            [binary, *arguments], capture_output=True, text=True, timeout=60
+        )
+        if done.returncode != 0:
+            raise RuntimeError(done.stdout + done.stderr)
+        return done.stdout
+
+    def faults(self, **faults):
+        """Set the platform's faults."""
+        request(self.platform, "PUT", "/faults", faults)
+
+    def wait_ready(self, n_targets, timeout_s=START_TIMEOUT_S):
+        """Wait until the VMs agree and every target is owned and usable."""
+        wait_until(lambda: self._is_ready(n_targets), timeout_s)
+
+    def _is_ready(self, n_targets):
+        statuses = [vm.status() for vm in self.vms if vm.process.poll() is None]
+        versions = {(s["view_version"], s["config_version"]) for s in statuses}
+        n_members = {len(s["members"]) for s in statuses}
+        n_owned = sum(
+            len(service["targets"])
+            for s in statuses
+            for service in s["services"].values()
+        )
+        can_send = all(s["may_dispatch_for_ms"] > 0 for s in statuses)
+        agree = len(versions) == 1 and n_members == {len(statuses)}
+        return agree and can_send and n_owned == n_targets
+
+
+def end_process(process):
+    """Kill a process that is still running."""
+    if process.poll() is None:
+        process.kill()
+    process.wait()
+
+
+def wait_until(is_done, timeout_s=START_TIMEOUT_S):
+    """Wait until a condition holds; errors of sockets count as not yet."""
+    end_s = time.monotonic() + timeout_s
+    while True:
+        try:
+            if is_done():
+                return
+        except (OSError, ValueError, KeyError):
+            pass
+        if time.monotonic() > end_s:
+            raise TimeoutError("condition not reached")
+        time.sleep(0.05)
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,215 @@
+"""The demo: three entry VMs, two users' services, an outage of a failure domain.
+
+Ends by itself with status 0, or 1 if an order was lost or doubled or a request
+of the planned move failed.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import json  # noqa: E402
+import shutil  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
+from collections import Counter  # noqa: E402
+
+import gevent  # noqa: E402
+from hdrh.histogram import HdrHistogram  # noqa: E402
+
+from standins.caller import Caller  # noqa: E402
+from standins.cluster import ROOT, Cluster, request  # noqa: E402
+
+DOMAINS = ["ub-a", "ub-b", "ub-c"]
+RUN_S = 12.0
+OUT_AT_S = 4.0
+BACK_AT_S = 8.0
+LOOKUP_INTERVAL_S = 0.008
+ORDER_INTERVAL_S = 0.05
+# The stated bound: an edit is in force everywhere within this time.
+IN_FORCE_S = 3.0
+
+
+class Tally:
+    """What the demo's callers saw."""
+
+    def __init__(self):
+        self.latency = HdrHistogram(1, 60_000_000, 3)
+        self.by_outcome = Counter()
+        self.by_target = Counter()
+        self.orders = {}
+
+    def note(self, outcome):
+        """Count one outcome."""
+        self.by_outcome[f"{outcome.status} {outcome.certainty}"] += 1
+        if outcome.target:
+            self.by_target[outcome.target] += 1
+        self.latency.record_value(max(1, int(outcome.elapsed_ms * 1000)))
+
+
+def example_targets(folder):
+    """Return the stand-in targets of the example, one cold and one slow."""
+    specs = []
+    for file in sorted(folder.glob("*.json")):
+        services = json.loads(file.read_text()).get("services", {})
+        for service in services.values():
+            for target_id, target in service["targets"].items():
+                specs.append(
+                    {
+                        "target_id": target_id,
+                        "address": target["address"],
+                        "slots": target["slots"],
+                        "service_ms": 20.0,
+                    }
+                )
+    states = {"job-lookup-02": "cold", "job-lookup-03": "slow"}
+    for spec in specs:
+        spec["state"] = states.get(spec["target_id"], "ready")
+    return specs
+
+
+def set_domain(folder, name, state):
+    """Edit the failure domains' file."""
+    file = folder / "10-failure-domains.json"
+    body = json.loads(file.read_text())
+    body["failure_domains"][name]["state"] = state
+    file.write_text(json.dumps(body, indent=2) + "\n")
+
+
+def look_up_jobs(caller, tally, end_s):
+    """Send idempotent requests at a steady rate."""
+    n_sent = 0
+    while time.monotonic() < end_s:
+        n_sent += 1
+        path = f"/jobs/{n_sent}"
+        gevent.spawn(
+            lambda p: tally.note(caller.call("job-lookup", path=p, n_tries=2)), path
+        )
+        gevent.sleep(LOOKUP_INTERVAL_S)
+
+
+def place_orders(caller, tally, end_s):
+    """Place orders with idempotency keys, and resend each one once."""
+    n_sent = 0
+    while time.monotonic() < end_s:
+        n_sent += 1
+        gevent.spawn(place_order, caller, tally, f"order-{n_sent}")
+        gevent.sleep(ORDER_INTERVAL_S)
+
+
+def place_order(caller, tally, key):
+    """Place one order and ask again for its outcome."""
+    first = caller.call("order-intake", "POST", "/orders", b"{}", key, n_tries=5)
+    tally.note(first)
+    again = caller.call("order-intake", "POST", "/orders", b"{}", key, n_tries=5)
+    tally.orders[key] = (first, again)
+
+
+def move_domain(cluster, folder, start_s):
+    """Take a failure domain out and bring it back, by editing a file."""
+    gevent.sleep(start_s + OUT_AT_S - time.monotonic())
+    set_domain(folder, "ub-b", "out")
+    print("ub-b out:", cluster.publish(folder).split("\n")[-2])
+    gevent.sleep(IN_FORCE_S)
+    before = runs_in_domain(folder, "ub-b")
+    gevent.sleep(start_s + BACK_AT_S - time.monotonic())
+    n_late = runs_in_domain(folder, "ub-b") - before
+    set_domain(folder, "ub-b", "in")
+    print("ub-b back:", cluster.publish(folder).split("\n")[-2])
+    return n_late
+
+
+def runs_in_domain(folder, domain):
+    """Count the requests that the targets of a failure domain have run."""
+    n_runs = 0
+    for file in sorted(folder.glob("*.json")):
+        services = json.loads(file.read_text()).get("services", {})
+        for service in services.values():
+            for target in service["targets"].values():
+                if target["failure_domain"] == domain:
+                    n_runs += summary_of(target["address"])["n_runs"]
+    return n_runs
+
+
+def summary_of(address):
+    """Return a stand-in target's counters."""
+    return json.loads(request(address, "POST", "/control", b"{}")[2])
+
+
+def print_decisions(cluster):
+    """Print the first routing decisions of each VM's log."""
+    for vm in cluster.vms:
+        lines = vm.log_file.read_text().splitlines()
+        decisions = [line for line in lines if '"route: ' in line]
+        print(f"{vm.settings['vm_id']}: {len(decisions)} decisions, such as")
+        for line in decisions[:3]:
+            print("  ", line)
+
+
+def main():
+    """Run the demo; returns the exit status."""
+    with Cluster(DOMAINS, {"lease_ms": 1000}) as cluster:
+        folder = cluster.folder / "config"
+        shutil.copytree(ROOT / "examples" / "tuul", folder)
+        cluster.start_platform()
+        specs = example_targets(folder)
+        cluster.start_targets(specs)
+        print(cluster.publish(folder).split("\n")[-2])
+        for _ in range(3):
+            cluster.start_vm()
+        cluster.wait_ready(len(specs))
+        tally, n_late = run_load(cluster, folder)
+        print_decisions(cluster)
+        return report(specs, tally, n_late)
+
+
+def run_load(cluster, folder):
+    """Run the callers and the move; returns the tally and late requests."""
+    tally = Tally()
+    caller = Caller([vm.front for vm in cluster.vms], seed=1)
+    start_s = time.monotonic()
+    end_s = start_s + RUN_S
+    mover = gevent.spawn(move_domain, cluster, folder, start_s)
+    senders = [
+        gevent.spawn(look_up_jobs, caller, tally, end_s),
+        gevent.spawn(place_orders, caller, tally, end_s),
+    ]
+    gevent.joinall([*senders, mover])
+    gevent.sleep(3.0)
+    caller.close()
+    return tally, mover.get()
+
+
+def report(specs, tally, n_late):
+    """Print the summary; returns the exit status."""
+    runs = Counter()
+    n_overrun = 0
+    for spec in specs:
+        summary = summary_of(spec["address"])
+        runs.update(summary["runs_by_key"])
+        n_overrun += summary["n_overrun"]
+    doubled = [key for key in tally.orders if runs[key] > 1]
+    lost = [
+        key
+        for key, (first, again) in tally.orders.items()
+        if runs[key] == 0 or (first.certainty == "ran" and again.body != first.body)
+    ]
+    n_total = sum(tally.by_outcome.values())
+    failed = {k: n for k, n in tally.by_outcome.items() if not k.endswith(" ran")}
+    p50_ms = tally.latency.get_value_at_percentile(50) / 1000.0
+    p99_ms = tally.latency.get_value_at_percentile(99) / 1000.0
+    print(f"requests: {n_total} at {n_total / RUN_S:.0f} a second")
+    print(f"latency: p50 {p50_ms:.1f} ms, p99 {p99_ms:.1f} ms")
+    print(f"outcomes: {dict(tally.by_outcome)}")
+    for target_id, n_answers in sorted(tally.by_target.items()):
+        print(f"  {target_id}: {n_answers}")
+    print(f"orders: {len(tally.orders)}, lost {len(lost)}, doubled {len(doubled)}")
+    print(f"requests beyond a slot: {n_overrun}")
+    print(f"requests to ub-b later than {IN_FORCE_S:g} s after it was out: {n_late}")
+    is_good = not (lost or doubled or failed or n_overrun or n_late)
+    print("result:", "good" if is_good else f"BAD, failed requests {failed}")
+    return 0 if is_good else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,169 @@
+"""A stand-in for the platform's store: keys, compare-and-swap, leases, watches.
+
+State is in memory. Faults are set by a PUT of ``/faults``; every call is
+counted by kind, a waiting watch as one.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import json  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
+from collections import Counter  # noqa: E402
+from urllib.parse import parse_qs  # noqa: E402
+
+import gevent  # noqa: E402
+from gevent.event import Event  # noqa: E402
+from gevent.pywsgi import WSGIServer  # noqa: E402
+
+
+class Faults:
+    """Faults injected into every call.
+
+    ``mode`` is ``ok``, ``down`` (answers 503) or ``silent`` (never answers);
+    ``delay_ms`` slows each call; ``n_lost_answers`` writes take effect without
+    an answer; ``n_watch_gaps`` watches end without their news.
+    """
+
+    __slots__ = ("mode", "delay_ms", "n_lost_answers", "n_watch_gaps")
+
+    def __init__(self, mode="ok", delay_ms=0, n_lost_answers=0, n_watch_gaps=0):
+        self.mode = mode
+        self.delay_ms = delay_ms
+        self.n_lost_answers = n_lost_answers
+        self.n_watch_gaps = n_watch_gaps
+
+
+class Store:
+    """The platform's state."""
+
+    __slots__ = ("values", "leases", "n_calls", "faults", "vms", "_changed", "_next")
+
+    def __init__(self):
+        self.values = {}
+        self.leases = {}
+        self.n_calls = Counter()
+        self.faults = Faults()
+        self.vms = {}
+        self._changed = Event()
+        self._next = 0
+
+    def next_revision(self):
+        """Return a number larger than any before."""
+        self._next += 1
+        return self._next
+
+    def get(self, key):
+        """Return the value and revision of a key."""
+        value, revision = self.values.get(key, (None, 0))
+        return {"value": value, "revision": revision}
+
+    def put(self, key, body):
+        """Write by compare-and-swap; returns the new revision or None."""
+        if self.get(key)["revision"] != body["expected_revision"]:
+            return None
+        revision = self.next_revision()
+        self.values[key] = (body["value"], revision)
+        self._changed.set()
+        self._changed.clear()
+        return revision
+
+    def grant(self, ttl_ms):
+        """Return a new lease id."""
+        lease_id = f"lease-{self.next_revision()}"
+        self.leases[lease_id] = (time.monotonic() + ttl_ms / 1000.0, ttl_ms)
+        return lease_id
+
+    def renew(self, renew_ids, check_ids):
+        """Renew leases; returns those that lapsed, renewed or checked."""
+        now = time.monotonic()
+        lapsed = []
+        for lease_id in [*renew_ids, *check_ids]:
+            end, ttl_ms = self.leases.get(lease_id, (0.0, 0))
+            if end < now:
+                lapsed.append(lease_id)
+            elif lease_id in renew_ids:
+                self.leases[lease_id] = (now + ttl_ms / 1000.0, ttl_ms)
+        return lapsed
+
+    def watch(self, key, after, wait_ms):
+        """Wait until the key's revision is above ``after`` or time is up."""
+        end = time.monotonic() + wait_ms / 1000.0
+        while self.get(key)["revision"] <= after:
+            remaining_s = end - time.monotonic()
+            if remaining_s <= 0 or not self._changed.wait(remaining_s):
+                break
+        return self.get(key)
+
+
+def make_app(store):
+    """Return the WSGI application over a store."""
+
+    def respond(start_response, status, body):
+        start_response(status, [("Content-Type", "application/json")])
+        return [json.dumps(body).encode()]
+
+    def app(environ, start_response):
+        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        raw = environ["wsgi.input"].read()
+        body = json.loads(raw) if raw else {}
+        if path == "/faults":
+            store.faults = Faults(**body)
+            return respond(start_response, "200 OK", {})
+        if path == "/calls":
+            return respond(start_response, "200 OK", dict(store.n_calls))
+        if path == "/vms":
+            store.vms.update(body)
+            return respond(start_response, "200 OK", {})
+        store.n_calls[f"{method} {path.split('/')[2]}"] += 1
+        faults = store.faults
+        if faults.mode == "silent":
+            gevent.sleep(3600)
+        if faults.mode == "down":
+            return respond(start_response, "503 Service Unavailable", {})
+        gevent.sleep(faults.delay_ms / 1000.0)
+        answer = perform(store, method, path, body, environ)
+        if method == "PUT" and answer is not None and faults.n_lost_answers > 0:
+            faults.n_lost_answers -= 1
+            return respond(start_response, "504 Gateway Timeout", {})
+        if answer is None:
+            return respond(start_response, "409 Conflict", {})
+        return respond(start_response, "200 OK", answer)
+
+    return app
+
+
+def perform(store, method, path, body, environ):
+    """Carry out one call; returns its answer, or None for a conflict."""
+    if path.startswith("/v1/kv/"):
+        key = path.removeprefix("/v1/kv/")
+        if method == "GET":
+            return store.get(key)
+        revision = store.put(key, body)
+        return None if revision is None else {"revision": revision}
+    if path == "/v1/leases":
+        return {"lease_id": store.grant(body["ttl_ms"])}
+    if path == "/v1/leases/renew":
+        return {"lapsed": store.renew(body["renew"], body["check"])}
+    if path.startswith("/v1/watch/"):
+        query = parse_qs(environ["QUERY_STRING"])
+        key = path.removeprefix("/v1/watch/")
+        after = int(query["after"][0])
+        found = store.watch(key, after, float(query["wait_ms"][0]))
+        if store.faults.n_watch_gaps > 0 and found["revision"] > after:
+            store.faults.n_watch_gaps -= 1
+            return {"value": None, "revision": after}
+        return found
+    return {"vms": store.vms}
+
+
+def main(address):
+    """Serve a fresh store until the process is ended."""
+    host, _, port = address.rpartition(":")
+    WSGIServer((host, int(port)), make_app(Store()), log=None).serve_forever()
+
+
+if __name__ == "__main__":
+    main(sys.argv[1])
--- /dev/null
+++ b/standins/target.py
@@ -0,0 +1,215 @@
+"""Stand-in targets: slots, service times, cold start, drain and faults.
+
+One process serves many targets, each at its own port. ``/health`` and
+``/control`` are the stand-in's own; any other path is a request.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import json  # noqa: E402
+import socket  # noqa: E402
+import sys  # noqa: E402
+from collections import Counter  # noqa: E402
+from random import Random  # noqa: E402
+
+import gevent  # noqa: E402
+from gevent.lock import Semaphore  # noqa: E402
+from gevent.pywsgi import WSGIHandler, WSGIServer  # noqa: E402
+
+# A short stall of a full target before it sheds.
+N_OVER_SLOTS_MAX = 2
+
+
+class Target:
+    """One stand-in target.
+
+    ``mode`` is ``ok``, ``fail`` (500 at once), ``short`` (cuts its answer),
+    ``silent`` (never answers) or ``shed`` (says it did not run).
+    """
+
+    __slots__ = (
+        "target_id",
+        "slots",
+        "service_ms",
+        "mode",
+        "state",
+        "start_id",
+        "n_in_flight",
+        "n_in_flight_max",
+        "n_runs",
+        "n_cancelled",
+        "n_overrun",
+        "runs_by_key",
+        "rng",
+        "slot",
+    )
+
+    def __init__(self, target_id, slots, service_ms, seed):
+        self.target_id = target_id
+        self.slots = slots
+        self.service_ms = service_ms
+        self.mode = "ok"
+        self.state = "ready"
+        self.start_id = f"{target_id}-1"
+        self.n_in_flight = 0
+        self.n_in_flight_max = 0
+        self.n_runs = 0
+        self.n_cancelled = 0
+        self.n_overrun = 0
+        self.runs_by_key = Counter()
+        self.rng = Random(seed)
+        self.slot = Semaphore(slots)
+
+    def summary(self):
+        """Return the counters that tests read."""
+        return {
+            "target_id": self.target_id,
+            "n_runs": self.n_runs,
+            "n_in_flight": self.n_in_flight,
+            "n_in_flight_max": self.n_in_flight_max,
+            "n_overrun": self.n_overrun,
+            "n_cancelled": self.n_cancelled,
+            "runs_by_key": dict(self.runs_by_key),
+        }
+
+
+class NoDelayHandler(WSGIHandler):
+    """Sends each write at once."""
+
+    def handle(self):
+        """Set TCP_NODELAY before the first request."""
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle()
+
+    def get_environ(self):
+        """Give the application the socket, to see a caller that goes away."""
+        environ = super().get_environ()
+        environ["standin.socket"] = self.socket
+        return environ
+
+
+def report_headers(target):
+    """Return the headers in which a target reports on itself."""
+    return [
+        ("Content-Type", "application/json"),
+        ("Hornbeam-Start-Id", target.start_id),
+        ("Hornbeam-State", target.state),
+        ("Hornbeam-In-Flight", str(target.n_in_flight)),
+    ]
+
+
+def work(target, environ):
+    """Occupy a slot for one service time; False if the caller went away."""
+    sock = environ["standin.socket"]
+    mean_ms = target.service_ms * (3.0 if target.state == "slow" else 1.0)
+    rest_s = target.rng.lognormvariate(0.0, 0.3) * mean_ms / 1000.0
+    while rest_s > 0:
+        gevent.sleep(min(rest_s, 0.05))
+        rest_s -= 0.05
+        if is_closed(sock):
+            return False
+    return True
+
+
+def is_closed(sock):
+    """Tell whether the other side closed its connection."""
+    try:
+        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+        return sock._sock.recv(1, flags) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
+def make_app(target):
+    """Return the WSGI application of one target."""
+
+    def respond(start_response, status, body):
+        raw = json.dumps(body).encode()
+        headers = [*report_headers(target), ("Content-Length", str(len(raw)))]
+        start_response(status, headers)
+        return [raw]
+
+    def run(environ, start_response, raw):
+        target.n_runs += 1
+        key = environ.get("HTTP_IDEMPOTENCY_KEY")
+        if key:
+            target.runs_by_key[key] += 1
+        if not work(target, environ):
+            target.n_cancelled += 1
+            return respond(start_response, "499 Caller Gone", {})
+        body = {
+            "target": target.target_id,
+            "path": environ["PATH_INFO"],
+            "request_id": environ.get("HTTP_HORNBEAM_REQUEST_ID"),
+            "n_bytes": len(raw),
+        }
+        if target.mode == "short":
+            headers = [*report_headers(target), ("Content-Length", "100000")]
+            start_response("200 OK", headers)
+            return [b"cut"]
+        return respond(start_response, "200 OK", body)
+
+    def app(environ, start_response):
+        path = environ["PATH_INFO"]
+        raw = environ["wsgi.input"].read()
+        if path == "/health":
+            return respond(start_response, "200 OK", {"state": target.state})
+        if path == "/control":
+            for name, value in json.loads(raw or b"{}").items():
+                setattr(target, name, value)
+            return respond(start_response, "200 OK", target.summary())
+        if target.mode == "fail":
+            return respond(start_response, "500 Internal Server Error", {})
+        if target.mode == "silent":
+            gevent.sleep(3600)
+        is_full = target.n_in_flight >= target.slots + N_OVER_SLOTS_MAX
+        if target.mode == "shed" or target.state == "draining" or is_full:
+            status = "503 Service Unavailable"
+            headers = [
+                *report_headers(target),
+                ("Hornbeam-Not-Run", "1"),
+                ("Content-Length", "0"),
+            ]
+            start_response(status, headers)
+            return [b""]
+        target.n_in_flight += 1
+        target.n_in_flight_max = max(target.n_in_flight_max, target.n_in_flight)
+        if target.n_in_flight > target.slots:
+            target.n_overrun += 1
+        try:
+            with target.slot:
+                return run(environ, start_response, raw)
+        finally:
+            target.n_in_flight -= 1
+
+    return app
+
+
+def serve(target, address):
+    """Start serving one target; returns its server."""
+    host, _, port = address.rpartition(":")
+    app = make_app(target)
+    server = WSGIServer(
+        (host, int(port)), app, log=None, error_log=None, handler_class=NoDelayHandler
+    )
+    server.start()
+    return server
+
+
+def main(spec_file):
+    """Serve the targets listed in a JSON file until the process is ended."""
+    with open(spec_file) as file:
+        specs = json.load(file)
+    for seed, spec in enumerate(specs):
+        target = Target(spec["target_id"], spec["slots"], spec["service_ms"], seed)
+        target.state = spec.get("state", "ready")
+        serve(target, spec["address"])
+    gevent.wait()
+
+
+if __name__ == "__main__":
+    main(sys.argv[1])
