--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: policies on a virtual clock, relay costs, slopes."""
--- a/packages/core/hornbeamstand_core/controllers/choice.py
+++ b/packages/core/hornbeamstand_core/controllers/choice.py
@@ -33,11 +33,14 @@
     return state.n_in_flight / state.limit
 
 
-def make_least_in_flight():
-    """Return the target with the least share of its limit in use."""
+def make_least_in_flight(rng):
+    """Return the target with the least share of its limit in use.
+
+    Ties are broken at random, or every VM would turn to the same target.
+    """
 
     def choose(states, now_ms, base_ms):
-        return min(states, key=utilisation)
+        return min(states, key=lambda state: (utilisation(state), rng.random()))
 
     return choose
 
--- a/packages/entry/hornbeamstand_entry/process.py
+++ b/packages/entry/hornbeamstand_entry/process.py
@@ -39,7 +39,7 @@
 
 CHOICES = {
     "least-expected-latency": lambda rng: choice.make_least_expected_latency(),
-    "least-in-flight": lambda rng: choice.make_least_in_flight(),
+    "least-in-flight": choice.make_least_in_flight,
     "power-of-two": choice.make_power_of_two,
     "round-robin": lambda rng: choice.make_round_robin(),
 }
--- /dev/null
+++ b/replay/clairvoyant.py
@@ -0,0 +1,42 @@
+"""The lower bound: one central queue that knows free slots and speeds."""
+
+from collections import deque
+
+from .player import Result
+
+
+class Clairvoyant:
+    """Serves each request on the fastest free slot, first come first served.
+
+    Pays no hop, sees every slot, and knows the present speed of each target.
+    """
+
+    def __init__(self, world, targets):
+        self.world = world
+        self.targets = targets
+        self.results = []
+        self._queue = deque()
+
+    def request(self, service_name, service_ms):
+        """Take one request."""
+        self._queue.append((service_name, service_ms, self.world.now_ms))
+        self._serve()
+
+    def _serve(self):
+        while self._queue:
+            free = [t for t in self.targets.values() if self._is_free(t)]
+            if not free:
+                return
+            target = min(free, key=lambda t: t.factor)
+            self._start(target, *self._queue.popleft())
+
+    def _is_free(self, target):
+        return target.mode == "ok" and target.n_running < target.slots - target.n_stolen
+
+    def _start(self, target, service_name, service_ms, at_ms):
+        def end(reply):
+            latency_ms = self.world.now_ms - at_ms
+            self.results.append(Result(at_ms, latency_ms, None, service_name))
+            self.world.after(0.0, self._serve)
+
+        target.send(service_ms, end)
