Prove one owner at a time under crashes, pauses, cuts and outages

Cause: invariant 1 needs tests that cause the failures. They found two faults: (1) a vanished member's last echo was reported only when it was old, so that a successor could start before that member's fence had ended; (2) a peer's counts of requests in flight were dropped when the peer reached an epoch first, so that a new owner started without them.

--- a/packages/core/hornbeamstand_core/controllers/membership.py
+++ b/packages/core/hornbeamstand_core/controllers/membership.py
@@ -185,11 +185,19 @@
     def beat(self, now_ms):
         """Return heartbeats to every peer."""
         self._beat_at_ms = now_ms
+        self._forget_vanished(now_ms)
         return [
             SendHeartbeat(peer.peer_address, self._make_heartbeat(peer, now_ms))
             for peer in self._peers()
         ]
 
+    def _forget_vanished(self, now_ms):
+        over_ms = now_ms - self.ownership.longest_wait_ms()
+        for member_id, at_ms in list(self._echoed_at_ms.items()):
+            if member_id not in self.view.members and at_ms < over_ms:
+                del self._echoed_at_ms[member_id]
+                self._heard.pop(member_id, None)
+
     def _make_heartbeat(self, peer, now_ms):
         peer_id = peer.member_id
         heard = self._heard.get(peer_id)
@@ -223,7 +231,10 @@
         silent = {}
         for member_id, at_ms in self._echoed_at_ms.items():
             age_ms = now_ms - at_ms
-            if age_ms > self.lease_ms * SILENT_SHARE:
+            # A successor needs the last echo of a vanished member however
+            # young it is: it extended that member's fence.
+            has_vanished = member_id not in self.view.members
+            if has_vanished or age_ms > self.lease_ms * SILENT_SHARE:
                 silent[member_id] = age_ms
         for peer in self._peers():
             if peer.member_id not in self._echoed_at_ms:
@@ -235,11 +246,17 @@
             return False
         if now_ms - self._round_at_ms < self.lease_ms * ROUND_SHARE:
             return False
-        return not self.is_member or self._is_renewer() or self._lacks_renewal(now_ms)
+        if self._wants_change() or self._is_renewer():
+            return True
+        return self._lacks_renewal(now_ms)
+
+    def _wants_change(self):
+        is_as_wanted = self.view.members.get(self.me.member_id) == self.me
+        return self.wants_exit or not is_as_wanted
 
     def _is_renewer(self):
         renewers = rank(self.view.members, "renewers")[:N_RENEWERS]
-        return self.me.member_id in renewers or self.wants_exit
+        return self.me.member_id in renewers
 
     def _lacks_renewal(self, now_ms):
         age_ms = now_ms - self.fence.platform_at_ms
@@ -337,7 +354,7 @@
             return self._exit()
         if not self.me.lease_id or self.me.lease_id in self._lapsed_ids:
             return self._ask_lease()
-        if self.view.members.get(self.me.member_id) != self.me:
+        if self._wants_change():
             return [WriteView(self.view.with_member(self.me), self.revision)]
         return self._remove_crashed(now_ms)
 
--- a/packages/core/hornbeamstand_core/controllers/ownership.py
+++ b/packages/core/hornbeamstand_core/controllers/ownership.py
@@ -113,7 +113,6 @@
 
     def _reassign(self, now_ms):
         self._records = {}
-        self._heard_draining = {}
         wanted = self._compute_owners()
         self._lose_targets(wanted)
         self._redirect_lost(wanted)
@@ -190,6 +189,7 @@
         """Take a peer's epoch, records and counts."""
         epoch = Epoch(heartbeat.view_version, heartbeat.config_version)
         self._heard_epochs[heartbeat.sender_id] = epoch
+        self._heard_draining[heartbeat.sender_id] = heartbeat.draining
         self._forget_records(heartbeat)
         for member_id, silent_ms in heartbeat.silent_ms.items():
             self._note_silence(member_id, now_ms - silent_ms)
@@ -207,7 +207,6 @@
 
     def _note_draining(self, heartbeat):
         sender_id = heartbeat.sender_id
-        self._heard_draining[sender_id] = heartbeat.draining
         for service in self.balancer.services.values():
             for target_id, state in service.targets.items():
                 key = target_key(service.name, target_id)
@@ -241,7 +240,9 @@
         _, still_started = self._lost_in_flight.pop(key, (None, {}))
         state.started_at_ms.update(still_started)
         for member_id, draining in self._heard_draining.items():
-            state.set_inherited(member_id, draining.get(key, 0))
+            # A peer may have reached this epoch, and said so, before this VM.
+            if self._heard_epochs[member_id] == self.epoch:
+                state.set_inherited(member_id, draining.get(key, 0))
         return state
 
     def _forget_records(self, heartbeat):
@@ -289,7 +290,7 @@
 
     def _forget_departed(self, now_ms):
         for member_id, departed in list(self.departed.items()):
-            over_ms = departed.last_echo_at_ms + self._longest_wait_ms()
+            over_ms = departed.last_echo_at_ms + self.longest_wait_ms()
             if now_ms < over_ms:
                 continue
             del self.departed[member_id]
@@ -297,7 +298,8 @@
                 for state in service.targets.values():
                     state.set_inherited(member_id, 0)
 
-    def _longest_wait_ms(self):
+    def longest_wait_ms(self):
+        """Return how long after its last echo a vanished member's work may run."""
         specs = self.configuration.services.values()
         deadline_max_ms = max((spec.deadline_max_ms for spec in specs), default=0)
         return self.lease_ms * (1.0 + DRIFT_RATIO) + deadline_max_ms
--- /dev/null
+++ b/replay/cell.py
@@ -0,0 +1,386 @@
+"""A cell of entry VMs on a virtual clock, with a fake platform and network.
+
+Messages are delayed, lost or cut; VMs crash and pause; clocks drift. Work that
+was sent keeps running at its target after its VM crashed, up to its deadline:
+the worst case.
+"""
+
+from random import Random
+
+from hornbeamstand_core.controllers.choice import make_least_expected_latency
+from hornbeamstand_core.controllers.limits import make_aimd
+from hornbeamstand_core.controllers.membership import (
+    FetchPeerState,
+    GrantLease,
+    LeaseGranted,
+    RoundDone,
+    RoundFailed,
+    SendHeartbeat,
+    StartRound,
+    WriteView,
+)
+from hornbeamstand_core.controllers.node import (
+    AdoptConfiguration,
+    AdoptView,
+    BeginStop,
+    Node,
+    SendRoom,
+    Tick,
+)
+from hornbeamstand_core.controllers.stopping import RUNNING, STOPPED
+from hornbeamstand_core.messages import Acquire, Granted, Permit, Release, Reply
+from hornbeamstand_core.view import Member, View
+
+LEASE_MS = 1000.0
+TICK_MS = 10.0
+DELAY_MIN_MS = 0.5
+DELAY_MAX_MS = 3.0
+PLATFORM_DELAY_MS = 4.0
+# The rate of a VM's clock may be off by this much; the product allows 1%.
+DRIFT_MAX = 0.004
+
+
+class FakePlatform:
+    """The view, the leases and the published configuration."""
+
+    def __init__(self, world):
+        self.world = world
+        self.view = View.empty()
+        self.revision = 0
+        self.leases = {}
+        self.is_up = True
+        self.n_lost_answers = 0
+        self.n_calls = 0
+
+    def grant(self):
+        """Return a new lease id."""
+        lease_id = f"lease{len(self.leases)}"
+        self.leases[lease_id] = self.world.now_ms + LEASE_MS
+        return lease_id
+
+    def renew(self, renew_ids, check_ids):
+        """Return the lapsed ids of both lists; renew the rest of the first."""
+        lapsed = []
+        for lease_id in [*renew_ids, *check_ids]:
+            if self.leases.get(lease_id, 0.0) < self.world.now_ms:
+                lapsed.append(lease_id)
+            elif lease_id in renew_ids:
+                self.leases[lease_id] = self.world.now_ms + LEASE_MS
+        return lapsed
+
+    def write(self, view, revision):
+        """Write the view by compare-and-swap; tell whether it took effect."""
+        if revision != self.revision:
+            return False
+        self.view = view
+        self.revision += 1
+        return True
+
+
+class FakeTarget:
+    """Counts the work that really runs on a target."""
+
+    def __init__(self, slots):
+        self.slots = slots
+        self.n_running = 0
+        self.n_running_max = 0
+        self.n_overrun = 0
+
+    def start(self):
+        """Count one more request in flight."""
+        self.n_running += 1
+        self.n_running_max = max(self.n_running_max, self.n_running)
+        if self.n_running > self.slots:
+            self.n_overrun += 1
+
+    def end(self):
+        """Count one less."""
+        self.n_running -= 1
+
+
+class CellVm:
+    """One entry VM of the cell."""
+
+    def __init__(self, cell, name, domain):
+        self.cell = cell
+        self.world = cell.world
+        self.rate = 1.0 + cell.rng.uniform(-DRIFT_MAX, DRIFT_MAX)
+        self.offset_ms = cell.rng.uniform(0.0, 1e6)
+        self.is_paused = False
+        self.is_crashed = False
+        self.held = []
+        self.n_requests = 0
+        self.n_granted = 0
+        member = Member(name, f"front-{name}", f"peer-{name}", domain)
+        self.member_id = name
+        self.node = Node(
+            member,
+            LEASE_MS,
+            cell.configuration,
+            make_least_expected_latency,
+            make_aimd,
+            self.now_ms(),
+        )
+        self._tick()
+
+    def now_ms(self):
+        """Return the VM's own clock."""
+        return self.world.now_ms * self.rate + self.offset_ms
+
+    def post(self, message):
+        """Deliver a message; a paused VM gets it when it goes on."""
+        if self.is_crashed:
+            return
+        if self.is_paused:
+            self.held.append(message)
+            return
+        for out in self.node.handle(message, self.now_ms()):
+            self._perform(out)
+
+    def resume(self):
+        """End a pause; what was held is delivered at once."""
+        self.is_paused = False
+        held, self.held = self.held, []
+        for message in held:
+            self.post(message)
+
+    def _tick(self):
+        if self.is_crashed:
+            return
+        if not self.is_paused:
+            self.post(Tick(self.n_requests))
+            if self.node.stopping.phase == STOPPED:
+                self.is_crashed = True
+                return
+        self.world.after(TICK_MS, self._tick)
+
+    def _perform(self, message):
+        kind = type(message)
+        if kind is SendHeartbeat:
+            self.cell.send(self, message.address, message.heartbeat)
+        elif kind is SendRoom:
+            self.cell.send(self, message.address, message.news)
+        elif kind is Granted:
+            self._take_grant(message)
+        elif kind is FetchPeerState:
+            self.cell.fetch(self, message.address)
+        elif kind is StartRound:
+            self.cell.start_round(self, message)
+        elif kind is GrantLease:
+            self.cell.grant_lease(self)
+        elif kind is WriteView:
+            self.cell.write_view(self, message)
+
+    def _take_grant(self, granted):
+        self.n_requests -= 1
+        if type(granted.reply) is not Permit:
+            return
+        self.n_granted += 1
+        self.n_requests += 1
+        self.cell.start_work(self, granted.reply)
+
+    def request(self, service_name, deadline_ms):
+        """Ask for one slot; the request stays at this VM."""
+        if self.is_crashed or self.is_paused:
+            return
+        self.n_requests += 1
+        request_id = f"{self.member_id}-{self.cell.next_number()}"
+        deadline_at_ms = self.now_ms() + deadline_ms
+        self.post(
+            Acquire(service_name, request_id, deadline_at_ms, may_hand_over=False)
+        )
+
+
+class Cell:
+    """VMs, platform, targets and the network between them.
+
+    Parameters
+    ----------
+    world : World
+        The clock.
+    configuration : Configuration
+        In force from the start.
+    n_vms : int
+        VMs started at time 0.
+    seed : int
+        For delays, drifts and work.
+    """
+
+    def __init__(self, world, configuration, n_vms, seed):
+        self.world = world
+        self.configuration = configuration
+        self.rng = Random(seed)
+        self.platform = FakePlatform(world)
+        self.vms = []
+        self.cuts = set()
+        self.loss_share = 0.0
+        self.targets = {
+            target_id: FakeTarget(spec.slots)
+            for service in configuration.services.values()
+            for target_id, spec in service.targets.items()
+        }
+        self._n_numbers = 0
+        for _ in range(n_vms):
+            self.start_vm()
+
+    def next_number(self):
+        """Return a number that was not used before."""
+        self._n_numbers += 1
+        return self._n_numbers
+
+    def start_vm(self):
+        """Start one more VM; returns it."""
+        domains = sorted(self.configuration.failure_domains)
+        name = f"vm{len(self.vms)}"
+        vm = CellVm(self, name, domains[len(self.vms) % len(domains)])
+        self.vms.append(vm)
+        return vm
+
+    def live_vms(self):
+        """Return the VMs that have not crashed or stopped."""
+        return [vm for vm in self.vms if not vm.is_crashed]
+
+    # Network.
+
+    def _delay_ms(self):
+        return self.rng.uniform(DELAY_MIN_MS, DELAY_MAX_MS)
+
+    def is_cut(self, one, other):
+        """Tell whether messages between two VMs are lost."""
+        return frozenset((one.member_id, other.member_id)) in self.cuts
+
+    def send(self, sender, address, message):
+        """Carry a message from one VM to another, if the network does."""
+        receiver = self._find(address)
+        if receiver is None or self.is_cut(sender, receiver):
+            return
+        if self.rng.random() < self.loss_share:
+            return
+        self.world.after(self._delay_ms(), lambda: receiver.post(message))
+
+    def _find(self, address):
+        for vm in self.vms:
+            if address == f"peer-{vm.member_id}":
+                return vm
+        return None
+
+    def fetch(self, vm, address):
+        """Carry a peer's view and configuration."""
+        peer = self._find(address)
+        if peer is None or peer.is_crashed or peer.is_paused or self.is_cut(vm, peer):
+            return
+        ownership = peer.node.ownership
+        view, configuration = ownership.view, ownership.configuration
+
+        def arrive():
+            vm.post(AdoptView(view))
+            vm.post(AdoptConfiguration(configuration))
+
+        self.world.after(2 * self._delay_ms(), arrive)
+
+    # Platform.
+
+    def _call(self, vm, perform):
+        self.platform.n_calls += 1
+        if not self.platform.is_up:
+            self.world.after(PLATFORM_DELAY_MS, lambda: vm.post(RoundFailed()))
+            return
+        self.world.after(PLATFORM_DELAY_MS, perform)
+
+    def start_round(self, vm, message):
+        """Read the view, then renew leases; each takes its time."""
+
+        def read():
+            view, revision = self.platform.view, self.platform.revision
+            self._call(vm, lambda: renew(view, revision))
+
+        def renew(view, revision):
+            lapsed = self.platform.renew(message.renew_ids, message.check_ids)
+            done = RoundDone(view, revision, lapsed, message.marks)
+            self.world.after(PLATFORM_DELAY_MS, lambda: vm.post(done))
+
+        self._call(vm, read)
+
+    def grant_lease(self, vm):
+        """Grant a lease."""
+        self._call(vm, lambda: vm.post(LeaseGranted(self.platform.grant())))
+
+    def write_view(self, vm, message):
+        """Write the view; the answer may be lost."""
+
+        def write():
+            took_effect = self.platform.write(message.view, message.revision)
+            if self.platform.n_lost_answers > 0:
+                self.platform.n_lost_answers -= 1
+            elif took_effect:
+                vm.post(AdoptView(message.view))
+
+        self._call(vm, write)
+
+    def publish(self, configuration):
+        """Bring a configuration to every VM, each after its own delay."""
+        self.configuration = configuration
+        for vm in self.live_vms():
+            self.world.after(
+                self.rng.uniform(1.0, 200.0),
+                lambda vm=vm: vm.post(AdoptConfiguration(configuration)),
+            )
+
+    # Work.
+
+    def start_work(self, vm, permit):
+        """Run one request at its target, for up to the longest deadline."""
+        target = self.targets[permit.target_id]
+        target.start()
+        longest_ms = self.configuration.services[permit.service_name].deadline_max_ms
+        length_ms = self.rng.uniform(1.0, longest_ms)
+        if self.rng.random() < 0.7:
+            length_ms = min(length_ms, 20.0)
+
+        def end():
+            target.end()
+            vm.n_requests -= 1
+            vm.post(Release(permit, Reply(200)))
+
+        self.world.after(length_ms, end)
+
+    def load(self, service_name, interval_ms, end_ms):
+        """Send requests to the VMs that lookups name, at intervals until a time."""
+
+        def send():
+            if self.world.now_ms >= end_ms:
+                return
+            for vm in self.live_vms():
+                if vm.node.stopping.phase == RUNNING:
+                    vm.request(service_name, 100.0)
+            self.world.after(interval_ms, send)
+
+        send()
+
+    # What must hold.
+
+    def n_overrun(self):
+        """Count dispatches beyond a target's slots."""
+        return sum(target.n_overrun for target in self.targets.values())
+
+    def usable_targets(self):
+        """Return a dict of target id to the VMs that may dispatch to it now."""
+        usable = {target_id: [] for target_id in self.targets}
+        for vm in self.live_vms():
+            if vm.is_paused:
+                continue
+            now_ms = vm.now_ms()
+            for service in vm.node.balancer.services.values():
+                if now_ms >= service.fence_at_ms:
+                    continue
+                for target_id in service.targets:
+                    usable[target_id].append(vm.member_id)
+        return usable
+
+    def is_settled(self):
+        """Tell whether every target has exactly one owner that may use it."""
+        return all(len(vms) == 1 for vms in self.usable_targets().values())
+
+    def stop_vm(self, vm, deadline_ms=30_000.0):
+        """Begin a planned stop of a VM."""
+        vm.post(BeginStop(deadline_ms))
--- /dev/null
+++ b/tests/test_cell_faults.py
@@ -0,0 +1,165 @@
+"""Invariant 1 of a cell: one owner at a time, through every fault."""
+
+import pytest
+from hornbeamstand_core.controllers.target_state import COLD
+
+from .cells import make_configuration, start_cell
+
+LOAD_INTERVAL_MS = 5.0
+# Detection by the lease, agreement, then lease and longest request once more.
+TAKEOVER_MAX_MS = 6000.0
+
+
+def run_under_load(cell, length_ms):
+    end_ms = cell.world.now_ms + length_ms
+    cell.load("service", LOAD_INTERVAL_MS, end_ms)
+    cell.world.run_until(end_ms)
+
+
+def owner_of(cell, target_id):
+    (owner_id,) = cell.usable_targets()[target_id]
+    return next(vm for vm in cell.vms if vm.member_id == owner_id)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_fresh_cell_settles_with_one_owner_for_each_target(seed):
+    cell = start_cell(seed=seed)
+    assert cell.is_settled()
+    run_under_load(cell, 2000.0)
+    assert cell.n_overrun() == 0
+    assert sum(vm.n_granted for vm in cell.vms) > 100
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_crash_of_an_owner_is_taken_over_in_cold_start(seed):
+    cell = start_cell(seed=seed)
+    victim = owner_of(cell, "t0")
+    run_under_load(cell, 500.0)
+    victim.is_crashed = True
+    crashed_at_ms = cell.world.now_ms
+    while not cell.is_settled():
+        run_under_load(cell, 100.0)
+        assert cell.world.now_ms - crashed_at_ms < TAKEOVER_MAX_MS
+    successor = owner_of(cell, "t0")
+    state = successor.node.balancer.services["service"].targets["t0"]
+    assert successor is not victim
+    assert state.phase == COLD
+    assert cell.n_overrun() == 0
+
+
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("pause_ms", [300.0, 1500.0, 8000.0])
+def test_paused_owner_never_sends_after_its_lease(seed, pause_ms):
+    cell = start_cell(seed=seed)
+    victim = owner_of(cell, "t0")
+    run_under_load(cell, 500.0)
+    victim.is_paused = True
+    run_under_load(cell, pause_ms)
+    victim.resume()
+    run_under_load(cell, 4000.0)
+    assert cell.n_overrun() == 0
+    assert cell.is_settled()
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_joining_vm_takes_targets_over_without_a_gap_beyond_slots(seed):
+    cell = start_cell(n_vms=2, seed=seed)
+    cell.load("service", LOAD_INTERVAL_MS, cell.world.now_ms + 4000.0)
+    cell.start_vm()
+    cell.start_vm()
+    cell.world.run_until(cell.world.now_ms + 4000.0)
+    assert cell.is_settled()
+    assert cell.n_overrun() == 0
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_platform_down_keeps_owners_and_crashed_owner_untaken(seed):
+    cell = start_cell(seed=seed)
+    before = cell.usable_targets()
+    cell.platform.is_up = False
+    run_under_load(cell, 5000.0)
+    assert cell.usable_targets() == before
+    cell.platform.is_up = True
+    run_under_load(cell, 3000.0)
+    assert cell.usable_targets() == before
+    assert cell.n_overrun() == 0
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_vm_cut_from_everyone_stops_and_its_targets_move(seed):
+    cell = start_cell(seed=seed)
+    victim = owner_of(cell, "t0")
+    for vm in cell.vms:
+        cell.cuts.add(frozenset((victim.member_id, vm.member_id)))
+    cell.platform.is_up = False
+    run_under_load(cell, 3000.0)
+    assert victim.member_id not in sum(cell.usable_targets().values(), [])
+    cell.cuts.clear()
+    cell.platform.is_up = True
+    run_under_load(cell, 6000.0)
+    assert cell.is_settled()
+    assert cell.n_overrun() == 0
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_planned_stop_moves_targets_without_cold_start(seed):
+    cell = start_cell(seed=seed)
+    victim = owner_of(cell, "t0")
+    run_under_load(cell, 1500.0)
+    learned = victim.node.balancer.services["service"].targets["t0"].limit
+    assert learned > 1.0
+    cell.stop_vm(victim)
+    run_under_load(cell, 300.0)
+    successor = owner_of(cell, "t0").node.balancer.services["service"]
+    assert successor.targets["t0"].limit >= learned
+    assert all(
+        victim.member_id not in vms for vms in cell.usable_targets().values()
+    )
+    run_under_load(cell, 3000.0)
+    assert victim.is_crashed
+    assert victim.member_id not in cell.platform.view.members
+    assert victim.member_id in cell.platform.view.clean_exits
+    assert cell.is_settled()
+    assert cell.n_overrun() == 0
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_rolling_replacement_of_every_vm(seed):
+    cell = start_cell(n_vms=4, seed=seed)
+    for victim in list(cell.vms):
+        cell.start_vm()
+        run_under_load(cell, 1500.0)
+        cell.stop_vm(victim)
+        run_under_load(cell, 3000.0)
+        assert victim.is_crashed
+    assert cell.is_settled()
+    assert cell.n_overrun() == 0
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_lost_answer_to_a_view_write(seed):
+    cell = start_cell(n_vms=3, seed=seed)
+    cell.platform.n_lost_answers = 3
+    cell.start_vm()
+    run_under_load(cell, 4000.0)
+    assert len(cell.platform.view.members) == 4
+    assert cell.is_settled()
+    assert cell.n_overrun() == 0
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_failure_domain_out_and_back(seed):
+    cell = start_cell(seed=seed)
+    run_under_load(cell, 500.0)
+    cell.publish(make_configuration(version=2, out=["fd1"]))
+    run_under_load(cell, 500.0)
+    out_ids = ["t1", "t4"]
+    before = [cell.targets[t].n_running_max for t in out_ids]
+    for target_id in out_ids:
+        cell.targets[target_id].n_running_max = 0
+    run_under_load(cell, 2000.0)
+    assert [cell.targets[t].n_running_max for t in out_ids] == [0, 0], before
+    cell.publish(make_configuration(version=3))
+    run_under_load(cell, 2000.0)
+    assert all(cell.targets[t].n_running_max > 0 for t in out_ids)
+    assert cell.n_overrun() == 0
