--- a/tests/test_cell_faults.py
+++ b/tests/test_cell_faults.py
@@ -112,9 +112,7 @@
     run_under_load(cell, 300.0)
     successor = owner_of(cell, "t0").node.balancer.services["service"]
     assert successor.targets["t0"].limit >= learned
-    assert all(
-        victim.member_id not in vms for vms in cell.usable_targets().values()
-    )
+    assert all(victim.member_id not in vms for vms in cell.usable_targets().values())
     run_under_load(cell, 3000.0)
     assert victim.is_crashed
     assert victim.member_id not in cell.platform.view.members
--- a/tests/test_cell_machine.py
+++ b/tests/test_cell_machine.py
@@ -1,5 +1,6 @@
 """Random faults on a cell, alone and together: no target gets more than its slots."""
 
+from hornbeamstand_core.controllers.stopping import RUNNING
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -107,9 +108,27 @@
         for vm in self.cell.live_vms():
             if vm.is_paused:
                 vm.resume()
+        has_majority = self.has_majority()
         self.cell.publish(make_configuration(version=self.version + 1))
         self.cell.world.run_until(self.cell.world.now_ms + HEAL_MS)
         assert self.cell.n_overrun() == 0
+        if has_majority:
+            assert self.cell.is_settled()
+
+    def has_majority(self):
+        """Tell whether the VMs that will stay are a majority of the view.
+
+        Without one nobody may be removed: a minority can't tell a crash of the
+        others from a cut.
+        """
+        view = self.cell.platform.view
+        staying = {
+            vm.member_id
+            for vm in self.cell.live_vms()
+            if vm.node.stopping.phase == RUNNING
+        }
+        n_staying = len(staying & set(view.members))
+        return n_staying > 0 and n_staying >= view.n_majority
 
 
 CellMachine.TestCase.settings = settings(
