--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,215 @@
+"""Faults of real processes on loopback: crash, pause, outage, replacement."""
+
+import json
+import signal
+import subprocess
+import sys
+from contextlib import ExitStack
+from pathlib import Path
+
+import gevent
+import pytest
+
+from standins.cluster import request
+
+from .load import Load, run, wait_for
+from .processes import control, runs_by_key, start_cluster, total
+
+IN_FORCE_S = 3.0
+
+
+@pytest.fixture
+def stack():
+    with ExitStack() as exit_stack:
+        yield exit_stack
+
+
+def doubled(targets):
+    return {key: n for key, n in runs_by_key(targets).items() if n > 1}
+
+
+def lost(load, targets):
+    runs = runs_by_key(targets)
+    ran = [key for key, outcome in load.orders.items() if outcome.certainty == "ran"]
+    return [key for key in ran if runs.get(key, 0) == 0]
+
+
+def owner_of(cluster, target_id):
+    for vm in cluster.vms:
+        if target_id in vm.status()["services"]["shop"]["targets"]:
+            return vm
+    raise AssertionError(f"nobody owns {target_id}")
+
+
+def wait_settled(cluster, n_targets):
+    gevent.get_hub().threadpool.apply(cluster.wait_ready, (n_targets,))
+
+
+def test_crash_of_an_owner_under_load(stack):
+    cluster, targets = start_cluster(stack, 3)
+    load = Load(cluster)
+    run(1.0)
+    victim = owner_of(cluster, "t0")
+    victim.signal(signal.SIGKILL)
+    victim.process.wait()
+    run(1.0)
+    wait_settled(cluster, len(targets))
+    n_before = len(load.lookups)
+    run(1.0)
+    load.stop()
+    assert doubled(targets) == {}
+    assert lost(load, targets) == []
+    assert total(targets, "n_overrun") == 0
+    late = load.lookups[n_before:]
+    assert late
+    assert all(outcome.certainty == "ran" for outcome in late)
+
+
+def test_paused_owner_under_load(stack):
+    cluster, targets = start_cluster(stack, 3)
+    load = Load(cluster)
+    run(1.0)
+    victim = owner_of(cluster, "t0")
+    victim.signal(signal.SIGSTOP)
+    run(4.0)
+    victim.signal(signal.SIGCONT)
+    run(1.0)
+    wait_settled(cluster, len(targets))
+    load.stop()
+    assert doubled(targets) == {}
+    assert lost(load, targets) == []
+    assert total(targets, "n_overrun") == 0
+
+
+def test_rolling_replacement_loses_and_doubles_nothing(stack):
+    cluster, targets = start_cluster(stack, 3)
+    load = Load(cluster)
+    run(0.5)
+    for victim in list(cluster.vms):
+        cluster.start_vm()
+        load.caller.seeds = [vm.front for vm in cluster.vms if vm is not victim]
+        wait_settled(cluster, len(targets))
+        victim.signal(signal.SIGTERM)
+        wait_for(lambda v=victim: v.process.poll() is not None)
+        assert victim.process.returncode == 0
+        wait_settled(cluster, len(targets))
+    load.stop()
+    assert load.failed_lookups() == []
+    assert set(load.outcomes()) == {"ran"}
+    assert doubled(targets) == {}
+    assert lost(load, targets) == []
+    assert total(targets, "n_overrun") == 0
+
+
+def test_second_signal_ends_a_planned_stop_at_once(stack):
+    cluster, _ = start_cluster(stack, 1, lookup_ttl_ms=60_000)
+    vm = cluster.vms[0]
+    vm.signal(signal.SIGTERM)
+    with pytest.raises(subprocess.TimeoutExpired):
+        vm.process.wait(timeout=1.0)
+    vm.signal(signal.SIGTERM)
+    assert vm.process.wait(timeout=5.0) == 0
+
+
+def set_domain(folder, state):
+    file = folder / "10-domains.json"
+    body = json.loads(file.read_text())
+    body["failure_domains"]["fd1"]["state"] = state
+    file.write_text(json.dumps(body))
+
+
+def test_platform_outage_keeps_service_and_configuration(stack):
+    cluster, targets = start_cluster(stack, 3)
+    load = Load(cluster)
+    cluster.faults(mode="silent")
+    run(5.0)
+    status = cluster.vms[0].status()
+    assert status["config_version"] == 1
+    assert status["may_dispatch_for_ms"] > 0
+    cluster.faults(mode="ok")
+    run(3.0)
+    folder = cluster.folder / "config"
+    set_domain(folder, "out")
+    cluster.publish(folder)
+    wait_for(
+        lambda: all(vm.status()["config_version"] == 2 for vm in cluster.vms),
+        IN_FORCE_S,
+    )
+    load.stop()
+    assert load.failed_lookups() == []
+    assert set(load.outcomes()) == {"ran"}
+    assert doubled(targets) == {}
+    assert total(targets, "n_overrun") == 0
+
+
+def test_failure_domain_out_takes_no_new_work_and_harms_nobody(stack):
+    cluster, targets = start_cluster(stack, 3)
+    load = Load(cluster)
+    run(1.0)
+    folder = cluster.folder / "config"
+    set_domain(folder, "out")
+    cluster.publish(folder)
+    run(IN_FORCE_S)
+    out = [targets[1]]
+    n_before = total(out, "n_runs")
+    run(1.5)
+    assert total(out, "n_runs") == n_before
+    set_domain(folder, "in")
+    cluster.publish(folder)
+    run(IN_FORCE_S)
+    assert total(out, "n_runs") > n_before
+    load.stop()
+    assert load.failed_lookups() == []
+    assert set(load.outcomes()) == {"ran"}
+    assert total(targets, "n_overrun") == 0
+
+
+def test_draining_target_gets_no_new_work(stack):
+    cluster, targets = start_cluster(stack, 2)
+    load = Load(cluster)
+    run(1.0)
+    control(targets[0], state="draining")
+    run(IN_FORCE_S)
+    n_before = control(targets[0])["n_runs"]
+    run(1.0)
+    assert control(targets[0])["n_runs"] == n_before
+    load.stop()
+    assert load.failed_lookups() == []
+    assert set(load.outcomes()) == {"ran"}
+
+
+def test_new_vm_with_the_platform_down_takes_configuration_from_a_peer(stack):
+    cluster, _ = start_cluster(stack, 2)
+    cluster.faults(mode="down")
+    cluster.overrides["seed_peers"] = [cluster.vms[0].settings["peer_address"]]
+    vm = cluster.start_vm()
+
+    def has_configuration():
+        try:
+            return vm.status()["config_version"] == 1
+        except OSError:
+            return False
+
+    wait_for(has_configuration)
+    assert request(vm.front, "GET", "/services/shop/x")[0] == 200
+
+
+def test_bad_settings_are_named_and_end_with_status_2(tmp_path):
+    binary = str(Path(sys.executable).parent / "hornbeamstand")
+    file = tmp_path / "vm.json"
+    cases = {
+        '{"vm_id": 1}': "vm_id",
+        "{": "vm.json",
+        '{"vm_id": "a", "bogus": 1}': "bogus",
+    }
+    for text, expected in cases.items():
+        file.write_text(text)
+        done = subprocess.run(
+            [binary, "check-settings", "--settings", str(file)],
+            capture_output=True,
+            text=True,
+        )
+        assert done.returncode == 2
+        assert expected in done.stderr
+        assert "vm.json" in done.stderr
+        assert len(done.stderr.splitlines()) == 1
