--- a/packages/core/hornbeamstand_core/controllers/balancer.py
+++ b/packages/core/hornbeamstand_core/controllers/balancer.py
@@ -28,7 +28,7 @@
 
     __slots__ = ("member_id", "services", "_make_choice", "_make_limit", "_hop_ms")
 
-    def __init__(self, member_id, make_choice, make_limit, hop_ms=1.5):
+    def __init__(self, member_id, make_choice, make_limit, hop_ms):
         self.member_id = member_id
         self.services = {}
         self._make_choice = make_choice
--- a/packages/core/hornbeamstand_core/controllers/node.py
+++ b/packages/core/hornbeamstand_core/controllers/node.py
@@ -13,6 +13,9 @@
 from .ownership import Ownership
 from .stopping import Stopping
 
+# Between two failure domains of one city.
+HOP_MS = 1.5
+
 
 class SendRoom(Record):
     """Tell a peer of a change of spare room."""
@@ -75,12 +78,23 @@
         Build the closures of each service.
     now_ms : float
         The present time.
+    hop_ms : float
+        Expected time from this VM to a peer, one way.
     """
 
     __slots__ = ("balancer", "ownership", "membership", "stopping")
 
-    def __init__(self, me, lease_ms, configuration, make_choice, make_limit, now_ms):
-        self.balancer = Balancer(me.member_id, make_choice, make_limit)
+    def __init__(
+        self,
+        me,
+        lease_ms,
+        configuration,
+        make_choice,
+        make_limit,
+        now_ms,
+        hop_ms=HOP_MS,
+    ):
+        self.balancer = Balancer(me.member_id, make_choice, make_limit, hop_ms)
         self.ownership = Ownership(
             me.member_id, self.balancer, lease_ms, configuration, now_ms
         )
--- a/packages/core/hornbeamstand_core/controllers/service.py
+++ b/packages/core/hornbeamstand_core/controllers/service.py
@@ -72,7 +72,7 @@
         "_news_sent",
     )
 
-    def __init__(self, name, spec, member_id, choose, adjust_limit, hop_ms=1.5):
+    def __init__(self, name, spec, member_id, choose, adjust_limit, hop_ms):
         self.name = name
         self.spec = spec
         self.member_id = member_id
--- a/packages/ctl/hornbeamstand_ctl/main.py
+++ b/packages/ctl/hornbeamstand_ctl/main.py
@@ -8,8 +8,10 @@
 from typing import Annotated  # noqa: E402
 
 import typer  # noqa: E402
+from hornbeamstand_core.config import Configuration  # noqa: E402
 from hornbeamstand_wire.folder import read_folder  # noqa: E402
 from hornbeamstand_wire.platform import PlatformClient  # noqa: E402
+from hornbeamstand_wire.reference import make_reference  # noqa: E402
 
 from . import __version__  # noqa: E402
 from .base import digests_of  # noqa: E402
@@ -140,6 +142,12 @@
         raise typer.Exit(EXIT_FAILED)
 
 
+@app.command()
+def reference():
+    """Print the reference page of the folder's files."""
+    typer.echo(make_reference(Configuration, "The folder's files"), nl=False)
+
+
 def main():
     """Run the command line."""
     app()
--- a/packages/entry/hornbeamstand_entry/headers.py
+++ b/packages/entry/hornbeamstand_entry/headers.py
@@ -11,7 +11,6 @@
 
 HOPS = "Hornbeam-Hops"
 RECORDED = "Hornbeam-Recorded"
-SERVICE = "Hornbeam-Service"
 ROOM = "Hornbeam-Room"
 
 START_ID = "Hornbeam-Start-Id"
--- a/packages/entry/hornbeamstand_entry/main.py
+++ b/packages/entry/hornbeamstand_entry/main.py
@@ -9,9 +9,10 @@
 from typing import Annotated  # noqa: E402
 
 import typer  # noqa: E402
+from hornbeamstand_wire.reference import make_reference  # noqa: E402
 
 from . import __version__  # noqa: E402
-from .settings import load_settings  # noqa: E402
+from .settings import Settings, load_settings  # noqa: E402
 
 EXIT_BAD_INPUT = 2
 # Else grpcio writes lines of its own form between the log lines.
@@ -73,6 +74,12 @@
     typer.echo(f"ok: settings of VM {checked.vm_id}")
 
 
+@app.command()
+def reference():
+    """Print the reference page of the settings file."""
+    typer.echo(make_reference(Settings, "Settings of an entry VM"), nl=False)
+
+
 def main():
     """Run the command line."""
     app()
--- a/packages/entry/hornbeamstand_entry/process.py
+++ b/packages/entry/hornbeamstand_entry/process.py
@@ -174,6 +174,7 @@
         lambda: CHOICES[settings.choice](rng),
         LIMITS[settings.limit],
         clock.now_ms(),
+        settings.hop_ms,
     )
 
 
--- a/replay/player.py
+++ b/replay/player.py
@@ -98,8 +98,8 @@
             make_choice,
             make_limit,
             self.world.now_ms,
+            HOP_MS,
         )
-        self.node.balancer._hop_ms = HOP_MS
         self.chain = build_default_chain(self._find_service, lambda call: None)
         self.n_handed_over = 0
         self.n_probes = 0
@@ -326,6 +326,9 @@
 
     def publish(self, configuration):
         """Adopt a configuration on every VM, as if it took one hop."""
+        if not self.is_shared:
+            self.world.after(HOP_MS, lambda: self._adopt_alone(configuration))
+            return
 
         def adopt(vm):
             vm.node.handle(AdoptConfiguration(configuration), self.world.now_ms)
@@ -337,6 +340,11 @@
             for peer_id in self.vms:
                 self.world.after(2 * HOP_MS, lambda v=vm, p=peer_id: self._beat(p, v))
 
+    def _adopt_alone(self, configuration):
+        for vm in self.vms.values():
+            for name, service in vm.node.balancer.services.items():
+                service.adopt_spec(configuration.services[name], configuration.is_open)
+
     def _beat(self, sender_id, receiver):
         if sender_id == receiver.member_id:
             return
