--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -38,6 +38,7 @@
 )
 from hornbeamstand_core.order_messages import EpochAdopted
 from hornbeamstand_core.view import Member, View
+from hornbeamstand_entry.lookup import answer_lookup
 from hornbeamstand_entry.peer_codec import (
     KeptResponse,
     decode_datagram,
@@ -290,6 +291,27 @@
     return min(merge_ms), min(adopt_ms)
 
 
+def measure_lookups():
+    """Fit the cost of a lookup's answer over the service's targets."""
+    points = []
+    for n_targets in (10, 40, 160):
+        node = make_node(13, 1)
+        node.membership.adopt_configuration(versioned(n_targets), 0.0)
+
+        def look_up(node=node):
+            answer_lookup(node, "service-0", lambda status, items: None)
+
+        points.append((n_targets, best_us(look_up, 500)))
+    fit("lookup answered, per target of the service", "us", points)
+
+
+def versioned(n_targets):
+    """Return a configuration that is newer than a node's first."""
+    configuration = make_configuration(1, n_targets)
+    configuration.version = 1
+    return configuration
+
+
 def measure_platform_calls():
     """Fit the platform's calls a second over the VMs of one cell."""
     points = []
@@ -308,6 +330,7 @@
     print("| what | per item | fixed | unit | size: cost |")
     print("| --- | --- | --- | --- | --- |")
     measure_decisions()
+    measure_lookups()
     measure_state()
     measure_heartbeats()
     measure_configuration()
--- a/packages/core/hornbeamstand_core/controllers/membership.py
+++ b/packages/core/hornbeamstand_core/controllers/membership.py
@@ -246,6 +246,13 @@
             return False
         if now_ms - self._round_at_ms < self.lease_ms * ROUND_SHARE:
             return False
+        return self.calls_platform(now_ms)
+
+    def calls_platform(self, now_ms):
+        """Tell whether this VM calls the platform itself.
+
+        The cell's renewers do, and a VM that they do not serve.
+        """
         if self._wants_change() or self._is_renewer():
             return True
         return self._lacks_renewal(now_ms)
--- a/packages/core/tests/test_assignment.py
+++ b/packages/core/tests/test_assignment.py
@@ -2,6 +2,9 @@
 
 from collections import Counter
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from hornbeamstand_core.assignment import (
     assign_owners,
     lookup_weights,
@@ -18,8 +21,6 @@
 from hornbeamstand_core.controllers.limits import make_fixed
 from hornbeamstand_core.controllers.ownership import Ownership
 from hornbeamstand_core.view import LEAVING, Member, View
-from hypothesis import given, settings
-from hypothesis import strategies as st
 
 SIZES = st.integers(1, 12)
 
@@ -34,7 +35,8 @@
 
 def make_service(n_targets, size=2, slots=3):
     targets = {
-        f"t{i}": TargetSpec("127.0.0.1:1", f"fd{i % 3}", slots) for i in range(n_targets)
+        f"t{i}": TargetSpec("127.0.0.1:1", f"fd{i % 3}", slots)
+        for i in range(n_targets)
     }
     return ServiceSpec(targets, serving_set_size=size)
 
--- a/packages/entry/hornbeamstand_entry/process.py
+++ b/packages/entry/hornbeamstand_entry/process.py
@@ -105,7 +105,10 @@
         watch_ms = timeout_ms + WATCH_MS
         watcher = PlatformClient.from_config(settings.platform_address, watch_ms)
         stack.callback(watcher.close)
-        self.follower = Follower(platform, watcher, self.decider, self.log("config"))
+        membership = self.node.membership
+        self.follower = Follower(
+            platform, watcher, membership, self.decider, self.log("config")
+        )
         self.datagrams = Datagrams(settings.peer_address, self.decider)
         self.prober = Prober(self.pools, self.decider, self.clock)
         self.peer_fetch = PeerFetch(
--- a/packages/entry/hornbeamstand_entry/tasks/follower.py
+++ b/packages/entry/hornbeamstand_entry/tasks/follower.py
@@ -1,7 +1,8 @@
 """The task that follows the published configuration.
 
-A watch at the platform wakes it. While the platform is down the last good
-configuration stays in force; a newer one may come from a peer.
+A cell's renewers are woken by a watch at the platform; the other members hear of a
+newer version by heartbeat and fetch it from a peer, so that watches grow with cells.
+While the platform is down the last good configuration stays in force.
 """
 
 import gevent
@@ -39,6 +40,8 @@
     ----------
     platform, watcher : PlatformClient
         For reads, and for the watch, which waits longer.
+    membership : Membership
+        Read for whether this VM watches for its cell.
     decider : Decider
         Told of each accepted configuration.
     log : structlog logger
@@ -48,6 +51,7 @@
     __slots__ = (
         "platform",
         "watcher",
+        "membership",
         "decider",
         "log",
         "task",
@@ -57,9 +61,10 @@
         "_cache",
     )
 
-    def __init__(self, platform, watcher, decider, log):
+    def __init__(self, platform, watcher, membership, decider, log):
         self.platform = platform
         self.watcher = watcher
+        self.membership = membership
         self.decider = decider
         self.log = log
         self.task = Task("follower")
@@ -77,11 +82,16 @@
     def _watch(self):
         revision = 0
         while True:
-            if self._follow():
+            if not self._is_watching():
+                gevent.sleep(RETRY_MS / 1000.0)
+            elif self._follow():
                 revision = self._head_revision(revision)
             else:
                 gevent.sleep(RETRY_MS / 1000.0)
 
+    def _is_watching(self):
+        return self.membership.calls_platform(self.decider.clock.now_ms())
+
     def _head_revision(self, revision):
         seen = self.watcher.watch(HEAD_KEY, revision, WATCH_MS)
         if seen.is_err():
