--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -11,6 +11,7 @@
 import time
 import tracemalloc
 
+from hornbeamstand_core.balancer_messages import Granted
 from hornbeamstand_core.config import (
     Configuration,
     FailureDomainSpec,
@@ -20,15 +21,14 @@
 from hornbeamstand_core.controllers.balancer import Balancer
 from hornbeamstand_core.controllers.choice import make_least_expected_latency
 from hornbeamstand_core.controllers.limits import make_aimd
-from hornbeamstand_core.controllers.membership import SendHeartbeat
 from hornbeamstand_core.controllers.node import HOP_MS, Node
 from hornbeamstand_core.controllers.orders import OrderBook
 from hornbeamstand_core.filters import build_default_chain
+from hornbeamstand_core.membership_messages import SendHeartbeat
 from hornbeamstand_core.messages import (
     Acquire,
     Answer,
     Call,
-    Granted,
     Release,
     Reply,
     Request,
--- /dev/null
+++ b/packages/core/hornbeamstand_core/balancer_messages.py
@@ -0,0 +1,82 @@
+"""Messages between the balancer, the tasks around it and its peers."""
+
+from .records import Record
+
+
+class Granted(Record):
+    """The reply to a waiting Acquire."""
+
+    __slots__ = ("request_id", "reply")
+
+    def __init__(self, request_id, reply):
+        self.request_id = request_id
+        self.reply = reply
+
+
+class Decision(Record):
+    """One routing decision, for the decision log."""
+
+    __slots__ = ("service_name", "request_id", "action", "to", "detail")
+
+    def __init__(self, service_name, request_id, action, to, detail=""):
+        self.service_name = service_name
+        self.request_id = request_id
+        self.action = action
+        self.to = to
+        self.detail = detail
+
+
+class Placement(Record):
+    """One change of what this VM owns, for the decision log.
+
+    ``action`` is ``own`` or ``release``; ``detail`` says how it came about.
+    """
+
+    __slots__ = ("service_name", "target_id", "action", "detail")
+
+    def __init__(self, service_name, target_id, action, detail):
+        self.service_name = service_name
+        self.target_id = target_id
+        self.action = action
+        self.detail = detail
+
+
+class SendProbe(Record):
+    """Ask a target's health endpoint."""
+
+    __slots__ = ("service_name", "target_id", "address", "path")
+
+    def __init__(self, service_name, target_id, address, path):
+        self.service_name = service_name
+        self.target_id = target_id
+        self.address = address
+        self.path = path
+
+
+class ProbeResult(Record):
+    """A probe's end; ``report`` is None if it failed."""
+
+    __slots__ = ("service_name", "target_id", "report", "latency_ms")
+
+    def __init__(self, service_name, target_id, report, latency_ms):
+        self.service_name = service_name
+        self.target_id = target_id
+        self.report = report
+        self.latency_ms = latency_ms
+
+
+class RoomNews(Record):
+    """One VM's spare room for one service.
+
+    ``n_free`` slots are free, ``n_waiting`` requests wait and ``wait_ms`` is
+    the wait that a request queued now could expect.
+    """
+
+    __slots__ = ("service_name", "member_id", "n_free", "n_waiting", "wait_ms")
+
+    def __init__(self, service_name, member_id, n_free, n_waiting, wait_ms):
+        self.service_name = service_name
+        self.member_id = member_id
+        self.n_free = n_free
+        self.n_waiting = n_waiting
+        self.wait_ms = wait_ms
--- a/packages/core/hornbeamstand_core/controllers/balancer.py
+++ b/packages/core/hornbeamstand_core/controllers/balancer.py
@@ -1,15 +1,7 @@
 """The set of service controllers of one entry VM, driven by messages."""
 
-from ..messages import (
-    Acquire,
-    AskRetry,
-    Granted,
-    ProbeResult,
-    Refusal,
-    Release,
-    RoomNews,
-    Withdraw,
-)
+from ..balancer_messages import Granted, ProbeResult, RoomNews
+from ..messages import Acquire, AskRetry, Refusal, Release, Withdraw
 from .service import ServiceController
 
 
--- a/packages/core/hornbeamstand_core/controllers/node.py
+++ b/packages/core/hornbeamstand_core/controllers/node.py
@@ -4,12 +4,14 @@
 perform the messages that come back.
 """
 
-from ..messages import Release, RoomNews
+from ..balancer_messages import RoomNews
+from ..membership_messages import LeaseGranted, RoundDone, RoundFailed
+from ..messages import Release
 from ..order_messages import EpochAdopted
 from ..peer_messages import Heartbeat
 from ..records import Record
 from .balancer import Balancer
-from .membership import LeaseGranted, Membership, RoundDone, RoundFailed
+from .membership import Membership
 from .ownership import Ownership
 from .stopping import Stopping
 
--- a/packages/core/hornbeamstand_core/controllers/orders.py
+++ b/packages/core/hornbeamstand_core/controllers/orders.py
@@ -9,16 +9,9 @@
 """
 
 from ..assignment import serving_set
+from ..balancer_messages import Granted
 from ..hashing import rank
-from ..messages import (
-    NOT_RUN,
-    UNKNOWN,
-    Granted,
-    OrderElsewhere,
-    OrderKnown,
-    OrderOpen,
-    Refusal,
-)
+from ..messages import NOT_RUN, UNKNOWN, OrderElsewhere, OrderKnown, OrderOpen, Refusal
 from ..order_messages import DONE, DROPPED, OPEN, SendOrders, StoredOrder
 from ..view import View
 
--- a/packages/core/hornbeamstand_core/controllers/ownership.py
+++ b/packages/core/hornbeamstand_core/controllers/ownership.py
@@ -6,7 +6,7 @@
 """
 
 from ..assignment import assign_owners, serving_set
-from ..messages import Placement, RoomNews
+from ..balancer_messages import Placement, RoomNews
 from ..peer_messages import HandOverRecord
 from ..records import Record
 from ..view import Epoch, View
--- a/packages/core/hornbeamstand_core/controllers/service.py
+++ b/packages/core/hornbeamstand_core/controllers/service.py
@@ -5,18 +5,15 @@
 requests in flight.
 """
 
+from ..balancer_messages import Decision, Granted, RoomNews, SendProbe
 from ..messages import (
     CANCELLED,
     NOT_RUN,
     TIMED_OUT,
-    Decision,
-    Granted,
     HandOver,
     Permit,
     Refusal,
-    RoomNews,
     SendFailure,
-    SendProbe,
 )
 from .budgets import RateBudget, RatioBudget
 from .cold_start import count_good_completion, enter_cold, note_report
--- a/packages/core/tests/test_orders.py
+++ b/packages/core/tests/test_orders.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from hornbeamstand_core.balancer_messages import Granted
 from hornbeamstand_core.config import (
     Configuration,
     FailureDomainSpec,
@@ -13,7 +14,6 @@
     NOT_RUN,
     UNKNOWN,
     Answer,
-    Granted,
     OrderElsewhere,
     OrderKnown,
     OrderOpen,
--- a/packages/entry/hornbeamstand_entry/encoding.py
+++ b/packages/entry/hornbeamstand_entry/encoding.py
@@ -1,6 +1,7 @@
 """HTTP requests to targets and peers as bytes, and their answers as messages."""
 
-from hornbeamstand_core.messages import Refusal, Reply, Report, RoomNews
+from hornbeamstand_core.balancer_messages import RoomNews
+from hornbeamstand_core.messages import Refusal, Reply, Report
 
 from . import headers
 
--- a/packages/entry/hornbeamstand_entry/peer_codec.py
+++ b/packages/entry/hornbeamstand_entry/peer_codec.py
@@ -1,8 +1,9 @@
 """Peer messages as MessagePack: each record is the list of its slots."""
 
 import msgspec
+from hornbeamstand_core.balancer_messages import RoomNews
 from hornbeamstand_core.controllers.node import SendRoom
-from hornbeamstand_core.messages import Answer, Refusal, RoomNews
+from hornbeamstand_core.messages import Answer, Refusal
 from hornbeamstand_core.order_messages import OrdersReceived, StoredOrder
 from hornbeamstand_core.peer_messages import HandOverRecord, Heartbeat
 from hornbeamstand_core.records import Record
--- a/packages/entry/hornbeamstand_entry/performers.py
+++ b/packages/entry/hornbeamstand_entry/performers.py
@@ -4,6 +4,7 @@
 and the request's context and returns the reply, if the effect has one.
 """
 
+from hornbeamstand_core.balancer_messages import RoomNews
 from hornbeamstand_core.messages import (
     CANCELLED,
     TIMED_OUT,
@@ -13,7 +14,6 @@
     Forward,
     Release,
     ReserveOrder,
-    RoomNews,
     Send,
     SendFailure,
     SettleOrder,
--- a/packages/entry/hornbeamstand_entry/process.py
+++ b/packages/entry/hornbeamstand_entry/process.py
@@ -10,11 +10,11 @@
 from gevent.event import Event
 from hornbeamstand_core.config import Configuration
 from hornbeamstand_core.controllers import choice, limits
-from hornbeamstand_core.controllers.membership import FetchPeerState
 from hornbeamstand_core.controllers.node import BeginStop, Node
 from hornbeamstand_core.controllers.orders import OrderBook
 from hornbeamstand_core.controllers.stopping import STOPPED
 from hornbeamstand_core.filters import build_default_chain
+from hornbeamstand_core.membership_messages import FetchPeerState
 from hornbeamstand_core.messages import Refusal
 from hornbeamstand_core.view import Member
 from hornbeamstand_wire.platform import PlatformClient
--- a/packages/entry/hornbeamstand_entry/tasks/decider.py
+++ b/packages/entry/hornbeamstand_entry/tasks/decider.py
@@ -4,21 +4,16 @@
 are routed to the tasks that perform them.
 """
 
-from hornbeamstand_core.controllers.membership import (
+from hornbeamstand_core.balancer_messages import Decision, Granted, Placement, SendProbe
+from hornbeamstand_core.controllers.node import SendRoom, Tick
+from hornbeamstand_core.membership_messages import (
     FetchPeerState,
     GrantLease,
     SendHeartbeat,
     StartRound,
     WriteView,
 )
-from hornbeamstand_core.controllers.node import SendRoom, Tick
-from hornbeamstand_core.messages import (
-    AskRetry,
-    Decision,
-    Granted,
-    Placement,
-    SendProbe,
-)
+from hornbeamstand_core.messages import AskRetry
 from hornbeamstand_core.order_messages import EpochAdopted
 from hornbeamstand_core.records import Record
 
@@ -26,7 +21,7 @@
 
 # While requests wait their deadlines are looked at often, else seldom.
 BUSY_TICK_MS = 5.0
-IDLE_TICK_MS = 50.0
+IDLE_TICK_MS = 100.0
 
 
 class Ask(Record):
--- a/packages/entry/hornbeamstand_entry/tasks/orders_task.py
+++ b/packages/entry/hornbeamstand_entry/tasks/orders_task.py
@@ -1,7 +1,8 @@
 """The task that owns the order book and copies orders to peers."""
 
 import gevent
-from hornbeamstand_core.messages import Answer, Granted, ReserveOrder, SettleOrder
+from hornbeamstand_core.balancer_messages import Granted
+from hornbeamstand_core.messages import Answer, ReserveOrder, SettleOrder
 from hornbeamstand_core.order_messages import (
     EpochAdopted,
     OrdersReceived,
--- a/packages/entry/hornbeamstand_entry/tasks/platform_task.py
+++ b/packages/entry/hornbeamstand_entry/tasks/platform_task.py
@@ -1,13 +1,13 @@
 """The task that calls the platform for the membership controller."""
 
-from hornbeamstand_core.controllers.membership import (
+from hornbeamstand_core.controllers.node import AdoptView
+from hornbeamstand_core.membership_messages import (
     GrantLease,
     LeaseGranted,
     RoundDone,
     RoundFailed,
     StartRound,
 )
-from hornbeamstand_core.controllers.node import AdoptView
 from hornbeamstand_wire.view_codec import view_from_value, view_key, view_to_value
 
 from .task import Task
--- a/packages/entry/hornbeamstand_entry/tasks/prober.py
+++ b/packages/entry/hornbeamstand_entry/tasks/prober.py
@@ -1,7 +1,7 @@
 """The task that sends probes and reports what came of them."""
 
 import gevent
-from hornbeamstand_core.messages import ProbeResult
+from hornbeamstand_core.balancer_messages import ProbeResult
 
 from ..encoding import encode_request, read_report
 from .connections import Exchange
--- a/replay/cell.py
+++ b/replay/cell.py
@@ -7,18 +7,9 @@
 
 from random import Random
 
+from hornbeamstand_core.balancer_messages import Granted
 from hornbeamstand_core.controllers.choice import make_least_expected_latency
 from hornbeamstand_core.controllers.limits import make_aimd
-from hornbeamstand_core.controllers.membership import (
-    FetchPeerState,
-    GrantLease,
-    LeaseGranted,
-    RoundDone,
-    RoundFailed,
-    SendHeartbeat,
-    StartRound,
-    WriteView,
-)
 from hornbeamstand_core.controllers.node import (
     AdoptConfiguration,
     AdoptView,
@@ -28,7 +19,17 @@
     Tick,
 )
 from hornbeamstand_core.controllers.stopping import RUNNING, STOPPED
-from hornbeamstand_core.messages import Acquire, Granted, Permit, Release, Reply
+from hornbeamstand_core.membership_messages import (
+    FetchPeerState,
+    GrantLease,
+    LeaseGranted,
+    RoundDone,
+    RoundFailed,
+    SendHeartbeat,
+    StartRound,
+    WriteView,
+)
+from hornbeamstand_core.messages import Acquire, Permit, Release, Reply
 from hornbeamstand_core.view import Member, View
 
 LEASE_MS = 1000.0
--- a/replay/player.py
+++ b/replay/player.py
@@ -6,6 +6,12 @@
 
 from random import Random
 
+from hornbeamstand_core.balancer_messages import (
+    Granted,
+    ProbeResult,
+    RoomNews,
+    SendProbe,
+)
 from hornbeamstand_core.controllers.choice import make_least_expected_latency
 from hornbeamstand_core.controllers.limits import make_aimd
 from hornbeamstand_core.controllers.node import AdoptConfiguration, Node, SendRoom
@@ -18,15 +24,11 @@
     AskRetry,
     Call,
     Forward,
-    Granted,
-    ProbeResult,
     Release,
     Reply,
     Request,
-    RoomNews,
     Send,
     SendFailure,
-    SendProbe,
 )
 from hornbeamstand_core.peer_messages import Heartbeat
 from hornbeamstand_core.view import Member, View
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -21,17 +21,26 @@
 START_TIMEOUT_S = 20.0
 
 
+def shuffled_ports():
+    """Yield each port of the range once, in random order."""
+    ports = list(range(PORT_MIN, PORT_MAX))
+    Random().shuffle(ports)
+    yield from ports
+
+
+# One for the process: a port that was given out may not be bound yet.
+_ports = shuffled_ports()
+
+
 def free_addresses(n_wanted):
     """Return addresses of ports that are free now for TCP and UDP.
 
     The ports lie below those that the system gives to outgoing connections, so
-    that none of these takes one before its server starts.
+    that none of these takes one before its server starts. None is given twice.
     """
-    ports = list(range(PORT_MIN, PORT_MAX))
-    Random().shuffle(ports)
     addresses = []
     while len(addresses) < n_wanted:
-        port = ports.pop()
+        port = next(_ports)
         if is_free(port):
             addresses.append(f"{HOST}:{port}")
     return addresses
