--- /dev/null
+++ b/benchmarks/candidates.py
@@ -0,0 +1,145 @@
+"""Two candidates from the related paper, measured against what the product does.
+
+The NLMS response-time predictor as a choice, and the admission ramp between two load
+levels, of "OpenAMI: Software-Defined AMI Load Balancing". Run as
+``python -m benchmarks.candidates``.
+"""
+
+from collections import deque
+from random import Random
+
+from hornbeamstand_core.controllers.limits import make_aimd
+from hornbeamstand_core.messages import Refusal
+
+from replay.player import Player, Result
+from replay.world import World
+
+from .measure import (
+    HEADER,
+    SERVICES,
+    Row,
+    format_row,
+    make_configuration,
+    play,
+    run_clairvoyant,
+    run_player,
+)
+
+RUN_MS = 20_000.0
+ORDER = 4
+STEPS = (0.1, 0.5, 1.0)
+LEVELS = ((0.8, 1.0), (0.9, 1.0))
+
+
+class Nlms:
+    """A normalized least mean squares predictor of one target's latency."""
+
+    def __init__(self, step):
+        self.step = step
+        self.window = deque([0.0] * ORDER, maxlen=ORDER)
+        self.weights = [0.0] * ORDER
+
+    def predict(self):
+        """Return the next latency in ms."""
+        return sum(w * x for w, x in zip(self.weights, self.window, strict=True))
+
+    def note(self, latency_ms):
+        """Take one latency and adapt the weights."""
+        error = latency_ms - self.predict()
+        norm = sum(x * x for x in self.window)
+        if norm > 0.0:
+            gain = self.step * error / norm
+            self.weights = [
+                w + gain * x for w, x in zip(self.weights, self.window, strict=True)
+            ]
+        self.window.appendleft(latency_ms)
+
+
+def make_nlms_policy(step):
+    """Return the player's arguments for a choice by NLMS predictions."""
+    predictors = {}
+
+    def make_limit():
+        adjust = make_aimd()
+
+        def note_and_adjust(state, latency_ms, usual, is_overload):
+            predictor = predictors.setdefault(state.target_id, Nlms(step))
+            predictor.note(latency_ms)
+            adjust(state, latency_ms, usual, is_overload)
+
+        return note_and_adjust
+
+    def choose(states, now_ms, base_ms):
+        def predicted_ms(state):
+            predictor = predictors.get(state.target_id)
+            return predictor.predict() if predictor else 0.0
+
+        return min(states, key=predicted_ms)
+
+    return {"make_choice": lambda rng: choose, "make_limit": make_limit}
+
+
+class RampedPlayer(Player):
+    """A player that refuses by the admission ramp before the filter chain."""
+
+    def __init__(self, world, configuration, low, high):
+        super().__init__(world, configuration, seed=1)
+        self.low = low
+        self.high = high
+        self.n_inside = 0
+        self.n_slots = sum(target.slots for target in self.targets.values())
+        self.ramp_rng = Random(7)
+
+    def request(self, service_name, service_ms, method="GET", path="/"):
+        """Refuse with the ramp's probability, else send."""
+        n_inside = self.n_sent() - len(self.results)
+        low, high = self.low * self.n_slots, self.high * self.n_slots
+        chance = (n_inside - low) / (high - low)
+        if self.ramp_rng.random() < chance:
+            refused = Result(self.world.now_ms, 0.0, Refusal("ramp"), service_name)
+            self.n_inside += 1
+            self.results.append(refused)
+            return
+        self.n_inside += 1
+        super().request(service_name, service_ms, method, path)
+
+    def n_sent(self):
+        """Return the requests seen so far."""
+        return self.n_inside
+
+
+def run_ramp(low, high, load):
+    """Return the row of the ramp on job-lookup."""
+    n_targets, slots = SERVICES["tuul job-lookup"]
+    world = World()
+    player = RampedPlayer(world, make_configuration(n_targets, slots), low, high)
+    play(world, player, player.targets, n_targets * slots, load, 1, RUN_MS)
+    n_overrun = sum(t.n_overrun for t in player.targets.values())
+    n_handed = sum(vm.n_handed_over for vm in player.vms.values())
+    label = f"ramp from {low} to {high}"
+    return Row(label, player.results, n_overrun, n_handed, 0, RUN_MS)
+
+
+def main():
+    """Print both comparisons."""
+    for name in ("tuul job-lookup", "quispe tubo-lookup"):
+        n_targets, slots = SERVICES[name]
+        print(f"\n{name}, load 0.8\n\n{HEADER}")
+        bound = run_clairvoyant(n_targets, slots, 0.8, 1, RUN_MS)
+        print(format_row(run_player("ours", n_targets, slots, 0.8, 1, RUN_MS), bound))
+        for step in STEPS:
+            policy = make_nlms_policy(step)
+            label = f"NLMS of order {ORDER}, step {step}"
+            row = run_player(label, n_targets, slots, 0.8, 1, RUN_MS, **policy)
+            print(format_row(row, bound))
+    n_targets, slots = SERVICES["tuul job-lookup"]
+    for load in (0.8, 2.0):
+        print(f"\ntuul job-lookup, load {load}\n\n{HEADER}")
+        bound = run_clairvoyant(n_targets, slots, load, 1, RUN_MS)
+        print(format_row(run_player("ours", n_targets, slots, load, 1, RUN_MS), bound))
+        for low, high in LEVELS:
+            print(format_row(run_ramp(low, high, load), bound))
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/core/hornbeamstand_core/controllers/queueing.py
+++ b/packages/core/hornbeamstand_core/controllers/queueing.py
@@ -18,10 +18,11 @@
 class WaitQueue:
     """Waiting requests by id, in order of arrival."""
 
-    __slots__ = ("_waiting",)
+    __slots__ = ("_waiting", "_filled_at_ms")
 
     def __init__(self):
         self._waiting = OrderedDict()
+        self._filled_at_ms = 0.0
 
     def __len__(self):
         return len(self._waiting)
@@ -31,8 +32,14 @@
 
     def add(self, acquire, now_ms):
         """Put a request at the end."""
+        if not self._waiting:
+            self._filled_at_ms = now_ms
         self._waiting[acquire.request_id] = Waiting(acquire, now_ms)
 
+    def standing_ms(self, now_ms):
+        """Return for how long requests have waited without a break."""
+        return now_ms - self._filled_at_ms if self._waiting else 0.0
+
     def remove(self, request_id):
         """Take one request out; returns it or None."""
         return self._waiting.pop(request_id, None)
--- a/packages/core/hornbeamstand_core/controllers/service.py
+++ b/packages/core/hornbeamstand_core/controllers/service.py
@@ -32,6 +32,10 @@
 # Share of the time left that may be spent waiting. A queue as long as the
 # deadline allows serves no more requests, and each of them late.
 WAIT_SHARE_MAX = 0.5
+# A queue that has stood for this long is overload, not a burst: from then on a
+# request may wait only this many times the usual latency.
+STANDING_QUEUE_MS = 500.0
+STANDING_WAIT_SHARE = 4.0
 # A ready target that answered this recently needs no probe.
 PROBE_IDLE_MS = 1000.0
 
@@ -186,9 +190,12 @@
     def _enqueue(self, message, now_ms):
         if len(self.queue) >= self.spec.queue_max:
             return self._refuse(message, "queue full")
-        wait_ms = self.expected_wait_ms(now_ms)
         left_ms = message.deadline_at_ms - now_ms - self._fair_time_ms()
-        if wait_ms > WAIT_SHARE_MAX * left_ms:
+        wait_max_ms = WAIT_SHARE_MAX * left_ms
+        if self.queue.standing_ms(now_ms) > STANDING_QUEUE_MS:
+            standing_max_ms = STANDING_WAIT_SHARE * self.usual.mean_or_zero_ms()
+            wait_max_ms = min(wait_max_ms, standing_max_ms)
+        if self.expected_wait_ms(now_ms) > wait_max_ms:
             return self._refuse(message, "wait exceeds deadline")
         self.queue.add(message, now_ms)
         return [Decision(self.name, message.request_id, "wait", "")]
