--- a/packages/ctl/hornbeamstand_ctl/main.py
+++ b/packages/ctl/hornbeamstand_ctl/main.py
@@ -9,6 +9,7 @@
 
 import typer  # noqa: E402
 from hornbeamstand_core.config import Configuration  # noqa: E402
+from hornbeamstand_wire.cli import make_app, make_version_option  # noqa: E402
 from hornbeamstand_wire.folder import read_folder  # noqa: E402
 from hornbeamstand_wire.platform import PlatformClient  # noqa: E402
 from hornbeamstand_wire.reference import make_reference  # noqa: E402
@@ -23,31 +24,18 @@
 PLATFORM_TIMEOUT_MS = 2000
 WATCH_INTERVAL_S = 0.3
 
-app = typer.Typer(
-    help="Check, compare and publish the operators' folder.",
-    no_args_is_help=True,
-    add_completion=False,
-    pretty_exceptions_enable=False,
-)
+VERSION = make_version_option("hornbeamctl", __version__)
+
+app = make_app("Check, compare and publish the operators' folder.")
 Folder = Annotated[str, typer.Argument(help="the folder of JSON files")]
 Platform = Annotated[
     str, typer.Option("--platform", help="IP address and port of the platform")
 ]
 
 
-def show_version(is_asked: bool):
-    """Print the version and exit."""
-    if is_asked:
-        typer.echo(f"hornbeamctl {__version__}")
-        raise typer.Exit
-
-
 @app.callback()
 def options(
-    version: Annotated[
-        bool,
-        typer.Option("--version", callback=show_version, is_eager=True),
-    ] = False,
+    version: Annotated[bool, VERSION] = False,
 ):
     """Drive hornbeamstand by a folder of small files."""
 
--- a/packages/ctl/hornbeamstand_ctl/operations.py
+++ b/packages/ctl/hornbeamstand_ctl/operations.py
@@ -1,7 +1,7 @@
 """What the commands do, as functions that return Results."""
 
 from hornbeamstand_wire.folder import merge_texts, read_folder
-from hornbeamstand_wire.published import plan_publish, publish
+from hornbeamstand_wire.published import plan_publish, publish_plan
 from result import Ok
 
 from .base import read_base, take_over, write_base
@@ -32,9 +32,7 @@
     if planned.is_err():
         return planned
     plan = planned.ok_value
-    published = publish(
-        platform, read_folder(folder).ok_value, read_base(folder).ok_value
-    )
+    published = publish_plan(platform, plan)
     if published.is_err():
         return published
     head = published.ok_value
--- a/packages/entry/hornbeamstand_entry/main.py
+++ b/packages/entry/hornbeamstand_entry/main.py
@@ -9,6 +9,7 @@
 from typing import Annotated  # noqa: E402
 
 import typer  # noqa: E402
+from hornbeamstand_wire.cli import make_app, make_version_option  # noqa: E402
 from hornbeamstand_wire.reference import make_reference  # noqa: E402
 
 from . import __version__  # noqa: E402
@@ -18,30 +19,17 @@
 # Else grpcio writes lines of its own form between the log lines.
 os.environ.setdefault("GRPC_VERBOSITY", "NONE")
 
-app = typer.Typer(
-    help="The entry VM process of hornbeamstand.",
-    no_args_is_help=True,
-    add_completion=False,
-    pretty_exceptions_enable=False,
-)
+VERSION = make_version_option("hornbeamstand", __version__)
+
+app = make_app("The entry VM process of hornbeamstand.")
 SettingsOption = Annotated[
     str, typer.Option("--settings", help="JSON settings file of this VM")
 ]
 
 
-def show_version(is_asked: bool):
-    """Print the version and exit."""
-    if is_asked:
-        typer.echo(f"hornbeamstand {__version__}")
-        raise typer.Exit
-
-
 @app.callback()
 def options(
-    version: Annotated[
-        bool,
-        typer.Option("--version", callback=show_version, is_eager=True),
-    ] = False,
+    version: Annotated[bool, VERSION] = False,
 ):
     """Run or check one entry VM."""
 
--- a/packages/entry/hornbeamstand_entry/performers.py
+++ b/packages/entry/hornbeamstand_entry/performers.py
@@ -24,7 +24,7 @@
 from .context import CALLER_GONE
 from .encoding import decode_room, encode_request, peer_reply, target_reply
 from .tasks.connections import Done, Exchange
-from .tasks.decider import Ask
+from .tasks.task import Ask
 
 # A permit older than this is checked against the fence again before it is used.
 PERMIT_AGE_MAX_MS = 200.0
--- a/packages/entry/hornbeamstand_entry/tasks/decider.py
+++ b/packages/entry/hornbeamstand_entry/tasks/decider.py
@@ -15,25 +15,14 @@
 )
 from hornbeamstand_core.messages import AskRetry
 from hornbeamstand_core.order_messages import EpochAdopted
-from hornbeamstand_core.records import Record
 
-from .task import Task, run_loop
+from .task import Ask, Task, start_loop
 
 # While requests wait their deadlines are looked at often, else seldom.
 BUSY_TICK_MS = 5.0
 IDLE_TICK_MS = 100.0
 
 
-class Ask(Record):
-    """A message whose reply goes to a mailbox."""
-
-    __slots__ = ("message", "reply_to")
-
-    def __init__(self, message, reply_to):
-        self.message = message
-        self.reply_to = reply_to
-
-
 class Decider:
     """The controllers, and the mailboxes that wait for their replies.
 
@@ -75,11 +64,7 @@
 
     def start(self, stack):
         """Start the task."""
-        mailbox = self.task.mailbox
-        self.task.start(
-            lambda: run_loop(mailbox, self._handle, self._tick, self.clock),
-            stack,
-        )
+        start_loop(self.task, self._handle, self._tick, self.clock, stack)
 
     def _handle(self, message):
         if type(message) is Ask:
--- a/packages/entry/hornbeamstand_entry/tasks/orders_task.py
+++ b/packages/entry/hornbeamstand_entry/tasks/orders_task.py
@@ -8,14 +8,12 @@
     OrdersReceived,
     OrdersSent,
 )
-from hornbeamstand_core.records import Record
 
 from ..encoding import encode_request
 from ..peer_codec import KeptResponse, decode_orders, encode_orders
 from ..responses import respond_json
 from .connections import Exchange
-from .decider import Ask
-from .task import Task, receive, run_loop
+from .task import Ask, Task, receive, start_loop
 
 COPY_TIMEOUT_MS = 300.0
 # A transfer is repeated until its peer acknowledges it or leaves the view.
@@ -25,16 +23,6 @@
 ANSWER_MAX_BYTES = 4096
 
 
-class Received(Record):
-    """Orders from a peer and where to acknowledge them."""
-
-    __slots__ = ("message", "reply_to")
-
-    def __init__(self, message, reply_to):
-        self.message = message
-        self.reply_to = reply_to
-
-
 class OrdersTask:
     """The order book of one VM.
 
@@ -66,25 +54,21 @@
 
     def start(self, stack):
         """Start the task."""
-        mailbox = self.task.mailbox
-        self.task.start(
-            lambda: run_loop(mailbox, self._handle, self._tick, self.clock),
-            stack,
-        )
+        start_loop(self.task, self._handle, self._tick, self.clock, stack)
 
     def _handle(self, message):
-        reply_to = None
+        acknowledge_to = None
         if type(message) is Ask:
-            self._waiting[message.message.request_id] = message.reply_to
-            message = message.message
-        elif type(message) is Received:
-            reply_to = message.reply_to
-            message = message.message
+            ask, message = message, message.message
+            if type(message) is OrdersReceived:
+                acknowledge_to = ask.reply_to
+            else:
+                self._waiting[message.request_id] = ask.reply_to
         elif type(message) is SettleOrder:
             keep_payload(message)
         out = self._handlers[type(message)](message, self.clock.now_ms())
-        if reply_to is not None:
-            reply_to.put(True)
+        if acknowledge_to is not None:
+            acknowledge_to.put(True)
         self._perform(out)
 
     def _tick(self):
@@ -132,7 +116,7 @@
         if message is None:
             return respond_json(start_response, 400, {"error": "malformed orders"})
         mailbox = Task("ack").mailbox
-        self.task.post(Received(message, mailbox))
+        self.task.post(Ask(message, mailbox))
         if receive(mailbox, ACK_TIMEOUT_MS) is None:
             return respond_json(start_response, 503, {"error": "busy"})
         return respond_json(start_response, 200, {})
--- a/packages/entry/hornbeamstand_entry/tasks/task.py
+++ b/packages/entry/hornbeamstand_entry/tasks/task.py
@@ -4,6 +4,7 @@
 
 import gevent
 from gevent.queue import Empty, SimpleQueue
+from hornbeamstand_core.records import Record
 
 # Status of a process that one of its tasks failed in (sysexits' EX_SOFTWARE).
 EXIT_TASK_FAILED = 70
@@ -38,6 +39,16 @@
         stack.callback(self.greenlet.kill, block=False)
 
 
+class Ask(Record):
+    """A message whose reply goes to a mailbox."""
+
+    __slots__ = ("message", "reply_to")
+
+    def __init__(self, message, reply_to):
+        self.message = message
+        self.reply_to = reply_to
+
+
 def receive(mailbox, timeout_ms):
     """Return the next message, or None after the timeout in milliseconds."""
     try:
@@ -46,6 +57,11 @@
         return None
 
 
+def start_loop(task, handle, tick, clock, stack):
+    """Start a task that runs ``run_loop``; the exit stack ends it."""
+    task.start(lambda: run_loop(task.mailbox, handle, tick, clock), stack)
+
+
 def run_loop(mailbox, handle, tick, clock):
     """Handle messages as they come and call ``tick`` at intervals.
 
--- a/packages/wire/hornbeamstand_wire/published.py
+++ b/packages/wire/hornbeamstand_wire/published.py
@@ -147,14 +147,18 @@
 
 
 def publish(platform, texts, base):
-    """Publish a folder; returns Ok of the new Head, or Err.
-
-    Nothing is written unless the merged result passes every check.
-    """
+    """Publish a folder; returns Ok of the new Head, or Err."""
     planned = plan_publish(platform, texts, base)
     if planned.is_err():
         return planned
-    plan = planned.ok_value
+    return publish_plan(platform, planned.ok_value)
+
+
+def publish_plan(platform, plan):
+    """Publish what was planned; returns Ok of the new Head, or Err.
+
+    Nothing is written unless the merged result passes every check.
+    """
     merged = merge_texts(plan.texts)
     if merged.is_err():
         return merged
