Count the control cost by role; hold the platform's calls by a test

Change: the decider counts the time of control messages by role, a gauge shows it; tests/test_platform_calls.py bounds a cell's calls at 16 in a lease time. Measured: cells of 3, 7 and 13 VMs stay within the bound. Conclusion: the rates grow with cells only.

--- a/packages/entry/hornbeamstand_entry/admin.py
+++ b/packages/entry/hornbeamstand_entry/admin.py
@@ -76,6 +76,8 @@
     gauge("probes_sent", process.prober.n_sent)
     gauge("orders_kept", len(process.orders.book))
     gauge("requests_inside", process.decider.n_requests)
+    for role, elapsed_ms in process.decider.control_ms.items():
+        gauge("control_s", elapsed_ms / 1000.0, role=role)
     for name, service in process.node.balancer.services.items():
         gauge("waiting", len(service.queue), service=name)
         for target_id, state in service.targets.items():
--- a/packages/entry/hornbeamstand_entry/tasks/decider.py
+++ b/packages/entry/hornbeamstand_entry/tasks/decider.py
@@ -4,17 +4,32 @@
 are routed to the tasks that perform them.
 """
 
-from hornbeamstand_core.balancer_messages import Decision, Granted, Placement, SendProbe
-from hornbeamstand_core.controllers.node import SendRoom, Tick
+from hornbeamstand_core.balancer_messages import (
+    Decision,
+    Granted,
+    Placement,
+    ProbeResult,
+    RoomNews,
+    SendProbe,
+)
+from hornbeamstand_core.controllers.node import (
+    AdoptConfiguration,
+    AdoptView,
+    SendRoom,
+    Tick,
+)
 from hornbeamstand_core.membership_messages import (
     FetchPeerState,
     GrantLease,
+    LeaseGranted,
+    RoundDone,
     SendHeartbeat,
     StartRound,
     WriteView,
 )
 from hornbeamstand_core.messages import AskRetry
 from hornbeamstand_core.order_messages import EpochAdopted
+from hornbeamstand_core.peer_messages import Heartbeat
 
 from .task import Ask, Task, start_loop
 
@@ -23,6 +38,19 @@
 IDLE_TICK_MS = 100.0
 
 
+# The role that each control message's time is counted for.
+ROLES = {
+    Heartbeat: "member",
+    RoundDone: "member",
+    LeaseGranted: "member",
+    AdoptView: "member",
+    Tick: "member",
+    AdoptConfiguration: "follower",
+    ProbeResult: "owner",
+    RoomNews: "router",
+}
+
+
 class Decider:
     """The controllers, and the mailboxes that wait for their replies.
 
@@ -34,9 +62,23 @@
         The process's clock.
     log : structlog logger
         For decisions; None turns them off.
+
+    Attributes
+    ----------
+    control_ms : dict
+        Time spent on control messages since the start, by role.
     """
 
-    __slots__ = ("node", "clock", "log", "task", "n_requests", "_waiting", "_routes")
+    __slots__ = (
+        "node",
+        "clock",
+        "log",
+        "task",
+        "n_requests",
+        "control_ms",
+        "_waiting",
+        "_routes",
+    )
 
     def __init__(self, node, clock, log):
         self.node = node
@@ -44,6 +86,7 @@
         self.log = log
         self.task = Task("decider")
         self.n_requests = 0
+        self.control_ms = dict.fromkeys(ROLES.values(), 0.0)
         self._waiting = {}
         self._routes = {
             Granted: self._reply,
@@ -70,7 +113,13 @@
         if type(message) is Ask:
             self._handle_ask(message)
             return
-        self._perform(self.node.handle(message, self.clock.now_ms()))
+        started_at_ms = self.clock.now_ms()
+        self._perform(self.node.handle(message, started_at_ms))
+        self._count_control(ROLES.get(type(message)), started_at_ms)
+
+    def _count_control(self, role, started_at_ms):
+        if role is not None:
+            self.control_ms[role] += self.clock.now_ms() - started_at_ms
 
     def _handle_ask(self, ask):
         message = ask.message
@@ -82,7 +131,9 @@
         self._perform(self.node.handle(message, self.clock.now_ms()))
 
     def _tick(self):
-        self._perform(self.node.handle(Tick(self.n_requests), self.clock.now_ms()))
+        started_at_ms = self.clock.now_ms()
+        self._perform(self.node.handle(Tick(self.n_requests), started_at_ms))
+        self._count_control(ROLES[Tick], started_at_ms)
         is_busy = self.node.balancer.has_waiting()
         return BUSY_TICK_MS if is_busy else IDLE_TICK_MS
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -226,6 +226,7 @@
     raw = request(admin, "GET", "/metrics")[2].decode()
     assert 'hornbeamstand_calls_total{outcome="ran",service="shop"}' in raw
     assert "hornbeamstand_latency_ms{" in raw
+    assert 'hornbeamstand_control_s{role="member"}' in raw
     lines = cluster.ctl("status", *(v.settings["admin_address"] for v in cluster.vms))
     assert "configuration 1" in lines
     assert "shop/t0" in lines
--- /dev/null
+++ b/tests/test_platform_calls.py
@@ -0,0 +1,23 @@
+"""The platform's calls grow with cells, not with VMs."""
+
+from replay.cell import LEASE_MS, Cell
+from replay.world import World
+
+from .cells import make_configuration
+
+LENGTH_MS = 10_000.0
+# Two renewers, each a read of the view and a renewal four times a lease time.
+CALLS_PER_LEASE_MAX = 2 * 2 * 4
+
+
+def calls_per_lease(n_vms):
+    cell = Cell(World(), make_configuration(), n_vms, seed=1)
+    cell.world.run_until(LENGTH_MS)
+    n_before = cell.platform.n_calls
+    cell.world.run_until(2 * LENGTH_MS)
+    return (cell.platform.n_calls - n_before) * LEASE_MS / LENGTH_MS
+
+
+def test_a_cell_at_rest_makes_as_many_calls_whatever_its_size():
+    for n_vms in (3, 7, 13):
+        assert calls_per_lease(n_vms) <= CALLS_PER_LEASE_MAX
