Remove what nothing uses

Cause: read as a newcomer, some names led nowhere: a random choice, an error class, a slot of Answer, a platform call that no part makes. Change: they are gone; the status names the ejected phase by its constant.

--- a/packages/core/hornbeamstand_core/controllers/choice.py
+++ b/packages/core/hornbeamstand_core/controllers/choice.py
@@ -19,15 +19,6 @@
     return choose
 
 
-def make_random(rng):
-    """Return an even random choice."""
-
-    def choose(states, now_ms, base_ms):
-        return states[rng.randrange(len(states))]
-
-    return choose
-
-
 def utilisation(state):
     """Return the share of the limit in use."""
     return state.n_in_flight / state.limit
--- a/packages/core/hornbeamstand_core/errors.py
+++ b/packages/core/hornbeamstand_core/errors.py
@@ -31,7 +31,3 @@
 
 class ConflictError(HornbeamError):
     """A compare-and-swap found another revision than expected."""
-
-
-class PeerError(HornbeamError):
-    """Another entry VM did not answer."""
--- a/packages/core/hornbeamstand_core/messages.py
+++ b/packages/core/hornbeamstand_core/messages.py
@@ -86,13 +86,12 @@
 class Answer(Record):
     """A whole answer of a target; ``payload`` is the front end's own."""
 
-    __slots__ = ("status", "payload", "target_id", "latency_ms")
+    __slots__ = ("status", "payload", "target_id")
 
-    def __init__(self, status, payload=None, target_id="", latency_ms=0.0):
+    def __init__(self, status, payload=None, target_id=""):
         self.status = status
         self.payload = payload
         self.target_id = target_id
-        self.latency_ms = latency_ms
 
 
 NOT_RUN = "not-run"
--- a/packages/entry/hornbeamstand_entry/admin.py
+++ b/packages/entry/hornbeamstand_entry/admin.py
@@ -2,6 +2,7 @@
 
 import resource
 
+from hornbeamstand_core.controllers.target_state import EJECTED
 from hornbeamstand_core.messages import Refusal
 
 from .responses import respond_json, respond_refusal
@@ -56,7 +57,7 @@
     targets = {}
     for target_id, state in service.targets.items():
         targets[target_id] = {
-            "phase": state.phase if now_ms >= state.ejected_until_ms else "ejected",
+            "phase": state.phase if now_ms >= state.ejected_until_ms else EJECTED,
             "is_open": state.is_open,
             "limit": round(state.limit, 2),
             "n_in_flight": state.n_in_flight,
--- a/packages/wire/hornbeamstand_wire/platform.py
+++ b/packages/wire/hornbeamstand_wire/platform.py
@@ -33,12 +33,11 @@
     ConflictError; none raises for a fault of the platform.
     """
 
-    __slots__ = ("address", "_http", "_timeout_ms")
+    __slots__ = ("address", "_http")
 
     def __init__(self, address, timeout_ms):
         host, _, port = address.rpartition(":")
         self.address = address
-        self._timeout_ms = timeout_ms
         self._http = HTTPClient(
             host,
             int(port),
@@ -128,7 +127,3 @@
         path = f"/v1/watch/{key}?after={after_revision}&wait_ms={int(wait_ms)}"
         answer = self._call("platform.watch", "GET", path)
         return answer.map(lambda raw: Stored(raw["value"], raw["revision"]))
-
-    def list_vms(self):
-        """Return the platform's lagging list of VMs: name to state."""
-        return self._call("platform.vms", "GET", "/v1/vms").map(lambda raw: raw["vms"])
