Compact signs of life; end relays that a peer may have used up

Change: a sign of life is 20 bytes, named by its sender's address; only VMs that callers depend on beat often. A relay that broke after the time of a second send ends as unknown.

--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -30,7 +30,7 @@
 from ..messages import Refusal, Release, Withdraw
 from ..records import Record
 from .capacity import ServiceCapacity
-from .peer_view import BEAT_MS, PeerView
+from .peer_view import PeerView
 from .routing import Routing
 from .target_table import TargetTable
 
@@ -147,14 +147,14 @@
         if isinstance(terms, Refusal):
             return [Granted(message.request_id, terms)]
         owner = self.peers.owner(terms.service_name, now_ms)
-        is_mine = owner is None or owner == self.me.vm_id
+        is_mine = owner is None or owner == self.me.ip
         routed = Routed(terms, None if is_mine else owner)
         return [Granted(message.request_id, routed)]
 
     def _acquire(self, message, now_ms):
         service = self.find_service(message.service_name)
         owner = self.peers.owner(message.service_name, now_ms)
-        service.is_owner = owner == self.me.vm_id
+        service.is_owner = owner == self.me.ip
         return service.acquire(message, now_ms)
 
     def _release(self, message, now_ms):
@@ -172,9 +172,7 @@
         """Return the addresses of the VMs that callers of a host should use."""
         config = self.routing.config
         service_name = config.main_service(host) if config else None
-        order = self.peers.ranked(service_name or host, now_ms)
-        ips = [self.peers.ip_of(vm_id) for vm_id in order[: self.n_named]]
-        return [ip for ip in ips if ip is not None]
+        return self.peers.ranked(service_name or host, now_ms)[: self.n_named]
 
     # The store.
 
@@ -223,7 +221,7 @@
         if type(record) is DomainOut:
             return self._take_domain_out(record)
         if type(record) is VmEntry:
-            self.peers.note_contact(record.vm_id, record.ip)
+            self.peers.note_contact(record.ip)
             return []
         if type(record) is BadEntry:
             return [Belief("store", "unreadable entry", record.key, record.detail)]
@@ -285,11 +283,15 @@
         out = self._drain_all(now_ms)
         out += self.table.end_doubt(now_ms)
         if now_ms >= self._next_beat_ms:
-            self._next_beat_ms = now_ms + BEAT_MS
-            out += self.peers.beat_round(now_ms)
+            out += self.peers.beat_round(self._service_names(), now_ms)
+            self._next_beat_ms = now_ms + self.peers.interval_ms()
         out += self._ask_resync(now_ms)
         return out
 
+    def _service_names(self):
+        config = self.routing.config
+        return config.services if config else ()
+
     def _ask_resync(self, now_ms):
         since_ms = self._behind_since_ms
         if since_ms is None or now_ms - since_ms < BEHIND_MS:
@@ -301,4 +303,4 @@
         self.peers.is_stopping = True
         beat = self.peers.my_beat(now_ms)
         out = [SendBeat(ip, beat) for ip in self.peers.contact_ips]
-        return [Belief("peer", "stopping", self.me.vm_id), *out]
+        return [Belief("peer", "stopping", self.me.ip), *out]
--- a/packages/core/hornbeamstand_core/controllers/peer_view.py
+++ b/packages/core/hornbeamstand_core/controllers/peer_view.py
@@ -8,9 +8,13 @@
 from ..edge_messages import Beat, Belief, SendBeat
 from ..hashing import rank
 
-BEAT_MS = 200.0
-# A peer that was silent for this long is taken as gone.
-SILENT_MS = 750.0
+# VMs that callers depend on beat often, so that their loss is noticed soon.
+FREQUENT_MS = 250.0
+SELDOM_MS = 750.0
+# A peer that was silent for this many of its intervals is taken as gone.
+N_SILENT = 3.4
+# So many of a service's first VMs beat often.
+N_FREQUENT = 2
 # Silent contacts hear of this VM only in each n-th round.
 N_ROUNDS_BETWEEN_CALLS = 5
 # A VM becomes an owner only after it has been up for this long, if others have.
@@ -44,6 +48,7 @@
         "contact_ips",
         "is_serving",
         "is_stopping",
+        "is_frequent",
         "revision",
         "_n_rounds",
         "_ranks",
@@ -53,9 +58,10 @@
     def __init__(self, me, seed_ips):
         self.me = me
         self.peers = {}
-        self.contact_ips = {ip: "" for ip in seed_ips if ip != me.ip}
+        self.contact_ips = {ip for ip in seed_ips if ip != me.ip}
         self.is_serving = False
         self.is_stopping = False
+        self.is_frequent = False
         self.revision = 0
         self._n_rounds = 0
         self._ranks = {}
@@ -66,80 +72,78 @@
     def my_beat(self, now_ms):
         """Return this VM's own sign of life."""
         return Beat(
-            self.me.vm_id,
-            self.me.start_id,
             self.me.ip,
-            self.me.failure_domain,
+            self.me.start_id,
             self.is_serving,
             self.is_stopping,
+            now_ms - self.me.started_at_ms >= SETTLED_MS,
+            self.is_frequent,
             self.revision,
-            now_ms - self.me.started_at_ms,
         )
 
-    def note_contact(self, vm_id, ip):
+    def note_contact(self, ip):
         """Learn where a peer is from its entry in the store."""
         if ip != self.me.ip:
-            self.contact_ips[ip] = vm_id
+            self.contact_ips.add(ip)
 
     def note_beat(self, beat, now_ms):
         """Take a peer's sign of life; returns messages."""
-        if beat.vm_id == self.me.vm_id:
+        if beat.ip == self.me.ip:
             return []
-        known = self.peers.get(beat.vm_id)
+        known = self.peers.get(beat.ip)
         is_new = known is None or known.beat.start_id != beat.start_id
-        self.peers[beat.vm_id] = Peer(beat, now_ms)
-        self.contact_ips[beat.ip] = beat.vm_id
+        self.peers[beat.ip] = Peer(beat, now_ms)
+        self.contact_ips.add(beat.ip)
         if not is_new:
             return []
         return [
             SendBeat(beat.ip, self.my_beat(now_ms)),
-            Belief("peer", "heard", beat.vm_id, f"domain={beat.failure_domain}"),
+            Belief("peer", "heard", beat.ip, f"start={beat.start_id}"),
         ]
 
-    def beat_round(self, now_ms):
+    def beat_round(self, service_names, now_ms):
         """Return the messages of one round of signs of life."""
         self._n_rounds += 1
         out = self._note_silent(now_ms)
+        self.is_frequent = any(
+            self.me.ip in self.ranked(name, now_ms)[:N_FREQUENT]
+            for name in service_names
+        )
         beat = self.my_beat(now_ms)
-        alive_ips = {peer.beat.ip for peer in self.peers.values()}
         is_call = self._n_rounds % N_ROUNDS_BETWEEN_CALLS == 1
         for ip in self.contact_ips:
-            if ip in alive_ips or is_call:
+            if ip in self.peers or is_call:
                 out.append(SendBeat(ip, beat))
         return out
 
+    def interval_ms(self):
+        """Return the time until this VM's next round."""
+        return FREQUENT_MS if self.is_frequent else SELDOM_MS
+
     def _note_silent(self, now_ms):
-        silent = [
-            vm_id
-            for vm_id, peer in self.peers.items()
-            if now_ms - peer.heard_at_ms > SILENT_MS
-        ]
-        for vm_id in silent:
-            del self.peers[vm_id]
-        return [Belief("peer", "silent", vm_id) for vm_id in silent]
+        silent = [ip for ip, peer in self.peers.items() if is_silent(peer, now_ms)]
+        for ip in silent:
+            del self.peers[ip]
+        return [Belief("peer", "silent", ip) for ip in silent]
 
-    def is_alive(self, vm_id, now_ms):
+    def is_alive(self, ip, now_ms):
         """Tell whether a peer was heard lately and is not stopping."""
-        peer = self.peers.get(vm_id)
+        peer = self.peers.get(ip)
         if peer is None or peer.beat.is_stopping:
             return False
-        return now_ms - peer.heard_at_ms <= SILENT_MS
+        return not is_silent(peer, now_ms)
 
     # Owners.
 
     def candidates(self, now_ms):
         """Return the VMs that may own a service or be named to callers."""
         beats = [
-            peer.beat
-            for peer in self.peers.values()
-            if peer.beat.is_serving
-            and not peer.beat.is_stopping
-            and now_ms - peer.heard_at_ms <= SILENT_MS
+            peer.beat for peer in self.peers.values() if not is_silent(peer, now_ms)
         ]
-        if self.is_serving and not self.is_stopping:
-            beats.append(self.my_beat(now_ms))
-        settled = [beat.vm_id for beat in beats if beat.up_ms >= SETTLED_MS]
-        return tuple(sorted(settled or [beat.vm_id for beat in beats]))
+        beats.append(self.my_beat(now_ms))
+        beats = [beat for beat in beats if beat.is_serving and not beat.is_stopping]
+        settled = [beat.ip for beat in beats if beat.is_settled]
+        return tuple(sorted(settled or [beat.ip for beat in beats]))
 
     def ranked(self, key, now_ms):
         """Return the candidates in their order for a key."""
@@ -157,9 +161,8 @@
         order = self.ranked(service_name, now_ms)
         return order[0] if order else None
 
-    def ip_of(self, vm_id):
-        """Return a VM's address, or None if it is not known."""
-        if vm_id == self.me.vm_id:
-            return self.me.ip
-        peer = self.peers.get(vm_id)
-        return peer.beat.ip if peer else None
+
+def is_silent(peer, now_ms):
+    """Tell whether a peer missed too many of its rounds."""
+    interval_ms = FREQUENT_MS if peer.beat.is_frequent else SELDOM_MS
+    return now_ms - peer.heard_at_ms > N_SILENT * interval_ms
--- a/packages/core/hornbeamstand_core/edge_messages.py
+++ b/packages/core/hornbeamstand_core/edge_messages.py
@@ -264,42 +264,40 @@
 
 
 class Beat(Record):
-    """One VM's sign of life.
+    """One VM's sign of life; its address names it.
 
     ``start_id`` tells one start of its process from the next; ``revision`` is
-    the store's revision that it has followed.
+    the store's revision that it has followed. ``is_settled`` means that it has
+    been up for a while; ``is_frequent`` that it beats at the short interval.
     """
 
     __slots__ = (
-        "vm_id",
-        "start_id",
         "ip",
-        "failure_domain",
+        "start_id",
         "is_serving",
         "is_stopping",
+        "is_settled",
+        "is_frequent",
         "revision",
-        "up_ms",
     )
 
     def __init__(
         self,
-        vm_id,
-        start_id,
         ip,
-        failure_domain,
+        start_id,
         is_serving,
         is_stopping,
+        is_settled,
+        is_frequent,
         revision,
-        up_ms,
     ):
-        self.vm_id = vm_id
-        self.start_id = start_id
         self.ip = ip
-        self.failure_domain = failure_domain
+        self.start_id = start_id
         self.is_serving = is_serving
         self.is_stopping = is_stopping
+        self.is_settled = is_settled
+        self.is_frequent = is_frequent
         self.revision = revision
-        self.up_ms = up_ms
 
 
 class SendBeat(Record):
--- a/packages/core/hornbeamstand_core/filters/relay.py
+++ b/packages/core/hornbeamstand_core/filters/relay.py
@@ -4,6 +4,7 @@
 
 from ..edge_messages import Abort, AskPeerAlive, Await, CallerLeft, Relay, TimeUp
 from ..messages import CANCELLED, UNKNOWN, Answer, Refusal, SendFailure
+from .attempts import first_hedge_ms
 
 # While a peer is silent in a request it is asked after at this interval.
 PEER_CHECK_MS = 250.0
@@ -46,19 +47,30 @@
             if is_alive or not call.terms.is_idempotent:
                 continue
             yield Abort(order)
-            call.n_ran_max += 1
-            return None
-        return end_relay(call, event.result)
+            return go_on(call, "peer is silent", event.now_ms)
+        return end_relay(call, event.result, event.now_ms)
+
+
+def go_on(call, reason, now_ms):
+    """Return None if the call may still be sent here, else its refusal.
+
+    The peer may have sent it, and beside a slow target to a second one.
+    """
+    call.n_ran_max = 1
+    if now_ms >= first_hedge_ms(call):
+        call.n_ran_max = call.terms.n_attempts_max
+    if call.n_ran_max < call.terms.n_attempts_max:
+        return None
+    return Err(Refusal(reason, UNKNOWN, 502, "relay", call.relay_to))
 
 
-def end_relay(call, result):
+def end_relay(call, result, now_ms):
     """Return the outcome of a relayed call, or None to go on here."""
     if isinstance(result, SendFailure):
         if not result.may_have_run:
             return None
         if call.terms.is_idempotent:
-            call.n_ran_max += 1
-            return None
+            return go_on(call, result.kind, now_ms)
         return Err(Refusal(result.kind, UNKNOWN, 502, "relay", call.relay_to))
     if result.refusal is not None:
         return Err(result.refusal)
--- a/packages/entry/hornbeamstand_entry/edge/beats.py
+++ b/packages/entry/hornbeamstand_entry/edge/beats.py
@@ -8,27 +8,28 @@
 from ..tasks.task import Task
 
 DATAGRAM_MAX_BYTES = 2048
-N_FIELDS = len(Beat.__slots__)
-FIELD_TYPES = (str, int, str, str, bool, bool, int, (int, float))
+# Fields on the wire; the sender's address is the datagram's own.
+FIELDS = tuple(name for name in Beat.__slots__ if name != "ip")
+FIELD_TYPES = (int, bool, bool, bool, bool, int)
 
 
 def encode_beat(beat):
     """Return a sign of life as MessagePack."""
-    return msgspec.msgpack.encode([getattr(beat, name) for name in Beat.__slots__])
+    return msgspec.msgpack.encode([getattr(beat, name) for name in FIELDS])
 
 
-def decode_beat(raw):
-    """Return a Beat, or None if the bytes are none."""
+def decode_beat(raw, ip):
+    """Return the Beat that an address sent, or None if the bytes are none."""
     try:
         fields = msgspec.msgpack.decode(raw)
     except msgspec.DecodeError:
         return None
-    if not isinstance(fields, list) or len(fields) != N_FIELDS:
+    if not isinstance(fields, list) or len(fields) != len(FIELDS):
         return None
     for value, kind in zip(fields, FIELD_TYPES, strict=True):
-        if not isinstance(value, kind):
+        if type(value) is not kind:
             return None
-    return Beat(*fields)
+    return Beat(ip, *fields)
 
 
 class Beats:
@@ -89,7 +90,7 @@
             except OSError:
                 # An earlier datagram was refused; the socket goes on.
                 continue
-            beat = decode_beat(raw)
+            beat = decode_beat(raw, peer[0])
             if beat is None:
                 self.log.info("peer: unreadable datagram", peer=peer[0])
                 continue
--- a/packages/entry/hornbeamstand_entry/edge/performers.py
+++ b/packages/entry/hornbeamstand_entry/edge/performers.py
@@ -94,14 +94,9 @@
 
     def relay(effect, context):
         now_ms = clock.now_ms()
-        ip = decider.node.peers.ip_of(effect.peer_id)
-        if ip is None:
-            failure = SendFailure("peer left", False, effect.peer_id)
-            context.pending.append(Ended(effect, failure, now_ms))
-            return
         items = peer_items(context, effect, now_ms)
         wire = encode_request(context.method, context.path, items, context.body)
-        address = f"{ip}:{settings.peer_port}"
+        address = f"{effect.peer_id}:{settings.peer_port}"
         must_be_proven = not effect.terms.is_idempotent
         start(peers, address, effect, wire, effect, context, must_be_proven)
 
