Let each failure domain's VM count its own targets; look at loads first

Cause: one owner for all targets sends two thirds of the bytes to other failure domains, which are priced; load figures are older than the phases they tell of.

Change: a service has one owner for each failure domain, look-ups name VMs near the caller, the choice prefers near targets. A request whose best target's speed is older than 120 ms asks up to three near targets for their load first.

--- a/packages/core/hornbeamstand_core/controllers/capacity.py
+++ b/packages/core/hornbeamstand_core/controllers/capacity.py
@@ -6,7 +6,7 @@
 """
 
 from ..balancer_messages import Decision, Granted
-from ..edge_messages import FIRST, HEDGE
+from ..edge_messages import FIRST, HEDGE, LookFirst
 from ..messages import (
     CANCELLED,
     CONNECT_FAILED,
@@ -42,6 +42,14 @@
 MISDIRECTED_STATUS = 421
 # A target that answered "not me" is another one; its entry will change.
 MISDIRECTED_MS = 2500.0
+# A speed figure older than this is worth a look.
+LOOK_AGE_MS = 120.0
+# So many targets are looked at for one request.
+N_LOOKED = 3
+# Up to this factor a target counts as fast.
+FAST_SPEED = 1.2
+# A target that does not answer a look is taken to be this slow.
+UNANSWERED_SPEED = 6.0
 
 
 class Waiting:
@@ -68,6 +76,9 @@
         Spreads refused callers.
     bounds : RepeatBounds
         Limits of repeated sends over all VMs.
+    owns : callable
+        Tells whether this VM counts the requests to a service's targets in a
+        failure domain.
     """
 
     __slots__ = (
@@ -77,25 +88,27 @@
         "targets",
         "waiting",
         "repeats",
-        "is_owner",
+        "n_owners",
         "mean_ms",
         "usual_speed",
         "out_domains",
         "_rng",
+        "_owns",
     )
 
-    def __init__(self, name, home_domain, rng, bounds):
+    def __init__(self, name, home_domain, rng, bounds, owns):
         self.name = name
         self.home_domain = home_domain
         self.rules = None
         self.targets = {}
         self.waiting = []
         self.repeats = RetryWindow(bounds.ratio, bounds.slack, bounds.window_ms)
-        self.is_owner = True
+        self.n_owners = 1
         self.mean_ms = None
         self.usual_speed = SPEED_PRIOR
         self.out_domains = frozenset()
         self._rng = rng
+        self._owns = owns
 
     # Requests.
 
@@ -103,14 +116,19 @@
         """Grant a slot, let the request wait, or refuse; returns messages."""
         if message.kind != FIRST:
             return self._acquire_repeat(message, now_ms)
-        self.repeats.note_first(now_ms)
+        if not message.has_looked:
+            self.repeats.note_first(now_ms)
         target = None if self.waiting else self._find(message, now_ms)
         if target is not None:
+            doubtful = self._find_doubtful(message, target, now_ms)
+            if doubtful:
+                return self._look_first(message, doubtful)
             return self._grant(message, target, now_ms)
         return self._wait(message, now_ms)
 
     def _acquire_repeat(self, message, now_ms):
-        if self.repeats.n_left(self.is_owner, now_ms) < 1.0:
+        is_owner = self._owns(self.name, self.home_domain, now_ms)
+        if self.repeats.n_left(is_owner, self.n_owners, now_ms) < 1.0:
             return self._refuse(message, "retry budget spent", now_ms)
         target = self._find(message, now_ms)
         if target is None:
@@ -167,10 +185,46 @@
         if not target.is_cold(now_ms):
             return True
         rate = self.rules.cold_rate_per_s if self.rules else 1.0
-        if not self.is_owner:
+        if not self._owns(self.name, target.entry.failure_domain, now_ms):
             rate *= OTHER_COLD_SHARE
         return target.n_cold_sent(now_ms) + 1 <= rate
 
+    # Looks at targets whose speed is not known well enough.
+
+    def _find_doubtful(self, message, chosen, now_ms):
+        """Return the near targets to ask for their load, the chosen among them."""
+        if message.has_looked or is_known_fast(chosen, now_ms):
+            return []
+        if chosen.entry.failure_domain != self.home_domain or chosen.speed is None:
+            return []
+        near = [
+            target
+            for target in self.usable(now_ms)
+            if target.entry.failure_domain == self.home_domain
+            and target.speed is not None
+            and now_ms >= target.ejected_until_ms
+            and now_ms - target.speed_at_ms > LOOK_AGE_MS
+            and target.n_free(now_ms) > 0
+        ]
+        near.sort(key=lambda target: self._cost(target, now_ms))
+        return near[:N_LOOKED]
+
+    def _look_first(self, message, targets):
+        path = self.rules.health_path if self.rules else "/health"
+        pairs = [(item.entry.target_id, item.entry.address) for item in targets]
+        return [Granted(message.request_id, LookFirst(self.name, path, pairs))]
+
+    def note_load(self, message, now_ms):
+        """Take a target's answer to a look."""
+        target = self.targets.get(message.target_id)
+        if target is None:
+            return
+        if message.report is None:
+            target.speed = UNANSWERED_SPEED
+            target.speed_at_ms = now_ms
+            return
+        target.note_load(message.report, now_ms)
+
     def _grant(self, message, target, now_ms):
         target.start(message.dispatch_id, now_ms)
         entry = target.entry
@@ -326,3 +380,10 @@
             self.mean_ms = latency_ms
         target.note_ratio(latency_ms / max(1.0, self.mean_ms), now_ms)
         self.mean_ms += MEAN_WEIGHT * (latency_ms - self.mean_ms)
+
+
+def is_known_fast(target, now_ms):
+    """Tell whether a target said a moment ago that it works at its usual speed."""
+    if target.speed is None or target.speed > FAST_SPEED:
+        return False
+    return now_ms - target.speed_at_ms <= LOOK_AGE_MS
--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -22,6 +22,7 @@
     Belief,
     EdgeTick,
     FindRoute,
+    LoadSeen,
     Resync,
     Routed,
     SendBeat,
@@ -111,6 +112,7 @@
         self._handlers = {
             FindRoute: self._find_route,
             AcquireSlot: self._acquire,
+            LoadSeen: self._note_load,
             Release: self._release,
             Withdraw: self._withdraw,
             AskPeerAlive: self._ask_peer_alive,
@@ -132,7 +134,7 @@
         service = self.services.get(name)
         if service is None:
             service = ServiceCapacity(
-                name, self.me.failure_domain, self._rng, self.bounds
+                name, self.me.failure_domain, self._rng, self.bounds, self._owns
             )
             if self.routing.config is not None:
                 service.rules = self.routing.config.services.get(name)
@@ -146,17 +148,24 @@
         terms = self.routing.find(message.host, message.path)
         if isinstance(terms, Refusal):
             return [Granted(message.request_id, terms)]
-        owner = self.peers.owner(terms.service_name, now_ms)
+        owner = self.peers.owner(terms.service_name, now_ms, self.me.failure_domain)
         is_mine = owner is None or owner == self.me.ip
         routed = Routed(terms, None if is_mine else owner)
         return [Granted(message.request_id, routed)]
 
     def _acquire(self, message, now_ms):
         service = self.find_service(message.service_name)
-        owner = self.peers.owner(message.service_name, now_ms)
-        service.is_owner = owner == self.me.ip
+        service.n_owners = self.peers.n_domains(now_ms)
         return service.acquire(message, now_ms)
 
+    def _owns(self, service_name, failure_domain, now_ms):
+        return self.peers.owner(service_name, now_ms, failure_domain) == self.me.ip
+
+    def _note_load(self, message, now_ms):
+        service = self.find_service(message.service_name)
+        service.note_load(message, now_ms)
+        return []
+
     def _release(self, message, now_ms):
         service = self.find_service(message.permit.service_name)
         return service.release(message, now_ms)
@@ -168,11 +177,12 @@
     def _ask_peer_alive(self, message, now_ms):
         return [self.peers.is_alive(message.peer_id, now_ms)]
 
-    def named_ips(self, host, now_ms):
-        """Return the addresses of the VMs that callers of a host should use."""
+    def named_ips(self, host, failure_domain, now_ms):
+        """Return the addresses of the VMs that a host's callers should use."""
         config = self.routing.config
         service_name = config.main_service(host) if config else None
-        return self.peers.ranked(service_name or host, now_ms)[: self.n_named]
+        order = self.peers.ranked(service_name or host, now_ms, failure_domain)
+        return order[: self.n_named]
 
     # The store.
 
--- a/packages/core/hornbeamstand_core/controllers/peer_view.py
+++ b/packages/core/hornbeamstand_core/controllers/peer_view.py
@@ -13,6 +13,8 @@
 SELDOM_MS = 750.0
 # A peer that was silent for this many of its intervals is taken as gone.
 N_SILENT = 3.4
+# The list of candidates is made anew at this interval.
+FRESH_MS = 40.0
 # So many of a service's first VMs beat often.
 N_FREQUENT = 2
 # Silent contacts hear of this VM only in each n-th round.
@@ -53,6 +55,7 @@
         "_n_rounds",
         "_ranks",
         "_candidates",
+        "_fresh_until_ms",
     )
 
     def __init__(self, me, seed_ips):
@@ -66,6 +69,7 @@
         self._n_rounds = 0
         self._ranks = {}
         self._candidates = ()
+        self._fresh_until_ms = float("-inf")
 
     # Signs of life.
 
@@ -73,6 +77,7 @@
         """Return this VM's own sign of life."""
         return Beat(
             self.me.ip,
+            self.me.failure_domain,
             self.me.start_id,
             self.is_serving,
             self.is_stopping,
@@ -106,7 +111,7 @@
         self._n_rounds += 1
         out = self._note_silent(now_ms)
         self.is_frequent = any(
-            self.me.ip in self.ranked(name, now_ms)[:N_FREQUENT]
+            self.me.ip in self.ranked(name, now_ms, self.me.failure_domain)[:N_FREQUENT]
             for name in service_names
         )
         beat = self.my_beat(now_ms)
@@ -142,25 +147,47 @@
         ]
         beats.append(self.my_beat(now_ms))
         beats = [beat for beat in beats if beat.is_serving and not beat.is_stopping]
-        settled = [beat.ip for beat in beats if beat.is_settled]
-        return tuple(sorted(settled or [beat.ip for beat in beats]))
+        settled = [beat for beat in beats if beat.is_settled]
+        return tuple(
+            sorted((beat.ip, beat.failure_domain) for beat in settled or beats)
+        )
 
-    def ranked(self, key, now_ms):
-        """Return the candidates in their order for a key."""
+    def _refresh(self, now_ms):
+        if now_ms < self._fresh_until_ms:
+            return
+        self._fresh_until_ms = now_ms + FRESH_MS
         candidates = self.candidates(now_ms)
         if candidates != self._candidates:
             self._candidates = candidates
             self._ranks = {}
-        order = self._ranks.get(key)
+
+    def ranked(self, key, now_ms, failure_domain):
+        """Return the candidates' addresses in their order for a key.
+
+        Those of the failure domain come before all others.
+        """
+        self._refresh(now_ms)
+        order = self._ranks.get((key, failure_domain))
         if order is None:
-            order = self._ranks[key] = rank(candidates, key)
+            near = [ip for ip, domain in self._candidates if domain == failure_domain]
+            far = [ip for ip, domain in self._candidates if domain != failure_domain]
+            order = rank(near, key) + rank(far, key)
+            self._ranks[(key, failure_domain)] = order
         return order
 
-    def owner(self, service_name, now_ms):
-        """Return the VM that counts a service's requests, or None."""
-        order = self.ranked(service_name, now_ms)
+    def owner(self, service_name, now_ms, failure_domain):
+        """Return the VM that counts the requests to a service's targets there.
+
+        None if no VM is known to serve.
+        """
+        order = self.ranked(service_name, now_ms, failure_domain)
         return order[0] if order else None
 
+    def n_domains(self, now_ms):
+        """Count the failure domains that hold candidates."""
+        self._refresh(now_ms)
+        return max(1, len({domain for _, domain in self._candidates}))
+
 
 def is_silent(peer, now_ms):
     """Tell whether a peer missed too many of its rounds."""
--- a/packages/core/hornbeamstand_core/controllers/retry_window.py
+++ b/packages/core/hornbeamstand_core/controllers/retry_window.py
@@ -4,10 +4,10 @@
 
 # Share of the allowed ratio and slack that this VM uses: another VM may have
 # been the service's owner earlier in the same window.
-RATIO_SHARE = 0.85
-OWNER_SLACK_SHARE = 0.4
+RATIO_SHARE = 0.95
+OWNER_SLACK_SHARE = 0.6
 # Share of the slack that each VM uses which is not the owner.
-OTHER_SLACK_SHARE = 0.03
+OTHER_SLACK_SHARE = 0.02
 
 
 class RetryWindow:
@@ -45,11 +45,21 @@
         """Count one repeated send."""
         self._repeat_at_ms.append(now_ms)
 
-    def n_left(self, is_owner, now_ms):
-        """Return how many repeats may be sent now."""
+    def n_left(self, is_owner, n_owners, now_ms):
+        """Return how many repeats may be sent now.
+
+        Parameters
+        ----------
+        is_owner : bool
+            Whether this VM is one of the service's owners.
+        n_owners : int
+            The owners of the service over all failure domains.
+        now_ms : float
+            The local time.
+        """
         self._forget(self._first_at_ms, now_ms)
         self._forget(self._repeat_at_ms, now_ms)
-        slack_share = OWNER_SLACK_SHARE if is_owner else OTHER_SLACK_SHARE
+        slack_share = OWNER_SLACK_SHARE / n_owners if is_owner else OTHER_SLACK_SHARE
         allowed = RATIO_SHARE * self.ratio * len(self._first_at_ms)
         allowed += slack_share * self.slack
         return allowed - len(self._repeat_at_ms)
--- a/packages/core/hornbeamstand_core/edge_messages.py
+++ b/packages/core/hornbeamstand_core/edge_messages.py
@@ -115,9 +115,10 @@
 
 
 class AcquireSlot(Record):
-    """Ask for a slot; replies Permit or Refusal.
+    """Ask for a slot; replies Permit, LookFirst or Refusal.
 
-    Only a ``FIRST`` may wait. ``excluded_ids`` are the targets tried before.
+    Only a ``FIRST`` may wait. ``excluded_ids`` are the targets tried before;
+    ``has_looked`` means that targets were asked for their load just now.
     """
 
     __slots__ = (
@@ -130,6 +131,7 @@
         "deadline_at_ms",
         "objective_at_ms",
         "excluded_ids",
+        "has_looked",
     )
 
     def __init__(
@@ -143,6 +145,7 @@
         deadline_at_ms,
         objective_at_ms,
         excluded_ids=(),
+        has_looked=False,
     ):
         self.service_name = service_name
         self.request_id = request_id
@@ -153,6 +156,41 @@
         self.deadline_at_ms = deadline_at_ms
         self.objective_at_ms = objective_at_ms
         self.excluded_ids = excluded_ids
+        self.has_looked = has_looked
+
+
+class LookFirst(Record):
+    """Ask these targets for their load before the slot is asked for again.
+
+    ``targets`` are pairs of target id and address.
+    """
+
+    __slots__ = ("service_name", "path", "targets")
+
+    def __init__(self, service_name, path, targets):
+        self.service_name = service_name
+        self.path = path
+        self.targets = targets
+
+
+class Look(Record):
+    """Carry out a LookFirst; replies True when enough is known."""
+
+    __slots__ = ("first",)
+
+    def __init__(self, first):
+        self.first = first
+
+
+class LoadSeen(Record):
+    """A target's answer to a look; ``report`` is None if none came."""
+
+    __slots__ = ("service_name", "target_id", "report")
+
+    def __init__(self, service_name, target_id, report):
+        self.service_name = service_name
+        self.target_id = target_id
+        self.report = report
 
 
 class Launch(Record):
@@ -273,6 +311,7 @@
 
     __slots__ = (
         "ip",
+        "failure_domain",
         "start_id",
         "is_serving",
         "is_stopping",
@@ -284,6 +323,7 @@
     def __init__(
         self,
         ip,
+        failure_domain,
         start_id,
         is_serving,
         is_stopping,
@@ -292,6 +332,7 @@
         revision,
     ):
         self.ip = ip
+        self.failure_domain = failure_domain
         self.start_id = start_id
         self.is_serving = is_serving
         self.is_stopping = is_stopping
--- a/packages/core/hornbeamstand_core/filters/attempts.py
+++ b/packages/core/hornbeamstand_core/filters/attempts.py
@@ -11,6 +11,8 @@
     Await,
     CallerLeft,
     Launch,
+    Look,
+    LookFirst,
     TimeUp,
 )
 from ..messages import (
@@ -53,6 +55,9 @@
     """Send until one answer is good, the attempts are used or time is up."""
     race = Race(first_hedge_ms(call))
     reply = yield acquire(call, race, FIRST)
+    if isinstance(reply, LookFirst):
+        yield Look(reply)
+        reply = yield acquire(call, race, FIRST, has_looked=True)
     if isinstance(reply, Refusal):
         return Err(truthful(call, reply))
     yield launch(call, race, reply)
@@ -78,7 +83,7 @@
     return call.request.arrived_at_ms + HEDGE_SHARE * terms.objective_ms
 
 
-def acquire(call, race, kind):
+def acquire(call, race, kind, has_looked=False):
     """Return the effect that asks for one more slot."""
     race.n_acquired += 1
     request = call.request
@@ -92,6 +97,7 @@
         call.deadline_at_ms,
         call.objective_at_ms,
         call.tried_target_ids,
+        has_looked,
     )
 
 
--- a/packages/entry/hornbeamstand_entry/edge/dialect.py
+++ b/packages/entry/hornbeamstand_entry/edge/dialect.py
@@ -78,9 +78,9 @@
     """One platform's way to speak.
 
     ``decode_load`` maps a header value to a LoadReport or None; ``read_lookup``
-    the query of a look-up to a host name; ``encode_lookup`` addresses and a
-    time to live to a body; ``vm_item`` a VM's id and address to the key and
-    value of its entry in the store.
+    the query of a look-up to a host name and a failure domain; ``encode_lookup``
+    addresses and a time to live to a body; ``vm_item`` a VM's id and address to
+    the key and value of its entry in the store.
     """
 
     __slots__ = (
--- a/packages/entry/hornbeamstand_entry/edge/front.py
+++ b/packages/entry/hornbeamstand_entry/edge/front.py
@@ -133,6 +133,8 @@
         finally:
             watcher.stop()
             watcher.close()
+            for exchange in context.key_by_exchange:
+                exchange.cancel()
 
     def _respond_caller(self, start_response, outcome, context):
         extra = [CLOSE] if self.is_stopping else []
@@ -174,10 +176,10 @@
         """Answer which VMs callers of a host should use."""
         if environ["PATH_INFO"] != self.dialect.lookup_path:
             return respond(start_response, 404, b"", [PLAIN])
-        host = self.dialect.read_lookup(environ["QUERY_STRING"])
+        host, failure_domain = self.dialect.read_lookup(environ["QUERY_STRING"])
         port = self.settings.front_port
         now_ms = self.clock.now_ms()
-        ips = self.node.named_ips(read_host(host), now_ms)
+        ips = self.node.named_ips(read_host(host), failure_domain, now_ms)
         if not ips:
             return respond(start_response, 503, b"", [PLAIN])
         addresses = [f"{ip}:{port}" for ip in ips]
--- a/packages/entry/hornbeamstand_entry/edge/metrics.py
+++ b/packages/entry/hornbeamstand_entry/edge/metrics.py
@@ -21,12 +21,13 @@
     function that returns its value.
     """
 
-    __slots__ = ("calls", "latencies", "gauges")
+    __slots__ = ("calls", "latencies", "gauges", "n_looks")
 
     def __init__(self):
         self.calls = {}
         self.latencies = {}
         self.gauges = {}
+        self.n_looks = 0
 
     def count_edge_call(self, call, outcome, now_ms):
         """Count one finished call."""
--- a/packages/entry/hornbeamstand_entry/edge/performers.py
+++ b/packages/entry/hornbeamstand_entry/edge/performers.py
@@ -12,6 +12,8 @@
     Ended,
     FindRoute,
     Launch,
+    LoadSeen,
+    Look,
     Relay,
     TimeUp,
 )
@@ -22,6 +24,7 @@
     SendFailure,
     Withdraw,
 )
+from hornbeamstand_core.records import Record
 
 from ..context import CALLER_GONE
 from ..encoding import encode_request
@@ -30,6 +33,18 @@
 from .messages import peer_items, peer_reply, target_items, target_reply
 
 ANSWER_MAX_BYTES = 64 << 20
+# The longest wait for targets' answers to a look.
+LOOK_MS = 15.0
+
+
+class LookKey(Record):
+    """One target's look of a request."""
+
+    __slots__ = ("service_name", "target_id")
+
+    def __init__(self, service_name, target_id):
+        self.service_name = service_name
+        self.target_id = target_id
 
 
 def make_performers(decider, targets, peers, dialect, metrics, log, clock, settings):
@@ -100,6 +115,52 @@
         must_be_proven = not effect.terms.is_idempotent
         start(peers, address, effect, wire, effect, context, must_be_proven)
 
+    def look(effect, context):
+        first = effect.first
+        until_ms = clock.now_ms() + LOOK_MS
+        for target_id, address in first.targets:
+            key = LookKey(first.service_name, target_id)
+            items = [("Host", address)]
+            wire = encode_request("GET", first.path, items, b"")
+            exchange = Exchange(
+                "GET", wire, until_ms, False, ANSWER_MAX_BYTES, context.mailbox
+            )
+            context.key_by_exchange[exchange] = key
+            targets.post(address, exchange)
+        n_open = len(first.targets)
+        while n_open:
+            message = receive(context.mailbox, until_ms - clock.now_ms())
+            if message is None:
+                note_unanswered(context)
+                return False
+            key = None
+            if type(message) is Done:
+                key = context.key_by_exchange.get(message.exchange)
+            if type(key) is not LookKey:
+                context.pending.append(message)
+                continue
+            n_open -= 1
+            if note_look(message, context):
+                return True
+        return True
+
+    def note_look(message, context):
+        key = context.key_by_exchange.pop(message.exchange)
+        report = None
+        if type(message.result) is not SendFailure:
+            load = message.result.get(dialect.headers.load)
+            report = dialect.decode_load(load) if load is not None else None
+        decider.post(LoadSeen(key.service_name, key.target_id, report))
+        metrics.n_looks += 1
+        return report is not None and report.speed is not None and report.speed <= 1.0
+
+    def note_unanswered(context):
+        for exchange, key in list(context.key_by_exchange.items()):
+            if type(key) is LookKey:
+                del context.key_by_exchange[exchange]
+                exchange.cancel()
+                decider.post(LoadSeen(key.service_name, key.target_id, None))
+
     def await_event(effect, context):
         while True:
             message = take(effect, context)
@@ -111,8 +172,11 @@
             if type(message) is Ended:
                 return message
             if type(message) is Done:
-                key = context.key_by_exchange.pop(message.exchange, None)
-                if key is not None:
+                key = context.key_by_exchange.get(message.exchange)
+                if type(key) is LookKey:
+                    note_look(message, context)
+                elif key is not None:
+                    del context.key_by_exchange[message.exchange]
                     return Ended(key, read(key, message.result, context), now_ms)
 
     def take(effect, context):
@@ -149,6 +213,7 @@
         AcquireSlot: acquire,
         AskPeerAlive: ask,
         Launch: launch,
+        Look: look,
         Relay: relay,
         Await: await_event,
         Abort: abort,
