Ask for a target's speed right before a send

Cause: a request takes as long as the speed of its target at its start makes it; slow phases last some 300 ms, so that a figure older than 40 ms says little.

Ruled out: that a speed figure is felt only in part (latencies fall into two groups, 1 and 4 times the usual).

Change: unless the best target said so less than 40 ms ago, up to three targets are asked for their load, twice at most, for first sends and repeats; a send that is known to have started fast is hedged later. Repeats are budgeted for a fixed number of owners.

--- a/packages/core/hornbeamstand_core/controllers/capacity.py
+++ b/packages/core/hornbeamstand_core/controllers/capacity.py
@@ -43,9 +43,10 @@
 # A target that answered "not me" is another one; its entry will change.
 MISDIRECTED_MS = 2500.0
 # A speed figure older than this is worth a look.
-LOOK_AGE_MS = 120.0
-# So many targets are looked at for one request.
+LOOK_AGE_MS = 40.0
+# So many targets are looked at at once, and so often for one send.
 N_LOOKED = 3
+N_LOOKS_MAX = 2
 # Up to this factor a target counts as fast.
 FAST_SPEED = 1.2
 # A target that does not answer a look is taken to be this slow.
@@ -88,7 +89,7 @@
         "targets",
         "waiting",
         "repeats",
-        "n_owners",
+        "bounds",
         "mean_ms",
         "usual_speed",
         "out_domains",
@@ -103,7 +104,7 @@
         self.targets = {}
         self.waiting = []
         self.repeats = RetryWindow(bounds.ratio, bounds.slack, bounds.window_ms)
-        self.n_owners = 1
+        self.bounds = bounds
         self.mean_ms = None
         self.usual_speed = SPEED_PRIOR
         self.out_domains = frozenset()
@@ -116,7 +117,7 @@
         """Grant a slot, let the request wait, or refuse; returns messages."""
         if message.kind != FIRST:
             return self._acquire_repeat(message, now_ms)
-        if not message.has_looked:
+        if message.n_looks == 0:
             self.repeats.note_first(now_ms)
         target = None if self.waiting else self._find(message, now_ms)
         if target is not None:
@@ -128,13 +129,16 @@
 
     def _acquire_repeat(self, message, now_ms):
         is_owner = self._owns(self.name, self.home_domain, now_ms)
-        if self.repeats.n_left(is_owner, self.n_owners, now_ms) < 1.0:
+        if self.repeats.n_left(is_owner, self.bounds.n_owners, now_ms) < 1.0:
             return self._refuse(message, "retry budget spent", now_ms)
         target = self._find(message, now_ms)
         if target is None:
             return self._refuse(message, "no free target", now_ms)
         if message.kind == HEDGE and self.waiting:
             return self._refuse(message, "others wait", now_ms)
+        doubtful = self._find_doubtful(message, target, now_ms)
+        if doubtful:
+            return self._look_first(message, doubtful)
         self.repeats.note_repeat(now_ms)
         return self._grant(message, target, now_ms)
 
@@ -146,21 +150,33 @@
             if target.is_open and target.entry.failure_domain not in self.out_domains
         ]
 
-    def _find(self, message, now_ms):
-        usable = self.usable(now_ms)
-        fit = [
+    def _fit(self, message, now_ms):
+        """Return the targets with room for a request, failing ones included."""
+        return [
             target
-            for target in usable
+            for target in self.usable(now_ms)
             if target.entry.target_id not in message.excluded_ids
             and target.n_free(now_ms) > 0
             and self._bears_cold(target, now_ms)
         ]
+
+    def _sound(self, message, now_ms):
+        """Return the targets with room that are not ejected.
+
+        Failing ones are all that is left if every target is ejected; otherwise
+        a slot of a sound target soon is better than one of those now.
+        """
+        fit = self._fit(message, now_ms)
         sound = [target for target in fit if now_ms >= target.ejected_until_ms]
-        if not sound:
-            # A slot of a sound target soon is better than a failing target now.
-            if any(now_ms >= target.ejected_until_ms for target in usable):
-                return None
-            sound = fit
+        if sound:
+            return sound
+        usable = self.usable(now_ms)
+        if any(now_ms >= target.ejected_until_ms for target in usable):
+            return []
+        return fit
+
+    def _find(self, message, now_ms):
+        sound = self._sound(message, now_ms)
         if not sound:
             return None
         unused = self._find_unused(sound, message, now_ms)
@@ -192,22 +208,22 @@
     # Looks at targets whose speed is not known well enough.
 
     def _find_doubtful(self, message, chosen, now_ms):
-        """Return the near targets to ask for their load, the chosen among them."""
-        if message.has_looked or is_known_fast(chosen, now_ms):
+        """Return the targets to ask for their load before the choice is final.
+
+        A request takes as long as its target's speed at its start makes it, so
+        that a figure from a moment ago is worth its price.
+        """
+        if message.n_looks >= N_LOOKS_MAX or chosen.speed is None:
             return []
-        if chosen.entry.failure_domain != self.home_domain or chosen.speed is None:
+        if is_known_fast(chosen, now_ms):
             return []
-        near = [
+        stale = [
             target
-            for target in self.usable(now_ms)
-            if target.entry.failure_domain == self.home_domain
-            and target.speed is not None
-            and now_ms >= target.ejected_until_ms
-            and now_ms - target.speed_at_ms > LOOK_AGE_MS
-            and target.n_free(now_ms) > 0
+            for target in self._sound(message, now_ms)
+            if target.speed is not None and now_ms - target.speed_at_ms > LOOK_AGE_MS
         ]
-        near.sort(key=lambda target: self._cost(target, now_ms))
-        return near[:N_LOOKED]
+        stale.sort(key=lambda target: self._cost(target, now_ms))
+        return stale[:N_LOOKED]
 
     def _look_first(self, message, targets):
         path = self.rules.health_path if self.rules else "/health"
@@ -229,7 +245,12 @@
         target.start(message.dispatch_id, now_ms)
         entry = target.entry
         permit = Permit(
-            self.name, entry.target_id, entry.address, message.dispatch_id, now_ms
+            self.name,
+            entry.target_id,
+            entry.address,
+            message.dispatch_id,
+            now_ms,
+            is_known_fast(target, now_ms),
         )
         speed_age_ms = int(now_ms - target.speed_at_ms)
         detail = (
--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -53,14 +53,19 @@
 
 
 class RepeatBounds(Record):
-    """Limits of repeated sends to a service, over all VMs."""
+    """Limits of repeated sends to a service, over all VMs.
 
-    __slots__ = ("ratio", "slack", "window_ms")
+    ``n_owners`` is how many VMs count a service's requests: one for each
+    failure domain.
+    """
+
+    __slots__ = ("ratio", "slack", "window_ms", "n_owners")
 
-    def __init__(self, ratio, slack, window_ms):
+    def __init__(self, ratio, slack, window_ms, n_owners=1):
         self.ratio = ratio
         self.slack = slack
         self.window_ms = window_ms
+        self.n_owners = n_owners
 
 
 class EdgeNode:
@@ -155,7 +160,6 @@
 
     def _acquire(self, message, now_ms):
         service = self.find_service(message.service_name)
-        service.n_owners = self.peers.n_domains(now_ms)
         return service.acquire(message, now_ms)
 
     def _owns(self, service_name, failure_domain, now_ms):
--- a/packages/core/hornbeamstand_core/controllers/peer_view.py
+++ b/packages/core/hornbeamstand_core/controllers/peer_view.py
@@ -183,11 +183,6 @@
         order = self.ranked(service_name, now_ms, failure_domain)
         return order[0] if order else None
 
-    def n_domains(self, now_ms):
-        """Count the failure domains that hold candidates."""
-        self._refresh(now_ms)
-        return max(1, len({domain for _, domain in self._candidates}))
-
 
 def is_silent(peer, now_ms):
     """Tell whether a peer missed too many of its rounds."""
--- a/packages/core/hornbeamstand_core/controllers/placing.py
+++ b/packages/core/hornbeamstand_core/controllers/placing.py
@@ -9,8 +9,6 @@
 ERROR_FACTOR = 6.0
 # Bytes to another failure domain are priced.
 FAR_FACTOR = 1.2
-# Share of a speed figure that a request feels: the figure changes meanwhile.
-SPEED_FELT = 0.4
 IN_FLIGHT_WEIGHT = 0.04
 # A request in flight for longer than this many times the mean speaks for a
 # slow target.
@@ -19,9 +17,7 @@
 
 def send_cost(target, home_domain, usual_speed, mean_ms, now_ms):
     """Return the expected latency of one more request, without a unit."""
-    speed = target.speed_now(usual_speed, now_ms)
-    cost = 1.0 + SPEED_FELT * (speed - 1.0)
-    cost *= target.slowness_now(now_ms)
+    cost = target.speed_now(usual_speed, now_ms) * target.slowness_now(now_ms)
     if mean_ms:
         overdue = target.oldest_ms(now_ms) / mean_ms
         if overdue > OVERDUE_FACTOR:
--- a/packages/core/hornbeamstand_core/controllers/retry_window.py
+++ b/packages/core/hornbeamstand_core/controllers/retry_window.py
@@ -4,10 +4,10 @@
 
 # Share of the allowed ratio and slack that this VM uses: another VM may have
 # been the service's owner earlier in the same window.
-RATIO_SHARE = 0.95
-OWNER_SLACK_SHARE = 0.6
+RATIO_SHARE = 0.88
+OWNER_SLACK_SHARE = 0.4
 # Share of the slack that each VM uses which is not the owner.
-OTHER_SLACK_SHARE = 0.02
+OTHER_SLACK_SHARE = 0.01
 
 
 class RetryWindow:
--- a/packages/core/hornbeamstand_core/edge_messages.py
+++ b/packages/core/hornbeamstand_core/edge_messages.py
@@ -118,7 +118,7 @@
     """Ask for a slot; replies Permit, LookFirst or Refusal.
 
     Only a ``FIRST`` may wait. ``excluded_ids`` are the targets tried before;
-    ``has_looked`` means that targets were asked for their load just now.
+    ``n_looks`` counts how often targets were asked for their load for it.
     """
 
     __slots__ = (
@@ -131,7 +131,7 @@
         "deadline_at_ms",
         "objective_at_ms",
         "excluded_ids",
-        "has_looked",
+        "n_looks",
     )
 
     def __init__(
@@ -145,7 +145,7 @@
         deadline_at_ms,
         objective_at_ms,
         excluded_ids=(),
-        has_looked=False,
+        n_looks=0,
     ):
         self.service_name = service_name
         self.request_id = request_id
@@ -156,7 +156,7 @@
         self.deadline_at_ms = deadline_at_ms
         self.objective_at_ms = objective_at_ms
         self.excluded_ids = excluded_ids
-        self.has_looked = has_looked
+        self.n_looks = n_looks
 
 
 class LookFirst(Record):
--- a/packages/core/hornbeamstand_core/filters/attempts.py
+++ b/packages/core/hornbeamstand_core/filters/attempts.py
@@ -28,7 +28,9 @@
 )
 
 # Share of the latency objective after which a second target is tried.
-HEDGE_SHARE = 0.4
+HEDGE_SHARE = 0.35
+# So much later if the first target is known to have started at its usual speed.
+LATER_HEDGE_SHARE = 0.15
 # With less than this share of the objective left a second target is too late.
 HEDGE_LEFT_SHARE = 0.3
 # A hedge that found no slot is tried again after this time.
@@ -54,12 +56,11 @@
 def attempts(call):
     """Send until one answer is good, the attempts are used or time is up."""
     race = Race(first_hedge_ms(call))
-    reply = yield acquire(call, race, FIRST)
-    if isinstance(reply, LookFirst):
-        yield Look(reply)
-        reply = yield acquire(call, race, FIRST, has_looked=True)
+    reply = yield from acquire(call, race, FIRST)
     if isinstance(reply, Refusal):
         return Err(truthful(call, reply))
+    if reply.is_known_fast:
+        race.hedge_at_ms += LATER_HEDGE_SHARE * call.terms.objective_ms
     yield launch(call, race, reply)
     while True:
         event = yield Await(min(race.hedge_at_ms, call.deadline_at_ms))
@@ -83,9 +84,20 @@
     return call.request.arrived_at_ms + HEDGE_SHARE * terms.objective_ms
 
 
-def acquire(call, race, kind, has_looked=False):
-    """Return the effect that asks for one more slot."""
+def acquire(call, race, kind):
+    """Ask for one more slot, after looks at targets if need be."""
     race.n_acquired += 1
+    n_looks = 0
+    while True:
+        reply = yield slot_request(call, race, kind, n_looks)
+        if not isinstance(reply, LookFirst):
+            return reply
+        n_looks += 1
+        yield Look(reply)
+
+
+def slot_request(call, race, kind, n_looks):
+    """Return the effect that asks for a slot."""
     request = call.request
     return AcquireSlot(
         call.terms.service_name,
@@ -97,7 +109,7 @@
         call.deadline_at_ms,
         call.objective_at_ms,
         call.tried_target_ids,
-        has_looked,
+        n_looks,
     )
 
 
@@ -119,7 +131,7 @@
     if left_ms < HEDGE_LEFT_SHARE * call.terms.objective_ms:
         race.hedge_at_ms = float("inf")
         return
-    reply = yield acquire(call, race, HEDGE)
+    reply = yield from acquire(call, race, HEDGE)
     if isinstance(reply, Refusal):
         race.hedge_at_ms = now_ms + HEDGE_AGAIN_MS
         return
@@ -139,7 +151,7 @@
     if race.permits:
         return None
     if may_retry(call, result):
-        reply = yield acquire(call, race, RETRY)
+        reply = yield from acquire(call, race, RETRY)
         if not isinstance(reply, Refusal):
             yield launch(call, race, reply)
             return None
--- a/packages/core/hornbeamstand_core/messages.py
+++ b/packages/core/hornbeamstand_core/messages.py
@@ -161,16 +161,35 @@
 
 
 class Permit(Record):
-    """The right to send one request to one target, once."""
+    """The right to send one request to one target, once.
 
-    __slots__ = ("service_name", "target_id", "address", "request_id", "granted_at_ms")
+    ``is_known_fast`` means that the target said so a moment before.
+    """
+
+    __slots__ = (
+        "service_name",
+        "target_id",
+        "address",
+        "request_id",
+        "granted_at_ms",
+        "is_known_fast",
+    )
 
-    def __init__(self, service_name, target_id, address, request_id, granted_at_ms):
+    def __init__(
+        self,
+        service_name,
+        target_id,
+        address,
+        request_id,
+        granted_at_ms,
+        is_known_fast=False,
+    ):
         self.service_name = service_name
         self.target_id = target_id
         self.address = address
         self.request_id = request_id
         self.granted_at_ms = granted_at_ms
+        self.is_known_fast = is_known_fast
 
 
 class HandOver(Record):
--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -197,12 +197,20 @@
         settings.failure_domain,
         clock.now_ms(),
     )
-    bounds = RepeatBounds(
-        settings.repeat_ratio, settings.repeat_slack, settings.repeat_window_ms
-    )
+    bounds = read_bounds(settings)
     return EdgeNode(me, bounds, settings.n_named, settings.seed_ips)
 
 
+def read_bounds(settings):
+    """Return the limits of repeated sends."""
+    return RepeatBounds(
+        settings.repeat_ratio,
+        settings.repeat_slack,
+        settings.repeat_window_ms,
+        settings.n_domains,
+    )
+
+
 def run_edge(settings, dialect, reload_settings):
     """Run one edge process until its planned stop is over.
 
@@ -251,10 +259,7 @@
 
 def adopt_settings(process, settings):
     """Take the settings that may change while the process runs."""
-    bounds = RepeatBounds(
-        settings.repeat_ratio, settings.repeat_slack, settings.repeat_window_ms
-    )
-    process.node.bounds = bounds
+    process.node.bounds = read_bounds(settings)
     process.settings.grace_ms = settings.grace_ms
     process.settings.lookup_ttl_ms = settings.lookup_ttl_ms
     process.log.info("process: settings reloaded", grace_ms=settings.grace_ms)
--- a/packages/entry/hornbeamstand_entry/edge/settings.py
+++ b/packages/entry/hornbeamstand_entry/edge/settings.py
@@ -27,6 +27,7 @@
         "repeat_ratio",
         "repeat_slack",
         "repeat_window_ms",
+        "n_domains",
     )
 
     def __init__(
@@ -47,6 +48,7 @@
         repeat_ratio=0.2,
         repeat_slack=20.0,
         repeat_window_ms=10_000.0,
+        n_domains=1,
     ):
         self.vm_id = vm_id
         self.ip = ip
@@ -64,6 +66,7 @@
         self.repeat_ratio = repeat_ratio
         self.repeat_slack = repeat_slack
         self.repeat_window_ms = repeat_window_ms
+        self.n_domains = n_domains
 
     @property
     def front_port(self):
