Let an owner's share of the retry slack grow after a take-over

Change: an owner's slack grows from nothing over one window; a send after a silent peer counts as a repeat.

--- a/packages/core/hornbeamstand_core/controllers/capacity.py
+++ b/packages/core/hornbeamstand_core/controllers/capacity.py
@@ -128,8 +128,7 @@
         return self._wait(message, now_ms)
 
     def _acquire_repeat(self, message, now_ms):
-        is_owner = self._owns(self.name, self.home_domain, now_ms)
-        if self.repeats.n_left(is_owner, self.bounds.n_owners, now_ms) < 1.0:
+        if self.repeats.n_left(self.bounds.n_owners, now_ms) < 1.0:
             return self._refuse(message, "retry budget spent", now_ms)
         target = self._find(message, now_ms)
         if target is None:
@@ -142,6 +141,11 @@
         self.repeats.note_repeat(now_ms)
         return self._grant(message, target, now_ms)
 
+    def note_owner(self, now_ms):
+        """Follow whether this VM counts the requests of its own domain."""
+        is_owner = self._owns(self.name, self.home_domain, now_ms)
+        self.repeats.note_owner(is_owner, now_ms)
+
     def usable(self, now_ms):
         """Return the targets that may get new work at all."""
         return [
--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -294,6 +294,8 @@
         return self.peers.note_beat(beat, now_ms)
 
     def _tick(self, message, now_ms):
+        for service in self.services.values():
+            service.note_owner(now_ms)
         out = self._drain_all(now_ms)
         out += self.table.end_doubt(now_ms)
         if now_ms >= self._next_beat_ms:
--- a/packages/core/hornbeamstand_core/controllers/retry_window.py
+++ b/packages/core/hornbeamstand_core/controllers/retry_window.py
@@ -23,12 +23,20 @@
         Length of the window.
     """
 
-    __slots__ = ("ratio", "slack", "window_ms", "_first_at_ms", "_repeat_at_ms")
+    __slots__ = (
+        "ratio",
+        "slack",
+        "window_ms",
+        "_owner_since_ms",
+        "_first_at_ms",
+        "_repeat_at_ms",
+    )
 
     def __init__(self, ratio, slack, window_ms):
         self.ratio = ratio
         self.slack = slack
         self.window_ms = window_ms
+        self._owner_since_ms = None
         self._first_at_ms = deque()
         self._repeat_at_ms = deque()
 
@@ -45,13 +53,29 @@
         """Count one repeated send."""
         self._repeat_at_ms.append(now_ms)
 
-    def n_left(self, is_owner, n_owners, now_ms):
+    def note_owner(self, is_owner, now_ms):
+        """Learn whether this VM is one of the service's owners."""
+        if not is_owner:
+            self._owner_since_ms = None
+        elif self._owner_since_ms is None:
+            self._owner_since_ms = now_ms
+
+    def _slack_share(self, n_owners, now_ms):
+        """Return this VM's share of the slack.
+
+        An owner's grows from nothing: the one before may have used all of its
+        own within the same window.
+        """
+        if self._owner_since_ms is None:
+            return OTHER_SLACK_SHARE
+        age = (now_ms - self._owner_since_ms) / self.window_ms
+        return OWNER_SLACK_SHARE / n_owners * min(1.0, age)
+
+    def n_left(self, n_owners, now_ms):
         """Return how many repeats may be sent now.
 
         Parameters
         ----------
-        is_owner : bool
-            Whether this VM is one of the service's owners.
         n_owners : int
             The owners of the service over all failure domains.
         now_ms : float
@@ -59,7 +83,6 @@
         """
         self._forget(self._first_at_ms, now_ms)
         self._forget(self._repeat_at_ms, now_ms)
-        slack_share = OWNER_SLACK_SHARE / n_owners if is_owner else OTHER_SLACK_SHARE
         allowed = RATIO_SHARE * self.ratio * len(self._first_at_ms)
-        allowed += slack_share * self.slack
+        allowed += self._slack_share(n_owners, now_ms) * self.slack
         return allowed - len(self._repeat_at_ms)
--- a/packages/core/hornbeamstand_core/filters/attempts.py
+++ b/packages/core/hornbeamstand_core/filters/attempts.py
@@ -56,7 +56,9 @@
 def attempts(call):
     """Send until one answer is good, the attempts are used or time is up."""
     race = Race(first_hedge_ms(call))
-    reply = yield from acquire(call, race, FIRST)
+    # A peer that fell silent may have sent the request already.
+    kind = RETRY if call.n_ran_max else FIRST
+    reply = yield from acquire(call, race, kind)
     if isinstance(reply, Refusal):
         return Err(truthful(call, reply))
     if reply.is_known_fast:
