Follow the targets only where they are served from; beat seldom far away

Change: two VMs stand by for a service in each failure domain and follow the targets, the others read only what operators write; VMs beat often within their domain and seldom beyond; in a small domain one VM owns all services; larger VMs own before smaller ones.

--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -22,6 +22,7 @@
     Belief,
     EdgeTick,
     FindRoute,
+    Follow,
     LoadSeen,
     Resync,
     Routed,
@@ -36,20 +37,32 @@
 from .target_table import TargetTable
 
 # A peer's later revision is fetched only if the watch has not brought it by then.
-BEHIND_MS = 700.0
+BEHIND_MS = 1200.0
+# Rounds of signs of life and looks at this VM's part in them.
+ROUND_MS = 125.0
+# A VM that need no longer follow the targets goes on for this long.
+UNFOLLOW_MS = 6000.0
 
 
 class EdgeIdentity(Record):
-    """Name, start, address and failure domain of one VM."""
+    """Name, start, address, failure domain and size of one VM."""
 
-    __slots__ = ("vm_id", "start_id", "ip", "failure_domain", "started_at_ms")
+    __slots__ = (
+        "vm_id",
+        "start_id",
+        "ip",
+        "failure_domain",
+        "started_at_ms",
+        "capacity",
+    )
 
-    def __init__(self, vm_id, start_id, ip, failure_domain, started_at_ms):
+    def __init__(self, vm_id, start_id, ip, failure_domain, started_at_ms, capacity=0):
         self.vm_id = vm_id
         self.start_id = start_id
         self.ip = ip
         self.failure_domain = failure_domain
         self.started_at_ms = started_at_ms
+        self.capacity = capacity
 
 
 class RepeatBounds(Record):
@@ -97,6 +110,7 @@
         "_rng",
         "_next_beat_ms",
         "_behind_since_ms",
+        "_needed_at_ms",
         "_handlers",
     )
 
@@ -114,6 +128,7 @@
         self._rng = Random(f"{me.vm_id}{me.start_id}")
         self._next_beat_ms = 0.0
         self._behind_since_ms = None
+        self._needed_at_ms = 0.0
         self._handlers = {
             FindRoute: self._find_route,
             AcquireSlot: self._acquire,
@@ -289,7 +304,8 @@
     # Peers and time.
 
     def _note_beat(self, beat, now_ms):
-        if beat.revision > self.revision and self._behind_since_ms is None:
+        is_later = beat.is_following and beat.revision > self.revision
+        if is_later and self.peers.is_following and self._behind_since_ms is None:
             self._behind_since_ms = now_ms
         return self.peers.note_beat(beat, now_ms)
 
@@ -300,10 +316,26 @@
         out += self.table.end_doubt(now_ms)
         if now_ms >= self._next_beat_ms:
             out += self.peers.beat_round(self._service_names(), now_ms)
-            self._next_beat_ms = now_ms + self.peers.interval_ms()
+            out += self._change_following(now_ms)
+            self._next_beat_ms = now_ms + ROUND_MS
         out += self._ask_resync(now_ms)
         return out
 
+    def _change_following(self, now_ms):
+        """Follow the targets only while this VM stands by to serve them."""
+        if self.peers.is_standing_by:
+            self._needed_at_ms = now_ms
+        if self.peers.is_standing_by and not self.peers.is_following:
+            self.peers.is_following = True
+            return [Follow(True), Belief("store", "following targets", self.me.ip)]
+        if not self.peers.is_following:
+            return []
+        if now_ms - self._needed_at_ms < UNFOLLOW_MS:
+            return []
+        self.peers.is_following = False
+        self.table.clear()
+        return [Follow(False), Belief("store", "no longer following", self.me.ip)]
+
     def _service_names(self):
         config = self.routing.config
         return config.services if config else ()
@@ -318,5 +350,5 @@
     def _stop(self, message, now_ms):
         self.peers.is_stopping = True
         beat = self.peers.my_beat(now_ms)
-        out = [SendBeat(ip, beat) for ip in self.peers.contact_ips]
+        out = [SendBeat(ip, beat) for ip in self.peers.peers]
         return [Belief("peer", "stopping", self.me.ip), *out]
--- a/packages/core/hornbeamstand_core/controllers/target_table.py
+++ b/packages/core/hornbeamstand_core/controllers/target_table.py
@@ -105,6 +105,14 @@
             out += self.remove(key, now_ms)
         return out
 
+    def clear(self):
+        """Forget every target: this VM no longer follows them."""
+        for target in self.by_key.values():
+            self._drop(target)
+        self.by_key.clear()
+        self._doubted_keys.clear()
+        self._is_filled = False
+
     def replace_all(self, entries, now_ms):
         """Take a snapshot: what it does not name is gone; returns messages."""
         out = []
--- a/packages/core/hornbeamstand_core/edge_messages.py
+++ b/packages/core/hornbeamstand_core/edge_messages.py
@@ -306,7 +306,9 @@
 
     ``start_id`` tells one start of its process from the next; ``revision`` is
     the store's revision that it has followed. ``is_settled`` means that it has
-    been up for a while; ``is_frequent`` that it beats at the short interval.
+    been up for a while; ``is_frequent`` that it beats at the short interval;
+    ``is_following`` that it follows the targets; ``capacity`` is a class of VM
+    size, greater for larger ones.
     """
 
     __slots__ = (
@@ -317,6 +319,8 @@
         "is_stopping",
         "is_settled",
         "is_frequent",
+        "is_following",
+        "capacity",
         "revision",
     )
 
@@ -329,6 +333,8 @@
         is_stopping,
         is_settled,
         is_frequent,
+        is_following,
+        capacity,
         revision,
     ):
         self.ip = ip
@@ -338,6 +344,8 @@
         self.is_stopping = is_stopping
         self.is_settled = is_settled
         self.is_frequent = is_frequent
+        self.is_following = is_following
+        self.capacity = capacity
         self.revision = revision
 
 
@@ -360,6 +368,15 @@
         self.revision = revision
 
 
+class Follow(Record):
+    """Tell the follower whether to follow targets, or the operators' keys only."""
+
+    __slots__ = ("is_on",)
+
+    def __init__(self, is_on):
+        self.is_on = is_on
+
+
 class EdgeTick(Record):
     """Time passes."""
 
--- a/packages/entry/hornbeamstand_entry/edge/dialect.py
+++ b/packages/entry/hornbeamstand_entry/edge/dialect.py
@@ -39,7 +39,8 @@
     """Requests to the store and their answers.
 
     Requests are functions that return a StoreRequest; ``decode_page`` and
-    ``decode_events`` return a StorePage, ``decode_lease`` a lease id.
+    ``decode_events`` return a StorePage, ``decode_lease`` a lease id. Operators write
+    below ``operator_prefix``.
     """
 
     __slots__ = (
@@ -51,6 +52,7 @@
         "decode_page",
         "decode_events",
         "decode_lease",
+        "operator_prefix",
     )
 
     def __init__(
@@ -63,6 +65,7 @@
         decode_page,
         decode_events,
         decode_lease,
+        operator_prefix,
     ):
         self.range_request = range_request
         self.watch_request = watch_request
@@ -72,6 +75,7 @@
         self.decode_page = decode_page
         self.decode_events = decode_events
         self.decode_lease = decode_lease
+        self.operator_prefix = operator_prefix
 
 
 class Dialect(Record):
--- a/packages/entry/hornbeamstand_entry/edge/follower.py
+++ b/packages/entry/hornbeamstand_entry/edge/follower.py
@@ -11,7 +11,7 @@
 # How long the store may hold a watch that sees nothing.
 WATCH_MS = 28_000.0
 # Changes that come in quick succession are read by one call.
-BATCH_MS = 250.0
+BATCH_MS = 450.0
 BACKOFF_MIN_MS = 60.0
 BACKOFF_MAX_MS = 800.0
 STATUS_HISTORY_GONE = 410
@@ -24,6 +24,8 @@
 class Follower:
     """Reads the whole store once, then its changes.
 
+    A VM that does not follow the targets reads only what operators write.
+
     Parameters
     ----------
     store : StoreClient
@@ -34,13 +36,22 @@
         For errors.
     """
 
-    __slots__ = ("store", "decider", "log", "_revision", "_backoff_ms", "_watcher")
+    __slots__ = (
+        "store",
+        "decider",
+        "log",
+        "_revision",
+        "_prefix",
+        "_backoff_ms",
+        "_watcher",
+    )
 
     def __init__(self, store, decider, log):
         self.store = store
         self.decider = decider
         self.log = log
         self._revision = None
+        self._prefix = ""
         self._backoff_ms = BACKOFF_MIN_MS
         self._watcher = None
 
@@ -53,6 +64,19 @@
         """Read everything again: a peer has seen what the watch did not bring."""
         self.log.info("store: resync", revision=self._revision)
         self._revision = None
+        self._restart()
+
+    def follow(self, message):
+        """Follow the targets too, or what operators write alone."""
+        prefix = "" if message.is_on else self.store.codec.operator_prefix
+        if prefix == self._prefix:
+            return
+        self._prefix = prefix
+        if message.is_on:
+            self._revision = None
+        self._restart()
+
+    def _restart(self):
         self._watcher.kill(block=False)
         self._watcher = gevent.spawn(self._run)
 
@@ -67,7 +91,7 @@
             self._backoff_ms = BACKOFF_MIN_MS
 
     def _read_all(self):
-        result = self.store.read_all()
+        result = self.store.read_all(self._prefix)
         if result.is_ok():
             page = result.ok_value
             self._revision = page.revision
@@ -76,7 +100,7 @@
         return result
 
     def _watch(self):
-        result = self.store.watch(self._revision, WATCH_MS)
+        result = self.store.watch(self._prefix, self._revision, WATCH_MS)
         if result.is_err():
             return result
         page = result.ok_value
--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -9,7 +9,7 @@
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 from hornbeamstand_core.controllers.edge import EdgeIdentity, EdgeNode, RepeatBounds
-from hornbeamstand_core.edge_messages import Resync, SendBeat, StopEdge
+from hornbeamstand_core.edge_messages import Follow, Resync, SendBeat, StopEdge
 from hornbeamstand_core.filters.edge_chain import build_edge_chain
 
 from ..clock import make_process_clock
@@ -37,7 +37,7 @@
 STOP_LISTEN_MS = 2900.0
 STOP_POLL_MS = 50.0
 # Left for the process's own end before the platform kills it.
-STOP_MARGIN_MS = 250.0
+STOP_MARGIN_MS = 600.0
 MS_PER_S = 1000.0
 GC_YOUNG_MAX = 20_000
 GC_MIDDLE_MAX = 50
@@ -94,6 +94,7 @@
         beats = Beats(settings.ip, settings.peer_port, self.decider, self.log)
         self.decider.connect(SendBeat, beats.post)
         self.decider.connect(Resync, self.follower.resync)
+        self.decider.connect(Follow, self.follower.follow)
         beats.start(stack)
         self.decider.start(stack)
         registration.start(stack)
@@ -196,6 +197,7 @@
         settings.ip,
         settings.failure_domain,
         clock.now_ms(),
+        settings.capacity,
     )
     bounds = read_bounds(settings)
     return EdgeNode(me, bounds, settings.n_named, settings.seed_ips)
--- a/packages/entry/hornbeamstand_entry/edge/settings.py
+++ b/packages/entry/hornbeamstand_entry/edge/settings.py
@@ -7,7 +7,8 @@
     """Settings of one process; a front end for a platform builds them.
 
     ``n_named`` is how many VMs a look-up names and ``lookup_ttl_ms`` how long
-    callers may keep the answer; ``grace_ms`` is the longest planned stop.
+    callers may keep the answer; ``grace_ms`` is the longest planned stop;
+    ``capacity`` is a class of VM size, greater for larger ones.
     """
 
     __slots__ = (
@@ -28,6 +29,7 @@
         "repeat_slack",
         "repeat_window_ms",
         "n_domains",
+        "capacity",
     )
 
     def __init__(
@@ -49,6 +51,7 @@
         repeat_slack=20.0,
         repeat_window_ms=10_000.0,
         n_domains=1,
+        capacity=0,
     ):
         self.vm_id = vm_id
         self.ip = ip
@@ -67,6 +70,7 @@
         self.repeat_slack = repeat_slack
         self.repeat_window_ms = repeat_window_ms
         self.n_domains = n_domains
+        self.capacity = capacity
 
     @property
     def front_port(self):
--- a/packages/entry/hornbeamstand_entry/edge/store_client.py
+++ b/packages/entry/hornbeamstand_entry/edge/store_client.py
@@ -77,13 +77,13 @@
         except ValueError as error:
             return Err(StoreError(step, self.address, f"unreadable answer: {error}"))
 
-    def read_all(self):
-        """Return one StorePage of every record; its revision is the first page's."""
+    def read_all(self, prefix):
+        """Return one StorePage of a prefix; its revision is the first page's."""
         records = []
         revision = None
         after_key = ""
         while True:
-            request = self.codec.range_request("", after_key)
+            request = self.codec.range_request(prefix, after_key)
             answer = self._call("store.range", request, self.codec.decode_page)
             if answer.is_err():
                 return answer
@@ -96,9 +96,9 @@
                 page.revision = revision
                 return Ok(page)
 
-    def watch(self, revision, wait_ms):
+    def watch(self, prefix, revision, wait_ms):
         """Return a StorePage of what was written after a revision."""
-        request = self.codec.watch_request("", revision, wait_ms)
+        request = self.codec.watch_request(prefix, revision, wait_ms)
         return self._call("store.watch", request, self.codec.decode_events)
 
     def grant_lease(self, ttl_ms):
