--- a/packages/core/hornbeamstand_core/controllers/peer_view.py
+++ b/packages/core/hornbeamstand_core/controllers/peer_view.py
@@ -162,11 +162,12 @@
         return [Belief("peer", "silent", ip) for ip in silent]
 
     def is_alive(self, ip, now_ms):
-        """Tell whether a peer was heard lately and is not stopping."""
+        """Tell whether a peer was heard lately; one that is stopping counts.
+
+        It still answers the requests that it took before.
+        """
         peer = self.peers.get(ip)
-        if peer is None or peer.beat.is_stopping:
-            return False
-        return not self._is_silent(peer, now_ms)
+        return peer is not None and not self._is_silent(peer, now_ms)
 
     # Owners.
 
