--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -182,8 +182,7 @@
 
     def _note_load(self, message, now_ms):
         service = self.find_service(message.service_name)
-        service.note_load(message, now_ms)
-        return []
+        return service.note_load(message, now_ms)
 
     def _release(self, message, now_ms):
         service = self.find_service(message.permit.service_name)
--- a/packages/core/hornbeamstand_core/controllers/found_target.py
+++ b/packages/core/hornbeamstand_core/controllers/found_target.py
@@ -3,6 +3,8 @@
 from collections import deque
 from math import exp
 
+from .placing import usable_slots
+
 # Age at which a speed figure has lost most of its worth.
 SPEED_AGE_MS = 250.0
 # Age at which a persistent slowness is forgotten.
@@ -50,6 +52,8 @@
         "cold_until_ms",
         "cold_sent_at_ms",
         "sent_at_ms",
+        "looked_at_ms",
+        "n_usable_slots",
         "n_sent",
     )
 
@@ -73,6 +77,8 @@
         self.cold_until_ms = float("-inf")
         self.cold_sent_at_ms = deque()
         self.sent_at_ms = now_ms
+        self.looked_at_ms = float("-inf")
+        self.n_usable_slots = usable_slots(entry.n_slots)
         self.n_sent = 0
 
     # Counts.
@@ -87,10 +93,10 @@
         return n_own
 
     def n_free(self, now_ms):
-        """Count the free slots."""
+        """Count the free slots below the knee."""
         if now_ms < self.full_until_ms:
             return 0
-        return max(0, self.entry.n_slots - self.n_in_flight(now_ms))
+        return max(0, self.n_usable_slots - self.n_in_flight(now_ms))
 
     def start(self, dispatch_id, now_ms):
         """Count one send."""
--- /dev/null
+++ b/packages/core/hornbeamstand_core/controllers/learning.py
@@ -0,0 +1,85 @@
+"""What the end of a send tells of its target and its service."""
+
+from ..balancer_messages import Decision
+from ..messages import CANCELLED, CONNECT_FAILED, STATUS_ERROR, SendFailure
+
+MEAN_WEIGHT = 0.05
+SPEED_WEIGHT = 0.02
+# A target that shed a request while it was full gets no other for this long.
+FULL_MS = 60.0
+MISDIRECTED_STATUS = 421
+# A target that answered "not me" is another one; its entry will change.
+MISDIRECTED_MS = 2500.0
+
+
+def learn(service, target, result, latency_ms, now_ms):
+    """Learn from one send's result; returns decisions for the log."""
+    if isinstance(result, SendFailure):
+        return learn_failure(service, target, result, latency_ms, now_ms)
+    return learn_reply(service, target, result, latency_ms, now_ms)
+
+
+def learn_failure(service, target, failure, latency_ms, now_ms):
+    """Learn from a send without a whole answer."""
+    if failure.kind == CANCELLED:
+        # A lost hedge is a lower bound of what the target would have taken.
+        if service.mean_ms and latency_ms > service.mean_ms:
+            target.note_ratio(latency_ms / service.mean_ms, now_ms)
+        return []
+    is_certain = failure.kind == CONNECT_FAILED
+    if not is_certain:
+        target.note_error(True, now_ms)
+    if target.note_failure(now_ms, is_certain):
+        return [ejected(service, target, failure.kind)]
+    return []
+
+
+def learn_reply(service, target, reply, latency_ms, now_ms):
+    """Learn from a whole answer."""
+    if reply.report is not None:
+        target.note_load(reply.report, now_ms)
+        learn_speed(service, reply.report)
+    if reply.status == MISDIRECTED_STATUS:
+        target.ejected_until_ms = now_ms + MISDIRECTED_MS
+        return [ejected(service, target, "another target has the address")]
+    if reply.did_not_run:
+        learn_shed(target, reply.report, now_ms)
+        return []
+    if reply.status >= STATUS_ERROR:
+        target.note_error(True, now_ms)
+        if target.note_failure(now_ms):
+            return [ejected(service, target, f"status {reply.status}")]
+        return []
+    target.note_good()
+    target.note_error(False, now_ms)
+    if not target.is_cold(now_ms):
+        learn_latency(service, target, latency_ms, now_ms)
+    return []
+
+
+def learn_shed(target, report, now_ms):
+    """Tell a full target from one that sheds although it has room."""
+    if report is None or report.n_running >= report.n_slots:
+        target.full_until_ms = now_ms + FULL_MS
+    else:
+        target.note_error(True, now_ms)
+
+
+def learn_speed(service, report):
+    """Fold one speed figure into the service's usual one."""
+    if report.speed is not None:
+        service.usual_speed += SPEED_WEIGHT * (report.speed - service.usual_speed)
+
+
+def learn_latency(service, target, latency_ms, now_ms):
+    """Fold one good latency into the target's and the service's."""
+    if service.mean_ms is None:
+        service.mean_ms = latency_ms
+    target.note_ratio(latency_ms / max(1.0, service.mean_ms), now_ms)
+    service.mean_ms += MEAN_WEIGHT * (latency_ms - service.mean_ms)
+
+
+def ejected(service, target, reason):
+    """Return the decision that takes a target out for a while."""
+    detail = f"{reason} for_ms={int(target.ejection_ms)}"
+    return Decision(service.name, "", "eject", target.entry.target_id, detail)
--- a/packages/core/hornbeamstand_core/controllers/placing.py
+++ b/packages/core/hornbeamstand_core/controllers/placing.py
@@ -1,4 +1,9 @@
-"""The cost of sending to a found target: plain functions of its state."""
+"""Choice among found targets: plain functions of their state.
+
+A target's speed at a request's start decides how long the request takes, and it
+changes several times a second. So a target is known to be fast, known to be slow,
+or not known well enough, by the age of its last figure.
+"""
 
 # Share of a target's slots in use above which its work slows down, and by how
 # much.
@@ -13,6 +18,42 @@
 # A request in flight for longer than this many times the mean speaks for a
 # slow target.
 OVERDUE_FACTOR = 1.5
+# Up to this factor a target counts as fast, from the next one on as slow.
+FAST_SPEED = 1.2
+SLOW_SPEED = 2.0
+# A speed figure older than this is worth a look.
+LOOK_AGE_MS = 40.0
+# A slow phase is taken to last for this long after it was last seen.
+SLOW_AGE_MS = 90.0
+
+FAST = "fast"
+SLOW = "slow"
+UNKNOWN = "unknown"
+
+
+def usable_slots(n_slots):
+    """Return how many requests a target serves at the greatest rate.
+
+    Beyond the knee each request slows all down, so that more of them at once
+    are served at a lower rate.
+    """
+
+    def rate(n_in_flight):
+        return n_in_flight / (KNEE_FACTOR if n_in_flight > KNEE_SHARE * n_slots else 1)
+
+    return max(range(1, n_slots + 1), key=rate)
+
+
+def pace(target, now_ms):
+    """Return what is known of a target's speed now: FAST, SLOW or UNKNOWN."""
+    if target.speed is None:
+        return UNKNOWN
+    age_ms = now_ms - target.speed_at_ms
+    if target.speed <= FAST_SPEED and age_ms <= LOOK_AGE_MS:
+        return FAST
+    if target.speed >= SLOW_SPEED and age_ms <= SLOW_AGE_MS:
+        return SLOW
+    return UNKNOWN
 
 
 def send_cost(target, home_domain, usual_speed, mean_ms, now_ms):
@@ -22,12 +63,28 @@
         overdue = target.oldest_ms(now_ms) / mean_ms
         if overdue > OVERDUE_FACTOR:
             cost = max(cost, overdue * usual_speed)
-    n_in_flight = target.n_in_flight(now_ms)
-    if (n_in_flight + 1) / target.entry.n_slots > KNEE_SHARE:
-        cost *= KNEE_FACTOR
-    cost *= 1.0 + IN_FLIGHT_WEIGHT * n_in_flight
+    cost *= 1.0 + IN_FLIGHT_WEIGHT * target.n_in_flight(now_ms)
     if target.is_cold(now_ms):
         cost *= COLD_FACTOR
     if target.entry.failure_domain != home_domain:
         cost *= FAR_FACTOR
     return cost * (1.0 + ERROR_FACTOR * target.error_share_now(now_ms))
+
+
+def sound_targets(usable, excluded_ids, bears_cold, now_ms):
+    """Return the targets with room that are not ejected.
+
+    Failing ones are all that is left if every target is ejected; otherwise a
+    slot of a sound target soon is better than one of those now.
+    """
+    fit = [
+        target
+        for target in usable
+        if target.entry.target_id not in excluded_ids
+        and target.n_free(now_ms) > 0
+        and bears_cold(target, now_ms)
+    ]
+    sound = [target for target in fit if now_ms >= target.ejected_until_ms]
+    if sound or any(now_ms >= target.ejected_until_ms for target in usable):
+        return sound
+    return fit
--- a/packages/core/hornbeamstand_core/edge_messages.py
+++ b/packages/core/hornbeamstand_core/edge_messages.py
@@ -182,6 +182,18 @@
         self.first = first
 
 
+class SendLook(Record):
+    """Ask a target for its load while requests wait; answered by LoadSeen."""
+
+    __slots__ = ("service_name", "target_id", "address", "path")
+
+    def __init__(self, service_name, target_id, address, path):
+        self.service_name = service_name
+        self.target_id = target_id
+        self.address = address
+        self.path = path
+
+
 class LoadSeen(Record):
     """A target's answer to a look; ``report`` is None if none came."""
 
--- a/packages/core/hornbeamstand_core/filters/attempts.py
+++ b/packages/core/hornbeamstand_core/filters/attempts.py
@@ -2,6 +2,7 @@
 
 from result import Err, Ok
 
+from ..controllers.placing import FAST, SLOW
 from ..edge_messages import (
     FIRST,
     HEDGE,
@@ -29,8 +30,10 @@
 
 # Share of the latency objective after which a second target is tried.
 HEDGE_SHARE = 0.35
-# So much later if the first target is known to have started at its usual speed.
-LATER_HEDGE_SHARE = 0.15
+# The same if the first target is known to have started at its usual speed, and
+# if it is known to have started in a slow phase.
+FAST_HEDGE_SHARE = 0.5
+SLOW_HEDGE_SHARE = 0.1
 # With less than this share of the objective left a second target is too late.
 HEDGE_LEFT_SHARE = 0.3
 # A hedge that found no slot is tried again after this time.
@@ -38,7 +41,7 @@
 # Sends that a target refused don't count as runs; so many more are allowed.
 N_REFUSED_MAX = 2
 # When a request that every target refused may come back.
-SHED_RETRY_MS = 150.0
+SHED_RETRY_MS = 20.0
 
 
 class Race:
@@ -61,8 +64,7 @@
     reply = yield from acquire(call, race, kind)
     if isinstance(reply, Refusal):
         return Err(truthful(call, reply))
-    if reply.is_known_fast:
-        race.hedge_at_ms += LATER_HEDGE_SHARE * call.terms.objective_ms
+    race.hedge_at_ms = hedge_time_ms(call, reply)
     yield launch(call, race, reply)
     while True:
         event = yield Await(min(race.hedge_at_ms, call.deadline_at_ms))
@@ -86,6 +88,16 @@
     return call.request.arrived_at_ms + HEDGE_SHARE * terms.objective_ms
 
 
+def hedge_time_ms(call, permit):
+    """Return when to try a second target beside the permit's."""
+    share = {FAST: FAST_HEDGE_SHARE, SLOW: SLOW_HEDGE_SHARE}.get(
+        permit.pace, HEDGE_SHARE
+    )
+    if first_hedge_ms(call) == float("inf"):
+        return float("inf")
+    return permit.granted_at_ms + share * call.terms.objective_ms
+
+
 def acquire(call, race, kind):
     """Ask for one more slot, after looks at targets if need be."""
     race.n_acquired += 1
--- a/packages/core/hornbeamstand_core/messages.py
+++ b/packages/core/hornbeamstand_core/messages.py
@@ -163,7 +163,7 @@
 class Permit(Record):
     """The right to send one request to one target, once.
 
-    ``is_known_fast`` means that the target said so a moment before.
+    ``pace`` is what was known of the target's speed: see ``placing``.
     """
 
     __slots__ = (
@@ -172,7 +172,7 @@
         "address",
         "request_id",
         "granted_at_ms",
-        "is_known_fast",
+        "pace",
     )
 
     def __init__(
@@ -182,14 +182,14 @@
         address,
         request_id,
         granted_at_ms,
-        is_known_fast=False,
+        pace="unknown",
     ):
         self.service_name = service_name
         self.target_id = target_id
         self.address = address
         self.request_id = request_id
         self.granted_at_ms = granted_at_ms
-        self.is_known_fast = is_known_fast
+        self.pace = pace
 
 
 class HandOver(Record):
--- a/packages/entry/hornbeamstand_entry/edge/performers.py
+++ b/packages/entry/hornbeamstand_entry/edge/performers.py
@@ -15,6 +15,7 @@
     LoadSeen,
     Look,
     Relay,
+    SendLook,
     TimeUp,
 )
 from hornbeamstand_core.messages import (
@@ -24,12 +25,12 @@
     SendFailure,
     Withdraw,
 )
-from hornbeamstand_core.records import Record
 
 from ..context import CALLER_GONE
 from ..encoding import encode_request
 from ..tasks.connections import Done, Exchange
 from ..tasks.task import receive
+from .looks import read_load, start_look
 from .messages import peer_items, peer_reply, target_items, target_reply
 
 ANSWER_MAX_BYTES = 64 << 20
@@ -37,16 +38,6 @@
 LOOK_MS = 15.0
 
 
-class LookKey(Record):
-    """One target's look of a request."""
-
-    __slots__ = ("service_name", "target_id")
-
-    def __init__(self, service_name, target_id):
-        self.service_name = service_name
-        self.target_id = target_id
-
-
 def make_performers(decider, targets, peers, dialect, metrics, log, clock, settings):
     """Return a dict of effect class to performer.
 
@@ -119,14 +110,9 @@
         first = effect.first
         until_ms = clock.now_ms() + LOOK_MS
         for target_id, address in first.targets:
-            key = LookKey(first.service_name, target_id)
-            items = [("Host", address)]
-            wire = encode_request("GET", first.path, items, b"")
-            exchange = Exchange(
-                "GET", wire, until_ms, False, ANSWER_MAX_BYTES, context.mailbox
-            )
+            key = SendLook(first.service_name, target_id, address, first.path)
+            exchange = start_look(key, targets, until_ms, context.mailbox)
             context.key_by_exchange[exchange] = key
-            targets.post(address, exchange)
         n_open = len(first.targets)
         while n_open:
             message = receive(context.mailbox, until_ms - clock.now_ms())
@@ -136,7 +122,7 @@
             key = None
             if type(message) is Done:
                 key = context.key_by_exchange.get(message.exchange)
-            if type(key) is not LookKey:
+            if type(key) is not SendLook:
                 context.pending.append(message)
                 continue
             n_open -= 1
@@ -146,17 +132,14 @@
 
     def note_look(message, context):
         key = context.key_by_exchange.pop(message.exchange)
-        report = None
-        if type(message.result) is not SendFailure:
-            load = message.result.get(dialect.headers.load)
-            report = dialect.decode_load(load) if load is not None else None
+        report = read_load(message.result, dialect)
         decider.post(LoadSeen(key.service_name, key.target_id, report))
         metrics.n_looks += 1
         return report is not None and report.speed is not None and report.speed <= 1.0
 
     def note_unanswered(context):
         for exchange, key in list(context.key_by_exchange.items()):
-            if type(key) is LookKey:
+            if type(key) is SendLook:
                 del context.key_by_exchange[exchange]
                 exchange.cancel()
                 decider.post(LoadSeen(key.service_name, key.target_id, None))
@@ -173,7 +156,7 @@
                 return message
             if type(message) is Done:
                 key = context.key_by_exchange.get(message.exchange)
-                if type(key) is LookKey:
+                if type(key) is SendLook:
                     note_look(message, context)
                 elif key is not None:
                     del context.key_by_exchange[message.exchange]
--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -9,7 +9,13 @@
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 from hornbeamstand_core.controllers.edge import EdgeIdentity, EdgeNode, RepeatBounds
-from hornbeamstand_core.edge_messages import Follow, Resync, SendBeat, StopEdge
+from hornbeamstand_core.edge_messages import (
+    Follow,
+    Resync,
+    SendBeat,
+    SendLook,
+    StopEdge,
+)
 from hornbeamstand_core.filters.edge_chain import build_edge_chain
 
 from ..clock import make_process_clock
@@ -21,6 +27,7 @@
 from .follower import Follower, Registration
 from .front import EdgeFront, respond
 from .logs import EdgeLog
+from .looks import Looks
 from .metrics import EdgeMetrics
 from .performers import make_performers
 from .store_client import StoreClient
@@ -113,6 +120,10 @@
                 idle_max_ms=TARGET_IDLE_MS,
             ),
         )
+        looks = Looks(targets, self.decider, self.dialect, self.clock)
+        self.decider.connect(SendLook, looks.post)
+        looks.start(stack)
+        self.metrics.gauges["looks"] = lambda: looks.n_sent + self.metrics.n_looks
         peers = Pools(self.clock, stack, ConnectionRules(PEER_CONNECT_MS, SILENT_MS))
         performers = make_performers(
             self.decider,
