Leave the answered request out of a target's load figures

Cause: the figures that come with an answer still count the request that was answered; it was taken for another VM's and kept a slot for 300 ms.

Change: answers' figures are lowered by one; while requests wait, targets whose slots only others seem to use are looked at too.

--- a/packages/core/hornbeamstand_core/controllers/capacity.py
+++ b/packages/core/hornbeamstand_core/controllers/capacity.py
@@ -247,7 +247,9 @@
         """Return the looks that tell when a target's slow phase is over."""
         out = []
         for target in self.usable(now_ms):
-            if target.speed is None or target.n_free(now_ms) == 0:
+            if target.speed is None:
+                continue
+            if len(target.started_at_ms) >= target.n_usable_slots:
                 continue
             known_at_ms = max(target.speed_at_ms, target.looked_at_ms)
             if now_ms - known_at_ms < LOOK_AGAIN_MS:
@@ -267,7 +269,7 @@
             target.speed = UNANSWERED_SPEED
             target.speed_at_ms = now_ms
             return []
-        target.note_load(message.report, now_ms)
+        target.note_load(message.report, 0, now_ms)
         return self.drain(now_ms) if self.waiting else []
 
     # Outcomes of a decision.
--- a/packages/core/hornbeamstand_core/controllers/found_target.py
+++ b/packages/core/hornbeamstand_core/controllers/found_target.py
@@ -14,7 +14,7 @@
 ERROR_WEIGHT = 0.25
 ERROR_AGE_MS = 8000.0
 # Requests of other VMs, read off a load report, are counted for this long.
-OTHERS_AGE_MS = 300.0
+OTHERS_AGE_MS = 200.0
 EJECTION_MIN_MS = 600.0
 EJECTION_MAX_MS = 6000.0
 N_FAILURES_TO_EJECT = 2
@@ -135,9 +135,13 @@
 
     # Learning.
 
-    def note_load(self, report, now_ms):
-        """Take the load figures that came with an answer."""
-        n_own = len(self.started_at_ms)
+    def note_load(self, report, n_ended, now_ms):
+        """Take the load figures that came with an answer.
+
+        ``n_ended`` is 1 if they still count the request that was answered,
+        which this VM counts no more.
+        """
+        n_own = len(self.started_at_ms) + n_ended
         self.n_others = max(0, report.n_running + report.n_waiting - n_own)
         self.others_at_ms = now_ms
         if report.speed is not None:
--- a/packages/core/hornbeamstand_core/controllers/learning.py
+++ b/packages/core/hornbeamstand_core/controllers/learning.py
@@ -37,7 +37,7 @@
 def learn_reply(service, target, reply, latency_ms, now_ms):
     """Learn from a whole answer."""
     if reply.report is not None:
-        target.note_load(reply.report, now_ms)
+        target.note_load(reply.report, 1, now_ms)
         learn_speed(service, reply.report)
     if reply.status == MISDIRECTED_STATUS:
         target.ejected_until_ms = now_ms + MISDIRECTED_MS
