--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,9 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed
 
-.PHONY: demo test lint measure bench slopes faults generate
+.PHONY: demo demo-platform test lint measure bench slopes faults generate
 
-$(STAMP): requirements-dev.txt constraints.txt $(wildcard packages/*/pyproject.toml)
+$(STAMP): requirements-dev.txt constraints.txt $(wildcard packages/*/pyproject.toml platform/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q --disable-pip-version-check -c constraints.txt -r requirements-dev.txt
 	touch $(STAMP)
@@ -13,6 +13,9 @@
 demo: $(STAMP)
 	$(BIN)/python -m standins.demo
 
+demo-platform: $(STAMP)
+	$(BIN)/python -m standins.demo_platform
+
 test: $(STAMP)
 	$(BIN)/python -m pytest
 
--- a/packages/core/hornbeamstand_core/controllers/retry_window.py
+++ b/packages/core/hornbeamstand_core/controllers/retry_window.py
@@ -6,6 +6,8 @@
 # been the service's owner earlier in the same window.
 RATIO_SHARE = 0.88
 OWNER_SLACK_SHARE = 0.4
+# Part of its slack that an owner has from the start.
+START_SHARE = 0.3
 # Share of the slack that each VM uses which is not the owner.
 OTHER_SLACK_SHARE = 0.01
 
@@ -63,13 +65,14 @@
     def _slack_share(self, n_owners, now_ms):
         """Return this VM's share of the slack.
 
-        An owner's grows from nothing: the one before may have used all of its
-        own within the same window.
+        An owner's grows from a part of it: the one before may have used all of
+        its own within the same window.
         """
         if self._owner_since_ms is None:
             return OTHER_SLACK_SHARE
         age = (now_ms - self._owner_since_ms) / self.window_ms
-        return OWNER_SLACK_SHARE / n_owners * min(1.0, age)
+        grown = min(1.0, START_SHARE + (1.0 - START_SHARE) * age)
+        return OWNER_SLACK_SHARE / n_owners * grown
 
     def n_left(self, n_owners, now_ms):
         """Return how many repeats may be sent now.
--- /dev/null
+++ b/packages/entry/tests/test_edge_answers.py
@@ -0,0 +1,208 @@
+"""Answers that come twice, late, unframed or broken off must not be mixed up."""
+
+from contextlib import ExitStack
+
+import gevent
+import pytest
+from gevent.queue import SimpleQueue
+from gevent.server import StreamServer
+from hornbeamstand_core.edge_messages import LoadReport
+from hornbeamstand_core.messages import SendFailure
+from hornbeamstand_entry.clock import make_process_clock
+from hornbeamstand_entry.edge.context import EdgeContext
+from hornbeamstand_entry.edge.dialect import Dialect, HeaderNames
+from hornbeamstand_entry.edge.messages import (
+    caller_status,
+    passed_items,
+    read_terms,
+    target_reply,
+)
+from hornbeamstand_entry.tasks.answers import WholeAnswer
+from hornbeamstand_entry.tasks.connections import (
+    ConnectionPool,
+    ConnectionRules,
+    Exchange,
+)
+
+NAMES = HeaderNames("Id", "Left", "Seal", "Not-Run", "Expect", "Load")
+DIALECT = Dialect(
+    NAMES, None, "/l", "/r", lambda text: LoadReport(1, 0, 3), None, None, None
+)
+RULES = ConnectionRules(id_header="Id", accepts_unframed=True)
+
+
+def answer(answer_id, body=b"ok", length=None):
+    length = len(body) if length is None else length
+    head = f"HTTP/1.1 200 OK\r\nId: {answer_id}\r\nSeal: s\r\n"
+    return head.encode() + b"Content-Length: %d\r\n\r\n" % length + body
+
+
+class Server:
+    """Sends what a script says for each request on a connection."""
+
+    def __init__(self, stack, script):
+        self.script = script
+        self.n_connections = 0
+        server = StreamServer(("127.0.0.1", 0), self.serve)
+        server.start()
+        stack.callback(server.stop, timeout=0)
+        self.address = f"127.0.0.1:{server.server_port}"
+
+    def serve(self, sock, _):
+        self.n_connections += 1
+        n_request = 0
+        while True:
+            raw = sock.recv(65536)
+            if not raw:
+                return
+            n_request += 1
+            wanted = raw.split(b"Id: ")[1].split(b"\r\n")[0].decode()
+            if not self.script(sock, wanted, n_request):
+                sock.close()
+                return
+
+
+@pytest.fixture
+def stack():
+    with ExitStack() as exit_stack:
+        yield exit_stack
+
+
+def make_pool(stack, script):
+    server = Server(stack, script)
+    pool = ConnectionPool(server.address, make_process_clock(), RULES)
+    pool.start(stack)
+    return server, pool
+
+
+def send(pool, request_id, timeout_ms=1000.0):
+    raw = f"GET / HTTP/1.1\r\nId: {request_id}\r\n\r\n".encode()
+    until_ms = pool.clock.now_ms() + timeout_ms
+    exchange = Exchange("GET", raw, until_ms, False, 1000, SimpleQueue(), request_id)
+    pool.task.post(exchange)
+    result = exchange.receive_end(timeout_ms)
+    if result is None:
+        exchange.cancel()
+    gevent.sleep(0.01)
+    return result
+
+
+def test_a_second_answer_never_reaches_the_next_request(stack):
+    def script(sock, wanted, n_request):
+        sock.sendall(answer(wanted) + answer(wanted, b"again"))
+        return True
+
+    server, pool = make_pool(stack, script)
+    assert send(pool, "a").body == b"ok"
+    assert send(pool, "b").body == b"ok"
+    assert server.n_connections == 2
+
+
+def test_a_late_extra_answer_is_dropped_by_its_id(stack):
+    def script(sock, wanted, n_request):
+        if n_request == 2:
+            sock.sendall(answer("a", b"late"))
+            gevent.sleep(0.02)
+        sock.sendall(answer(wanted, wanted.encode()))
+        return True
+
+    server, pool = make_pool(stack, script)
+    assert send(pool, "a").body == b"a"
+    assert send(pool, "b").body == b"b"
+    assert server.n_connections == 1
+
+
+def test_garbage_behind_an_answer_ends_its_connection(stack):
+    def script(sock, wanted, n_request):
+        sock.sendall(answer(wanted) + b"\x00garbage")
+        return True
+
+    server, pool = make_pool(stack, script)
+    assert send(pool, "a").body == b"ok"
+    assert send(pool, "b").body == b"ok"
+    assert server.n_connections == 2
+
+
+def test_a_short_answer_is_no_answer(stack):
+    def script(sock, wanted, n_request):
+        sock.sendall(answer(wanted, b"half", length=99))
+        return False
+
+    _, pool = make_pool(stack, script)
+    failure = send(pool, "a")
+    assert isinstance(failure, SendFailure)
+    assert failure.may_have_run
+
+
+def test_an_answer_without_length_ends_with_its_connection(stack):
+    def script(sock, wanted, n_request):
+        sock.sendall(f"HTTP/1.1 200 OK\r\nId: {wanted}\r\n\r\nwhole".encode())
+        return False
+
+    _, pool = make_pool(stack, script)
+    assert send(pool, "a").body == b"whole"
+
+
+def test_bytes_that_are_no_answer_are_a_failure(stack):
+    def script(sock, wanted, n_request):
+        sock.sendall(b"rubbish\r\n\r\n")
+        return True
+
+    _, pool = make_pool(stack, script)
+    assert isinstance(send(pool, "a"), SendFailure)
+
+
+def context(attempt_id="a"):
+    return EdgeContext(attempt_id, "GET", "/", [], b"")
+
+
+def whole(status=200, **items):
+    pairs = [(name.replace("_", "-"), value) for name, value in items.items()]
+    return WholeAnswer(status, pairs, b"x", "GET", False)
+
+
+@pytest.mark.parametrize(
+    "items",
+    [
+        {"Id": "a"},
+        {"Id": "b", "Seal": "s"},
+        {"Seal": "s"},
+        {"Id": "a", "Seal": "s", "Content_Encoding": "gzip"},
+    ],
+)
+def test_a_success_must_be_sealed_plain_and_the_requests_own(items):
+    assert target_reply(whole(**items), context(), DIALECT) is None
+
+
+def test_a_sealed_success_is_taken():
+    reply = target_reply(whole(Id="a", Seal="s", Load="1,0,3"), context(), DIALECT)
+    assert reply.status == 200
+    assert reply.report.n_running == 1
+
+
+def test_only_the_targets_own_word_says_that_a_request_did_not_run():
+    assert target_reply(whole(503, Not_Run="1"), context(), DIALECT).did_not_run
+    assert not target_reply(whole(503), context(), DIALECT).did_not_run
+
+
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+def test_a_promise_is_not_passed_on_for_what_ran(status):
+    assert caller_status(status) == 502
+    assert caller_status(500) == 500
+
+
+def test_headers_go_on_but_for_those_of_a_connection_and_of_vms():
+    lines = [
+        ("Host", "h"),
+        ("X-A", "1"),
+        ("X-A", "2"),
+        ("Connection", "keep-alive"),
+        ("Hornbeam-Terms", "[]"),
+        ("Left", "5"),
+    ]
+    assert passed_items(lines, {"left"}) == [("Host", "h"), ("X-A", "1"), ("X-A", "2")]
+
+
+@pytest.mark.parametrize("text", ["", "[]", "{}", '["s",1,1,1,1,1]', "\xff"])
+def test_terms_that_can_not_be_read_are_none(text):
+    assert read_terms(text) is None
--- /dev/null
+++ b/packages/entry/tests/test_edge_logs.py
@@ -0,0 +1,71 @@
+"""Log lines are bounded and never block."""
+
+import os
+
+import pytest
+from hornbeamstand_core.clock import Clock
+from hornbeamstand_entry.edge import logs
+from hornbeamstand_entry.edge.logs import BoundedLines, EdgeLog
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    yield reader, writer
+    for descriptor in (reader, writer):
+        try:
+            os.close(descriptor)
+        except OSError:
+            continue
+
+
+def make_lines(writer):
+    return BoundedLines(writer, Clock.from_reader(lambda: 0.0))
+
+
+def test_a_burst_is_capped_and_what_was_left_out_is_said(pipe):
+    lines = make_lines(pipe[1])
+    for _ in range(logs.LINES_PER_S_MAX + 50):
+        lines.info("x")
+    lines.flush()
+    written = os.read(pipe[0], 1 << 20).decode()
+    assert written.count("x\n") == logs.LINES_PER_S_MAX
+    assert '"n_lines":50' in written
+
+
+def test_failures_have_a_reserve(pipe):
+    lines = make_lines(pipe[1])
+    for _ in range(logs.LINES_PER_S_MAX + 50):
+        lines.info("x")
+    lines.warning("failure")
+    lines.flush()
+    assert "failure" in os.read(pipe[0], 1 << 20).decode()
+
+
+def test_a_reader_that_stops_does_not_block_and_memory_stays_bounded(pipe):
+    now_ms = 0.0
+    lines = BoundedLines(pipe[1], Clock.from_reader(lambda: now_ms))
+    for _ in range(50):
+        now_ms += 1000.0
+        for _ in range(500):
+            lines.info("y" * 500)
+        lines.flush()
+    assert lines.n_left_out > 0
+    assert len(lines._rest) < 2 * logs.N_BUFFERED_MAX * 500
+
+
+def test_a_closed_reader_does_not_end_the_process(pipe):
+    os.close(pipe[0])
+    lines = make_lines(pipe[1])
+    lines.info("x")
+    lines.flush()
+    assert lines.n_left_out == 1
+
+
+def test_lines_are_json_with_the_vm(pipe):
+    log = EdgeLog.from_config("vm1", Clock.from_reader(lambda: 0.0), pipe[1])
+    log.info("process: started", front="1.2.3.4:80")
+    log.lines.flush()
+    line = os.read(pipe[0], 4096).decode()
+    assert '"vm":"vm1"' in line
+    assert '"event":"process: started"' in line
--- /dev/null
+++ b/standins/edge_cell.py
@@ -0,0 +1,272 @@
+"""Real edge processes on loopback against the stand-in store and servers."""
+
+import os
+import signal
+import subprocess
+import sys
+from contextlib import ExitStack
+from pathlib import Path
+
+import gevent
+import msgspec
+from geventhttpclient import HTTPClient
+
+from standins.server import Server
+from standins.store import Store
+
+ROOT = Path(__file__).resolve().parent.parent
+DOMAINS = ("ub-a", "ub-b", "ub-c")
+HOST = "shop.example"
+GRACE_MS = 3000
+WAIT_S = 10.0
+FIRST_PORT = 20100
+
+SETTINGS = """
+[Self]
+NodeName = "{name}"
+Ip = "{ip}"
+Zone = "{domain}"
+[Self.Limits]
+CpuShare = 1.0
+Cpus = 1
+BandwidthMbps = 1000.0
+[Network]
+InternalPorts = [{peer_port}, {last_port}]
+Seeds = []
+[Network.Listen]
+Frontend = "{ip}:{front_port}"
+Readiness = "{ip}:{ready_port}"
+Registry = "{ip}:{lookup_port}"
+Admin = "{ip}:{admin_port}"
+[Network.Zones]
+ub-a = "r"
+ub-b = "r"
+ub-c = "r"
+[Platform.Platform]
+Address = "{store}"
+[Terms.Bounds]
+ttl_max = "5s"
+Grace = "{grace_ms}ms"
+RetryRatio = 0.2
+RetrySlack = 50
+RetryWindow = "10s"
+"""
+
+
+class Answer:
+    """What a caller got; ``status`` is 0 if no answer came."""
+
+    __slots__ = ("status", "headers", "body")
+
+    def __init__(self, status, headers=None, body=b""):
+        self.status = status
+        self.headers = headers or {}
+        self.body = body
+
+
+class EdgeVm:
+    """One edge process."""
+
+    __slots__ = ("name", "ip", "domain", "ports", "process", "settings_file")
+
+    def __init__(self, name, ip, domain, ports, settings_file):
+        self.name = name
+        self.ip = ip
+        self.domain = domain
+        self.ports = ports
+        self.process = None
+        self.settings_file = settings_file
+
+    def start(self, log_file):
+        """Start the process."""
+        env = {**os.environ, "HORNBEAMSTAND_NODE_FILE": str(self.settings_file)}
+        command = [sys.executable, "-m", "hornbeamstand_platform"]
+        self.process = subprocess.Popen(
+            command, env=env, stdout=log_file, stderr=log_file, cwd=log_file.name + ".d"
+        )
+
+
+class EdgeCell:
+    """A store, servers and edge processes that end with the cell.
+
+    Parameters
+    ----------
+    folder : Path
+        Where settings and logs go.
+    n_vms : int
+        Edge processes, in turn over three failure domains.
+    """
+
+    def __init__(self, folder, n_vms=3):
+        self.folder = Path(folder)
+        self.n_vms = n_vms
+        self.stack = ExitStack()
+        self.store = Store()
+        self.servers = []
+        self.vms = []
+        self.n_sent = 0
+
+    def __enter__(self):
+        self.store.start(self.stack)
+        base = FIRST_PORT + (os.getpid() % 500) * 20
+        names = ("front", "ready", "lookup", "admin", "peer", "last")
+        ports = {name: base + i for i, name in enumerate(names)}
+        for i in range(self.n_vms):
+            self.vms.append(self._make_vm(i, ports))
+        return self
+
+    def __exit__(self, *exc_info):
+        for vm in self.vms:
+            if vm.process is not None and vm.process.poll() is None:
+                vm.process.kill()
+                vm.process.wait()
+        self.stack.close()
+
+    def _make_vm(self, i, ports):
+        name, domain = f"edge-{i}", DOMAINS[i % len(DOMAINS)]
+        ip = f"127.0.{1 + os.getpid() % 200}.{10 + i}"
+        file = self.folder / f"{name}.toml"
+        text = SETTINGS.format(
+            name=name,
+            ip=ip,
+            domain=domain,
+            store=self.store.address,
+            grace_ms=GRACE_MS,
+            **{f"{key}_port": port for key, port in ports.items()},
+        )
+        file.write_text(text)
+        return EdgeVm(name, ip, domain, ports, file)
+
+    # What operators and servers do.
+
+    def add_server(self, name, service="shop", domain="ub-a", **values):
+        """Start a server and write its entry."""
+        server = Server(name, service, domain, **values)
+        server.start(self.stack)
+        self.servers.append(server)
+        self.store.put(f"servers/{name}", server.entry())
+        return server
+
+    def set_config(self, version, prefixes, timeout_ms=1500):
+        """Write the operators' configuration.
+
+        ``prefixes`` maps a prefix to (service, kind).
+        """
+        paths = [
+            {
+                "Name": f"r{i}",
+                "Prefix": prefix,
+                "RouteType": kind,
+                "Timeout": f"{timeout_ms}ms",
+                "Goal": "600ms",
+                "Priority": 1,
+                "Attempts": 2,
+                "Backend": service,
+            }
+            for i, (prefix, (service, kind)) in enumerate(prefixes.items())
+        ]
+        services = [
+            {
+                "Name": name,
+                "HealthPath": "/health",
+                "MaxConns": 100,
+                "Warmup": "3s",
+                "WarmupPerS": 5.0,
+            }
+            for name in sorted({service for service, _ in prefixes.values()})
+        ]
+        limits = {
+            "MaxHeaderBytes": 16384,
+            "MaxBodyBytes": 1 << 20,
+            "HeaderTimeout": "3s",
+            "IdleTimeout": "15s",
+        }
+        self.store.put(
+            "op/config",
+            {
+                "Version": f"r{version}",
+                "Services": services,
+                "Limits": limits,
+                "Vhosts": [{"Hostname": HOST, "Paths": paths}],
+            },
+        )
+
+    # Processes.
+
+    def start_vm(self, vm):
+        """Start one edge process."""
+        path = self.folder / f"{vm.name}.log"
+        Path(f"{path}.d").mkdir(exist_ok=True)
+        log_file = open(path, "ab")
+        self.stack.callback(log_file.close)
+        vm.start(log_file)
+
+    def start_all(self):
+        """Start every process and wait until it is ready."""
+        for vm in self.vms:
+            self.start_vm(vm)
+        self.wait_for(lambda: all(self.is_ready(vm) for vm in self.vms))
+
+    def signal(self, vm, number):
+        """Send a signal to one process."""
+        vm.process.send_signal(number)
+
+    def kill(self, vm):
+        """Kill one process."""
+        self.signal(vm, signal.SIGKILL)
+        vm.process.wait()
+
+    def wait_for(self, is_met, wait_s=WAIT_S):
+        """Wait until a condition is met; raises if it is not in time."""
+        with gevent.Timeout(wait_s, AssertionError(f"not met in {wait_s} s")):
+            while not is_met():
+                gevent.sleep(0.05)
+
+    def is_ready(self, vm):
+        """Tell whether a VM says that it is ready."""
+        return self.call(vm, "ready", "GET", "/ready").status == 200
+
+    # What callers do.
+
+    def call(self, vm, port, method, path, headers=None, body=b"", timeout_s=4.0):
+        """Call one VM on a new connection; returns an Answer."""
+        client = HTTPClient(
+            vm.ip, vm.ports[port], connection_timeout=1.0, network_timeout=timeout_s
+        )
+        try:
+            response = client.request(method, path, body=body, headers=headers or {})
+            raw = bytes(response.read())
+            items = {name.lower(): value for name, value in response.items()}
+            return Answer(response.status_code, items, raw)
+        except Exception:
+            # Sockets and the HTTP parser each raise their own types.
+            return Answer(0)
+        finally:
+            client.close()
+
+    def send(self, vm, path, method="GET", body=b"", **headers):
+        """Send one request of a caller; returns an Answer."""
+        self.n_sent += 1
+        items = {
+            "Host": HOST,
+            "Attempt-Id": f"a{self.n_sent}",
+            "Deadline-Ms": "2000",
+            **headers,
+        }
+        return self.call(vm, "front", method, path, items, body)
+
+    def look_up(self, vm, domain=""):
+        """Return the addresses that a VM names."""
+        path = f"/resolve?Name={HOST}&Region=r&Zone={domain}"
+        answer = self.call(vm, "lookup", "GET", path)
+        if answer.status != 200:
+            return []
+        return msgspec.json.decode(answer.body)["Addresses"]
+
+    def n_runs_max(self):
+        """Return the most runs of one attempt over all servers."""
+        counts = {}
+        for server in self.servers:
+            for attempt_id, n_runs in server.runs.items():
+                counts[attempt_id] = counts.get(attempt_id, 0) + n_runs
+        return max(counts.values(), default=0)
--- /dev/null
+++ b/standins/server.py
@@ -0,0 +1,166 @@
+"""A stand-in for one of the platform's servers, with load figures and faults."""
+
+import socket
+from collections import Counter
+
+import gevent
+from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.queue import Queue
+
+
+class QuickHandler(WSGIHandler):
+    """Sends each write at once and knows its socket and request target."""
+
+    def handle(self):
+        """Set TCP_NODELAY before the first request."""
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle()
+
+    def get_environ(self):
+        """Give the application the socket and the target as sent."""
+        environ = super().get_environ()
+        environ["standin.socket"] = self.socket
+        environ["standin.target"] = self.path
+        environ["standin.headers"] = self.headers.items()
+        return environ
+
+
+class Server:
+    """One server of a service.
+
+    ``mode`` is ``ok``, ``shed`` (did not run), ``error`` (500), ``cut`` (runs and
+    closes without an answer) or ``extra`` (answers twice). ``speed`` is its work
+    time over the usual one. ``runs`` counts runs by attempt id; ``seen`` has the
+    request targets and header lines.
+    """
+
+    __slots__ = (
+        "server_id",
+        "service",
+        "domain",
+        "n_slots",
+        "work_ms",
+        "mode",
+        "speed",
+        "state",
+        "born_ms",
+        "address",
+        "n_running",
+        "n_running_max",
+        "n_looks",
+        "runs",
+        "run_at_s",
+        "seen",
+        "_slots",
+    )
+
+    def __init__(self, server_id, service, domain, n_slots=3, work_ms=20.0):
+        self.server_id = server_id
+        self.service = service
+        self.domain = domain
+        self.n_slots = n_slots
+        self.work_ms = work_ms
+        self.mode = "ok"
+        self.speed = 1.0
+        self.state = "ready"
+        self.born_ms = 1
+        self.address = ""
+        self.n_running = 0
+        self.n_running_max = 0
+        self.n_looks = 0
+        self.runs = Counter()
+        self.run_at_s = []
+        self.seen = []
+        self._slots = Queue()
+
+    def start(self, stack):
+        """Listen; the stack ends it."""
+        server = WSGIServer(
+            ("127.0.0.1", 0),
+            self.serve,
+            log=None,
+            error_log=None,
+            handler_class=QuickHandler,
+        )
+        server.start()
+        stack.callback(server.stop, timeout=0)
+        self.address = f"127.0.0.1:{server.server_port}"
+
+    def entry(self, cold_left_ms=0):
+        """Return the server's own entry for the store."""
+        return {
+            "Address": self.address,
+            "Info": {
+                "Backend": self.service,
+                "Version": "v1",
+                "Zone": self.domain,
+                "Concurrency": self.n_slots,
+            },
+            "Status": {
+                "State": self.state,
+                "Seq": 1,
+                "WarmupLeft": f"{int(cold_left_ms)}ms",
+            },
+            "born": self.born_ms,
+        }
+
+    def load(self):
+        """Return the load figures."""
+        return f"{self.n_running},0,{self.n_slots},{int(self.speed * 100)}"
+
+    def serve(self, environ, start_response):
+        """Serve one request (a WSGI application)."""
+        if environ["PATH_INFO"] == "/health":
+            self.n_looks += 1
+            items = [("Instance-Id", self.server_id), ("Server-Load", self.load())]
+            return respond(start_response, 200, b"", items)
+        attempt_id = environ.get("HTTP_ATTEMPT_ID", "")
+        expected = environ.get("HTTP_EXPECT_INSTANCE", self.server_id)
+        if expected != self.server_id:
+            return respond(start_response, 421, b"", [("Instance-Id", self.server_id)])
+        if self.mode == "shed" or self.n_running >= self.n_slots:
+            items = [("Not-Executed", "1"), ("Server-Load", self.load())]
+            return respond(start_response, 503, b"", items)
+        body = environ["wsgi.input"].read()
+        self.seen.append((environ["standin.target"], environ["standin.headers"]))
+        self._run(attempt_id)
+        return self._answer(environ, start_response, attempt_id, body)
+
+    def _run(self, attempt_id):
+        self.runs[attempt_id] += 1
+        self.run_at_s.append(gevent.get_hub().loop.now())
+        self.n_running += 1
+        self.n_running_max = max(self.n_running_max, self.n_running)
+        gevent.sleep(self.work_ms * self.speed / 1000.0)
+
+    def _answer(self, environ, start_response, attempt_id, body):
+        items = [
+            ("Attempt-Id", attempt_id),
+            ("Server-Seal", f"seal-{self.server_id}"),
+            ("Server-Load", self.load()),
+        ]
+        self.n_running -= 1
+        if self.mode == "cut":
+            environ["standin.socket"].shutdown(socket.SHUT_RDWR)
+        status = 500 if self.mode == "error" else 200
+        answer = b"ran " + environ["standin.target"].encode() + b" " + body
+        if self.mode == "extra":
+            sock = environ["standin.socket"]
+            gevent.spawn_later(0.005, send_extra, sock, attempt_id)
+        return respond(start_response, status, answer, items)
+
+
+def send_extra(sock, attempt_id):
+    """Send a second answer to a request that has its answer."""
+    head = f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt_id}\r\nServer-Seal: x\r\n"
+    try:
+        sock.sendall(head.encode() + b"Content-Length: 5\r\n\r\nextra")
+    except OSError:
+        # The connection is closed already: there is nothing to mix up.
+        return
+
+
+def respond(start_response, status, body, items):
+    """Answer with a body of known length."""
+    start_response(f"{status} X", [*items, ("Content-Length", str(len(body)))])
+    return [body]
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,231 @@
+"""A stand-in for the platform's store, in its published protocol, with faults.
+
+Runs in the greenlets of the test or demo that starts it.
+"""
+
+import base64
+from urllib.parse import parse_qs
+
+import gevent
+import msgspec
+from gevent.event import Event
+from gevent.pywsgi import WSGIServer
+
+N_PAGE_MAX = 500
+MS_PER_S = 1000.0
+
+
+class Item:
+    """One key of the store."""
+
+    __slots__ = ("key", "value", "revision", "created", "lease_id")
+
+    def __init__(self, key, value, revision, created, lease_id):
+        self.key = key
+        self.value = value
+        self.revision = revision
+        self.created = created
+        self.lease_id = lease_id
+
+    def encoded(self):
+        """Return the item as the protocol shows it."""
+        return {
+            "Key": self.key,
+            "Value": base64.b64encode(self.value).decode(),
+            "Rev": self.revision,
+            "CreateRev": self.created,
+            "Lease": self.lease_id,
+        }
+
+
+class Store:
+    """Keys, leases and a history; ``mode`` is a fault in force, or ``ok``.
+
+    Modes: ``busy`` answers 503, ``many`` 429, ``silent`` nothing, ``lost`` does
+    writes and answers none of them. ``refused_ips`` are turned away with 503.
+    """
+
+    __slots__ = (
+        "items",
+        "events",
+        "leases",
+        "revision",
+        "oldest",
+        "mode",
+        "refused_ips",
+        "n_calls",
+        "address",
+        "_changed",
+        "_n_leases",
+    )
+
+    def __init__(self):
+        self.items = {}
+        self.events = []
+        self.leases = {}
+        self.revision = 1
+        self.oldest = 1
+        self.mode = "ok"
+        self.refused_ips = set()
+        self.n_calls = 0
+        self.address = ""
+        self._changed = Event()
+        self._n_leases = 0
+
+    def start(self, stack, address=("127.0.0.1", 0)):
+        """Listen; the stack ends it."""
+        server = WSGIServer(address, self.serve, log=None, error_log=None)
+        server.start()
+        stack.callback(server.stop, timeout=0)
+        self.address = f"127.0.0.1:{server.server_port}"
+        reaper = gevent.spawn(self._end_leases)
+        stack.callback(reaper.kill, block=False)
+
+    # What tests and operators do.
+
+    def put(self, key, value, lease_id=0):
+        """Write one key; dicts are encoded as JSON."""
+        if not isinstance(value, bytes):
+            value = msgspec.json.encode(value)
+        self.revision += 1
+        known = self.items.get(key)
+        created = known.created if known else self.revision
+        item = Item(key, value, self.revision, created, lease_id)
+        self.items[key] = item
+        self._note(item.encoded())
+
+    def delete(self, key):
+        """Remove one key."""
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self._note({"Key": key, "Rev": self.revision, "Tombstone": True})
+
+    def forget_history(self):
+        """Drop every event: watches from earlier revisions get 410."""
+        self.events.clear()
+        self.oldest = self.revision
+        self._wake()
+
+    def _note(self, event):
+        self.events.append(event)
+        self._wake()
+
+    def _wake(self):
+        self._changed.set()
+        self._changed = Event()
+
+    def _end_leases(self):
+        while True:
+            gevent.sleep(0.05)
+            now_s = gevent.get_hub().loop.now()
+            for lease_id in [i for i, (_, end) in self.leases.items() if end < now_s]:
+                self.end_lease(lease_id)
+
+    def end_lease(self, lease_id):
+        """End a lease and remove its keys."""
+        self.leases.pop(lease_id, None)
+        for key in [k for k, item in self.items.items() if item.lease_id == lease_id]:
+            self.delete(key)
+
+    # The protocol.
+
+    def serve(self, environ, start_response):
+        """Serve one call (a WSGI application)."""
+        self.n_calls += 1
+        refused = self._refuse(environ)
+        if refused is not None:
+            return respond(start_response, refused, {})
+        path = environ["PATH_INFO"]
+        query = {k: v[0] for k, v in parse_qs(environ["QUERY_STRING"], True).items()}
+        raw = environ["wsgi.input"].read()
+        body = msgspec.json.decode(raw) if raw else {}
+        status, answer = self._dispatch(path, query, body)
+        if self.mode == "lost" and environ["REQUEST_METHOD"] == "POST":
+            gevent.sleep(3600)
+        return respond(start_response, status, answer)
+
+    def _refuse(self, environ):
+        if environ["REMOTE_ADDR"] in self.refused_ips:
+            return 503
+        if self.mode == "silent":
+            gevent.sleep(3600)
+        return {"busy": 503, "many": 429}.get(self.mode)
+
+    def _dispatch(self, path, query, body):
+        if path == "/kv-range":
+            return self._range(query)
+        if path == "/kv-watch":
+            return self._watch(query)
+        if path == "/kv-txn":
+            return self._write(body)
+        if path == "/kv-lease":
+            return self._grant(body)
+        if path.startswith("/kv-keep/"):
+            return self._keep(int(path.rpartition("/")[2]))
+        return 404, {}
+
+    def _range(self, query):
+        keys = sorted(
+            key
+            for key in self.items
+            if key.startswith(query["Prefix"]) and key > query.get("after", "")
+        )
+        items = [self.items[key].encoded() for key in keys[:N_PAGE_MAX]]
+        has_more = len(keys) > N_PAGE_MAX
+        return 200, {"items": items, "HasMore": has_more, "AsOf": self.revision}
+
+    def _watch(self, query):
+        after = int(query["after"])
+        wait_s = int(query["WaitMs"]) / MS_PER_S
+        with gevent.Timeout(wait_s, False):
+            while True:
+                if after < self.oldest - 1 or (after < self.oldest and not self.events):
+                    return 410, {}
+                events = [
+                    event
+                    for event in self.events
+                    if event["Rev"] > after and event["Key"].startswith(query["Prefix"])
+                ]
+                if events:
+                    return 200, {"events": events, "AsOf": self.revision}
+                self._changed.wait()
+        return 200, {"events": [], "AsOf": self.revision}
+
+    def _write(self, body):
+        for row in body["Expect"]:
+            item = self.items.get(row["Key"])
+            if (item.revision if item else 0) != row["Rev"]:
+                return 412, {"items": []}
+        for row in body["Writes"]:
+            if row["Lease"] and row["Lease"] not in self.leases:
+                return 404, {}
+        for row in body["Writes"]:
+            self.put(row["Key"], base64.b64decode(row["Value"]), row["Lease"])
+        for key in body["Delete"]:
+            self.delete(key)
+        return 200, {"Rev": self.revision}
+
+    def _grant(self, body):
+        self._n_leases += 1
+        ttl_ms = float(body["Ttl_time"].removesuffix("ms"))
+        self._renew(self._n_leases, ttl_ms)
+        return 200, {"Lease": self._n_leases, "Ttl_time": body["Ttl_time"]}
+
+    def _renew(self, lease_id, ttl_ms):
+        end_s = gevent.get_hub().loop.now() + ttl_ms / MS_PER_S
+        self.leases[lease_id] = (ttl_ms, end_s)
+
+    def _keep(self, lease_id):
+        if lease_id not in self.leases:
+            return 404, {}
+        ttl_ms = self.leases[lease_id][0]
+        self._renew(lease_id, ttl_ms)
+        return 200, {"Ttl_time": f"{int(ttl_ms)}ms"}
+
+
+def respond(start_response, status, answer):
+    """Answer with JSON."""
+    raw = msgspec.json.encode(answer)
+    items = [("Content-Type", "application/json"), ("Content-Length", str(len(raw)))]
+    start_response(f"{status} X", items)
+    return [raw]
--- /dev/null
+++ b/tests/edge_parts.py
@@ -0,0 +1,94 @@
+"""Small pieces that the tests of the edge controllers share."""
+
+from random import Random
+
+from hornbeamstand_core.controllers.capacity import ServiceCapacity
+from hornbeamstand_core.controllers.edge import RepeatBounds
+from hornbeamstand_core.controllers.target_table import TargetTable
+from hornbeamstand_core.discovery import READY, TargetEntry
+from hornbeamstand_core.edge_messages import (
+    FIRST,
+    AcquireSlot,
+    LoadReport,
+    LoadSeen,
+    LookFirst,
+)
+from hornbeamstand_core.messages import Permit, Release, Reply
+from hornbeamstand_core.routes import ServiceRules
+
+BOUNDS = RepeatBounds(0.2, 50.0, 10_000.0, 1)
+
+
+def entry(name, domain="a", n_slots=3, state=READY, cold_left_ms=0.0, born_ms=1):
+    """Return one target's entry."""
+    return TargetEntry(
+        f"servers/{name}",
+        name,
+        "shop",
+        f"10.0.0.{name[1:]}:80",
+        domain,
+        n_slots,
+        state,
+        cold_left_ms,
+        born_ms,
+    )
+
+
+class Shop:
+    """One service and its table on a virtual clock."""
+
+    def __init__(self, entries=(), owns=True, bounds=BOUNDS):
+        self.now_ms = 0.0
+        self.n_requests = 0
+        self.owns = owns
+        self.service = ServiceCapacity(
+            "shop", "a", Random(1), bounds, lambda *_: self.owns
+        )
+        self.service.rules = ServiceRules("shop", "/health", 100, 3000.0, 3.0)
+        self.table = TargetTable(lambda name: self.service)
+        self.table.replace_all(list(entries), self.now_ms)
+
+    def ask(self, kind=FIRST, request_id=None, n_looks=2, **values):
+        """Ask for a slot; returns the reply, or None if the request waits."""
+        self.n_requests += 1
+        request_id = request_id or f"r{self.n_requests}"
+        message = AcquireSlot(
+            "shop",
+            request_id,
+            f"{request_id}#{kind}",
+            kind,
+            values.get("is_idempotent", True),
+            values.get("priority", 1),
+            self.now_ms + values.get("deadline_ms", 2000.0),
+            self.now_ms + values.get("objective_ms", 600.0),
+            values.get("excluded_ids", ()),
+            n_looks,
+        )
+        return self.reply(self.service.acquire(message, self.now_ms))
+
+    def reply(self, messages):
+        """Return the first granted reply among messages, or None."""
+        for message in messages:
+            if hasattr(message, "reply"):
+                return message.reply
+        return None
+
+    def end(self, permit, status=200, report=None, did_not_run=False):
+        """End a permit with an answer; returns the messages it leads to."""
+        reply = Reply(status, None, report, did_not_run)
+        return self.service.release(Release(permit, reply), self.now_ms)
+
+    def see(self, name, speed, n_running=0):
+        """Take a target's answer to a look."""
+        report = LoadReport(n_running, 0, 3, speed)
+        return self.service.note_load(LoadSeen("shop", name, report), self.now_ms)
+
+
+def is_permit(reply):
+    """Tell whether a reply is a permit."""
+    return isinstance(reply, Permit)
+
+
+def is_look(reply):
+    """Tell whether a reply asks for a look."""
+    return isinstance(reply, LookFirst)
--- /dev/null
+++ b/tests/test_platform_decoding.py
@@ -0,0 +1,331 @@
+"""The adapter: settings, entries, configurations, the store's calls, headers."""
+
+import msgspec
+import pytest
+from hornbeamstand_core.discovery import (
+    DRAINING,
+    BadEntry,
+    ConfigEntry,
+    DomainOut,
+    Removed,
+    TargetEntry,
+    VmEntry,
+)
+from hornbeamstand_platform import dialect, records, settings, store, times
+from hypothesis import given
+from hypothesis import strategies as st
+
+SERVER = {
+    "Address": "10.128.0.9:8080",
+    "Info": {"Backend": "shop", "Version": "v1", "Zone": "a", "Concurrency": 3},
+    "Status": {"State": "ready", "Seq": 4, "WarmupLeft": "250ms"},
+    "born": 1700000000123,
+}
+CONFIG = {
+    "Version": "r7",
+    "Services": [
+        {
+            "Name": "shop",
+            "HealthPath": "/health",
+            "MaxConns": 220,
+            "Warmup": "3s",
+            "WarmupPerS": 3.1,
+        }
+    ],
+    "Limits": {
+        "MaxHeaderBytes": 16384,
+        "MaxBodyBytes": 67108864,
+        "HeaderTimeout": "3000ms",
+        "IdleTimeout": "15000ms",
+    },
+    "Vhosts": [
+        {
+            "Hostname": "H.example",
+            "Paths": [
+                {
+                    "Name": "r-1",
+                    "Prefix": "/a/",
+                    "RouteType": "idempotent",
+                    "Timeout": "1200ms",
+                    "Goal": "600ms",
+                    "Priority": 2,
+                    "Attempts": 2,
+                    "TrafficSplit": [
+                        {"Backend": "shop", "Weight": 90},
+                        {"Backend": "depot", "Weight": 10},
+                    ],
+                },
+                {
+                    "Name": "r-2",
+                    "Prefix": "/b/",
+                    "RouteType": "non_idempotent",
+                    "Timeout": "1.5s",
+                    "Goal": "800ms",
+                    "Priority": 1,
+                    "Attempts": 2,
+                    "Backend": "shop",
+                },
+            ],
+        }
+    ],
+}
+SETTINGS = """
+[Self]
+NodeName = "edge-a-1"
+Ip = "127.0.0.2"
+Zone = "a"
+Unknown = 1
+[Self.Limits]
+CpuShare = 0.86
+Cpus = 1
+BandwidthMbps = 1000.0
+[Network]
+InternalPorts = [7540, 7555]
+Seeds = ["127.0.0.3:8544"]
+[Network.Listen]
+Frontend = "127.0.0.2:8548"
+Readiness = "127.0.0.2:8542"
+Registry = "127.0.0.2:8546"
+[Network.Zones]
+a = "r"
+b = "r"
+[Platform.Platform]
+Address = "127.0.0.1:8541"
+[Terms.Bounds]
+ttl_max = "5s"
+Grace = "6s"
+RetryRatio = 0.2
+RetrySlack = 56
+RetryWindow = "10s"
+"""
+
+
+def encoded(value, **changes):
+    return msgspec.json.encode({**value, **changes})
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"), [("1500ms", 1500.0), ("2.5s", 2500.0), ("0ms", 0.0)]
+)
+def test_times_have_a_number_and_a_unit(text, expected):
+    assert times.read_ms(text) == expected
+
+
+@pytest.mark.parametrize("text", ["12", "ms", 12, None, "3h", True])
+def test_other_times_are_errors(text):
+    with pytest.raises(ValueError):
+        times.read_ms(text)
+
+
+def test_a_server_entry_names_a_target():
+    found = records.decode_record("servers/i-1", encoded(SERVER))
+    assert found == TargetEntry(
+        "servers/i-1",
+        "i-1",
+        "shop",
+        "10.128.0.9:8080",
+        "a",
+        3,
+        "ready",
+        250.0,
+        1700000000123,
+    )
+
+
+def test_a_server_that_drains_says_so():
+    status = {**SERVER["Status"], "State": "draining"}
+    found = records.decode_record("servers/i-1", encoded(SERVER, Status=status))
+    assert found.state == DRAINING
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"Address": "nowhere"},
+        {"Address": 8080},
+        {"Info": {"Backend": "shop", "Zone": "a"}},
+        {"Info": {"Backend": "", "Zone": "a", "Concurrency": 3}},
+        {"Info": {"Backend": "shop", "Zone": "a", "Concurrency": "3"}},
+        {"Info": {"Backend": "shop", "Zone": "a", "Concurrency": 0}},
+        {"Info": {"Backend": "shop", "Zone": "a", "Concurrency": True}},
+        {"Info": None},
+        {"Status": {"State": "sleeping"}},
+        {"Status": {"State": "ready", "WarmupLeft": 3}},
+        {"Status": []},
+        {"born": "then"},
+    ],
+)
+def test_an_entry_of_another_writer_names_no_target(changes):
+    found = records.decode_record("servers/i-1", encoded(SERVER, **changes))
+    assert isinstance(found, BadEntry)
+
+
+@given(st.binary(max_size=200))
+def test_no_bytes_under_a_server_key_are_an_error(value):
+    found = records.decode_record("servers/i-1", value)
+    assert isinstance(found, (BadEntry, TargetEntry))
+
+
+@given(
+    st.recursive(
+        st.none() | st.booleans() | st.integers() | st.text(max_size=8),
+        lambda inner: (
+            st.lists(inner, max_size=4)
+            | st.dictionaries(st.sampled_from(["Info", "Status", "Address"]), inner)
+        ),
+        max_leaves=12,
+    )
+)
+def test_no_json_under_our_keys_is_an_error(value):
+    raw = msgspec.json.encode(value)
+    for key in ("servers/i-1", "op/config", "hornbeamstand/vm/x"):
+        records.decode_record(key, raw)
+
+
+def test_a_configuration_is_decoded_once_into_routes():
+    found = records.decode_record("op/config", encoded(CONFIG))
+    assert isinstance(found, ConfigEntry)
+    config = found.config
+    assert config.version == 7
+    split = config.find("h.example", "/a/x")
+    assert [(part.service_name, part.weight) for part in split.parts] == [
+        ("shop", 90.0),
+        ("depot", 10.0),
+    ]
+    assert (split.is_idempotent, split.timeout_ms, split.objective_ms) == (
+        True,
+        1200.0,
+        600.0,
+    )
+    plain = config.find("h.example", "/b/")
+    assert (plain.is_idempotent, plain.timeout_ms) == (False, 1500.0)
+    rules = config.services["shop"]
+    assert (rules.cold_ms, rules.cold_rate_per_s) == (3000.0, 3.1)
+    assert config.limits.idle_ms == 15000.0
+
+
+def test_a_configuration_that_can_not_be_read_is_a_bad_entry():
+    found = records.decode_record("op/config", encoded(CONFIG, Version=7))
+    assert isinstance(found, BadEntry)
+
+
+def test_an_evacuation_takes_a_failure_domain_out():
+    found = records.decode_record("op/evacuate/a", b"{}")
+    assert found == DomainOut("op/evacuate/a", "a")
+
+
+def test_a_vms_own_entry_comes_back_as_it_was_written():
+    key, value = store.vm_item("edge-a-1", "10.0.0.7")
+    found = records.decode_record(key, value)
+    assert found == VmEntry(key, "edge-a-1", "10.0.0.7")
+
+
+def test_foreign_keys_are_not_ours_to_read():
+    assert records.decode_record("theirs/x", b"\xff") is None
+
+
+def item(key, value):
+    import base64
+
+    text = base64.b64encode(value).decode()
+    return {"Key": key, "Value": text, "Rev": 3, "CreateRev": 3, "Lease": 0}
+
+
+def test_a_page_of_the_store():
+    raw = msgspec.json.encode(
+        {"items": [item("servers/i-1", encoded(SERVER))], "HasMore": True, "AsOf": 9}
+    )
+    page = store.decode_page(raw)
+    assert (page.revision, page.last_key, page.has_more) == (9, "servers/i-1", True)
+    assert page.records[0].target_id == "i-1"
+
+
+def test_events_of_the_store():
+    gone = {"Key": "servers/i-2", "Rev": 4, "Tombstone": True}
+    bad = {"Key": "servers/i-3", "Value": "*", "Rev": 5}
+    raw = msgspec.json.encode({"events": [gone, bad], "AsOf": 9})
+    page = store.decode_events(raw)
+    assert page.records[0] == Removed("servers/i-2")
+    assert isinstance(page.records[1], BadEntry)
+
+
+@pytest.mark.parametrize("raw", [b"", b"[]", b'{"AsOf":"x"}', b"{}"])
+def test_answers_that_are_none_of_the_stores_are_errors(raw):
+    with pytest.raises(ValueError):
+        store.decode_page(raw)
+
+
+def test_calls_of_the_store_are_spelled_as_published():
+    assert store.range_request("servers/", "").path == "/kv-range?Prefix=servers%2F"
+    watch = store.watch_request("op/", 411, 20000.0)
+    assert watch.path == "/kv-watch?Prefix=op%2F&after=411&WaitMs=20000"
+    lease = store.lease_request(3000.0)
+    assert (lease.method, lease.path) == ("POST", "/kv-lease")
+    assert msgspec.json.decode(lease.body) == {"Ttl_time": "3000ms"}
+    assert store.keep_request(77120).path == "/kv-keep/77120"
+    put = msgspec.json.decode(store.put_request("k", b"node-1", 5).body)
+    assert put == {
+        "Expect": [],
+        "Writes": [{"Key": "k", "Value": "bm9kZS0x", "Lease": 5}],
+        "Delete": [],
+    }
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [("3,0,8", (3, 0, 8, None)), ("2,1,3,400", (2, 1, 3, 4.0))],
+)
+def test_load_figures(text, expected):
+    report = dialect.decode_load(text)
+    found = (report.n_running, report.n_waiting, report.n_slots, report.speed)
+    assert found == expected
+
+
+@pytest.mark.parametrize("text", ["", "1,2", "a,b,c", "inf,0,1", "nan,0,1"])
+def test_malformed_load_figures_say_nothing(text):
+    assert dialect.decode_load(text) is None
+
+
+def test_lookups():
+    assert dialect.read_lookup("Name=h.example&Region=r&Zone=a") == ("h.example", "a")
+    assert dialect.read_lookup("") == ("", "")
+    raw = dialect.encode_lookup(["10.0.0.1:80"], 600.0)
+    assert msgspec.json.decode(raw) == {"Addresses": ["10.0.0.1:80"], "Ttl": "600ms"}
+
+
+def test_settings_are_read_and_unknown_fields_ignored(tmp_path):
+    file = tmp_path / "settings.toml"
+    file.write_text(SETTINGS)
+    found = settings.load_settings(str(file)).ok_value
+    assert (found.vm_id, found.ip, found.failure_domain) == (
+        "edge-a-1",
+        "127.0.0.2",
+        "a",
+    )
+    assert found.seed_ips == ["127.0.0.3"]
+    assert (found.peer_port, found.n_domains, found.grace_ms) == (7540, 2, 6000.0)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "named"),
+    [
+        ('Ip = "127.0.0.2"', "", "Ip"),
+        ('Grace = "6s"', 'Grace = "6"', "no unit"),
+        ("[Self]", "[Self", "settings.toml"),
+    ],
+)
+def test_bad_settings_name_file_and_field(tmp_path, old, new, named):
+    file = tmp_path / "settings.toml"
+    file.write_text(SETTINGS.replace(old, new))
+    error = settings.load_settings(str(file)).err_value
+    assert str(file) in str(error)
+    assert named in str(error)
+
+
+@pytest.mark.parametrize(
+    ("cores", "mbps", "expected"),
+    [(0.86, 1000.0, -1), (2.15, 100.0, 1), (2.15, 5.0, -3), (0.43, 100.0, -2)],
+)
+def test_the_scarcer_resource_makes_a_vms_size(cores, mbps, expected):
+    limits = {"CpuShare": cores, "Cpus": 1, "BandwidthMbps": mbps}
+    assert settings.read_capacity(limits) == expected
--- /dev/null
+++ b/tests/test_platform_processes.py
@@ -0,0 +1,233 @@
+"""The program of the platform, as real processes against its stand-ins."""
+
+import signal
+
+import gevent
+import pytest
+
+from standins.edge_cell import DOMAINS, EdgeCell
+
+PREFIXES = {"/tools/": ("shop", "idempotent"), "/orders/": ("desk", "non_idempotent")}
+CONFIG_APPLY_S = 2.0
+DRAIN_S = 2.0
+
+
+@pytest.fixture
+def cell(tmp_path):
+    with EdgeCell(tmp_path) as made:
+        for i in range(3):
+            made.add_server(f"tool-{i}", "shop", DOMAINS[i])
+            made.add_server(f"desk-{i}", "desk", DOMAINS[i])
+        made.set_config(1, PREFIXES)
+        made.start_all()
+        yield made
+
+
+def in_parallel(calls):
+    jobs = [gevent.spawn(call) for call in calls]
+    gevent.joinall(jobs, raise_error=True)
+    return [job.value for job in jobs]
+
+
+def test_a_request_reaches_a_server_unchanged(cell):
+    path = "/tools/a%2Fb//c?x=%20&x=2"
+    answer = cell.send(cell.vms[0], path, "POST", b"body", **{"X-Own": "1"})
+    assert answer.status == 200
+    assert answer.body == f"ran {path} body".encode()
+    assert answer.headers["server-seal"].startswith("seal-tool")
+    seen, headers = next(s for server in cell.servers for s in server.seen)
+    names = {name.lower(): value for name, value in headers}
+    assert seen == path
+    assert names["host"] == "shop.example"
+    assert names["x-own"] == "1"
+    assert 0 < int(names["deadline-ms"]) <= 2000
+
+
+def test_a_path_without_a_route_is_unknown_on_every_vm(cell):
+    assert {cell.send(vm, "/none/").status for vm in cell.vms} == {404}
+
+
+@pytest.mark.parametrize("value", ["inf", "nan", "-1", "soon", ""])
+def test_a_malformed_deadline_is_no_error_of_the_vm(cell, value):
+    answer = cell.send(cell.vms[0], "/tools/x", **{"Deadline-Ms": value})
+    assert answer.status in (200, 503)
+
+
+def test_a_caller_can_not_pose_as_a_peer(cell):
+    terms = '["desk",true,1000,600,0,2]'
+    answer = cell.send(cell.vms[0], "/tools/x", **{"Hornbeam-Terms": terms})
+    assert answer.headers["server-seal"].startswith("seal-tool")
+
+
+def test_a_configuration_is_in_force_everywhere_in_time(cell):
+    cell.set_config(2, {"/new/": ("shop", "idempotent")})
+    gevent.sleep(CONFIG_APPLY_S * 0.8)
+    assert {cell.send(vm, "/new/x").status for vm in cell.vms} == {200}
+    assert {cell.send(vm, "/tools/x").status for vm in cell.vms} == {404}
+
+
+def test_a_configuration_comes_through_a_lost_history(cell):
+    cell.store.put("op/other", {})
+    cell.store.forget_history()
+    cell.set_config(2, {"/new/": ("shop", "idempotent")})
+    cell.store.forget_history()
+    gevent.sleep(CONFIG_APPLY_S * 0.8)
+    assert {cell.send(vm, "/new/x").status for vm in cell.vms} == {200}
+
+
+def test_a_server_that_drains_gets_nothing_after_the_bound(cell):
+    server = cell.servers[0]
+    server.state = "draining"
+    cell.store.put("servers/tool-0", server.entry())
+    gevent.sleep(DRAIN_S * 0.5)
+    n_before = sum(server.runs.values())
+    in_parallel([lambda vm=vm: cell.send(vm, "/tools/x") for vm in cell.vms * 4])
+    assert sum(server.runs.values()) == n_before
+
+
+def test_a_failure_domain_that_is_out_gets_nothing(cell):
+    cell.store.put("op/evacuate/ub-a", {})
+    gevent.sleep(1.0)
+    in_parallel([lambda vm=vm: cell.send(vm, "/tools/x") for vm in cell.vms * 4])
+    inside = [s for s in cell.servers if s.domain == "ub-a"]
+    assert sum(sum(server.runs.values()) for server in inside) == 0
+
+
+def test_an_entry_of_another_writer_does_no_harm(cell):
+    cell.store.put("servers/forged", b"\xff\x00")
+    cell.store.put("servers/odd", {"Address": 5})
+    gevent.sleep(0.5)
+    assert cell.send(cell.vms[0], "/tools/x").status == 200
+
+
+def test_a_server_that_has_another_servers_address_runs_nothing(cell):
+    wrong = cell.servers[0].entry()
+    for name in ("tool-0", "tool-1", "tool-2"):
+        cell.store.delete(f"servers/{name}")
+    cell.store.put("servers/other", wrong)
+    gevent.sleep(0.7)
+    assert cell.send(cell.vms[0], "/tools/x").status == 503
+    assert sum(cell.servers[0].runs.values()) == 0
+
+
+def test_requests_are_served_while_the_store_is_down(cell):
+    cell.store.mode = "busy"
+    gevent.sleep(1.0)
+    assert {cell.send(vm, "/tools/x").status for vm in cell.vms} == {200}
+
+
+def test_a_vm_that_starts_without_the_store_refuses_and_is_not_ready(cell):
+    cell.store.mode = "silent"
+    vm = cell.vms[0]
+    cell.kill(vm)
+    cell.start_vm(vm)
+    cell.wait_for(lambda: cell.call(vm, "ready", "GET", "/ready").status == 503)
+    assert cell.send(vm, "/tools/x").status == 503
+    cell.store.mode = "ok"
+    cell.wait_for(lambda: cell.is_ready(vm))
+
+
+def test_a_killed_vm_is_not_named_and_the_others_serve(cell):
+    address = f"{cell.vms[0].ip}:{cell.vms[0].ports['front']}"
+    cell.wait_for(lambda: address in cell.look_up(cell.vms[1], cell.vms[0].domain))
+    cell.kill(cell.vms[0])
+    cell.wait_for(lambda: address not in cell.look_up(cell.vms[1], "ub-a"), 5.0)
+    assert {cell.send(vm, "/tools/x").status for vm in cell.vms[1:]} == {200}
+
+
+def test_all_vms_may_be_killed_at_once(cell):
+    for vm in cell.vms:
+        cell.kill(vm)
+    cell.start_all()
+    assert {cell.send(vm, "/orders/x", "POST").status for vm in cell.vms} == {200}
+
+
+def test_a_planned_stop_loses_nothing(cell):
+    for server in cell.servers:
+        server.work_ms = 300.0
+    vm = cell.vms[0]
+    sent = [gevent.spawn(cell.send, vm, f"/tools/{i}") for i in range(3)]
+    gevent.sleep(0.1)
+    cell.signal(vm, signal.SIGTERM)
+    cell.wait_for(lambda: not cell.is_ready(vm), 2.0)
+    address = f"{vm.ip}:{vm.ports['front']}"
+    cell.wait_for(lambda: address not in cell.look_up(cell.vms[1], vm.domain), 2.0)
+    late = cell.send(vm, "/tools/late")
+    gevent.joinall(sent, timeout=5.0)
+    assert [job.value.status for job in sent] == [200, 200, 200]
+    assert late.status == 200
+    assert late.headers["connection"] == "close"
+    cell.wait_for(lambda: vm.process.poll() is not None, 5.0)
+    assert vm.process.returncode == 0
+
+
+def test_a_reload_changes_nothing_for_callers(cell):
+    vm = cell.vms[0]
+    cell.signal(vm, signal.SIGHUP)
+    gevent.sleep(0.2)
+    assert cell.send(vm, "/tools/x").status == 200
+    vm.settings_file.write_text("[Self")
+    cell.signal(vm, signal.SIGHUP)
+    gevent.sleep(0.2)
+    assert cell.send(vm, "/tools/x").status == 200
+
+
+def test_an_order_whose_answer_was_cut_runs_once_and_is_unknown(cell):
+    for server in cell.servers:
+        server.mode = "cut"
+    answer = cell.send(cell.vms[0], "/orders/x", "POST", b"1")
+    assert answer.status == 502
+    assert cell.n_runs_max() == 1
+
+
+def test_an_order_is_not_repeated_after_an_error(cell):
+    for server in cell.servers:
+        server.mode = "error"
+    answer = cell.send(cell.vms[0], "/orders/x", "POST", b"1")
+    assert answer.status == 500
+    assert answer.headers["server-seal"]
+    assert cell.n_runs_max() == 1
+
+
+def test_an_idempotent_request_is_repeated_after_an_error(cell):
+    cell.servers[0].mode = "error"
+    answers = [cell.send(cell.vms[0], f"/tools/{i}").status for i in range(6)]
+    assert answers.count(200) >= 5
+
+
+def test_a_shed_order_is_sent_elsewhere(cell):
+    desks = [server for server in cell.servers if server.service == "desk"]
+    desks[0].mode = "shed"
+    answers = [cell.send(cell.vms[0], f"/orders/{i}", "POST") for i in range(4)]
+    assert [answer.status for answer in answers] == [200] * 4
+    assert cell.n_runs_max() == 1
+
+
+def test_when_all_shed_the_refusal_says_when_to_come_back(cell):
+    for server in cell.servers:
+        server.mode = "shed"
+    answer = cell.send(cell.vms[0], "/orders/x", "POST")
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+    assert cell.n_runs_max() == 0
+
+
+def test_extra_answers_reach_nobody(cell):
+    for server in cell.servers:
+        server.mode = "extra"
+    for i in range(12):
+        answer = cell.send(cell.vms[0], f"/tools/{i}")
+        assert answer.body == f"ran /tools/{i} ".encode()
+
+
+def test_no_server_gets_more_than_it_has_slots(cell):
+    for server in cell.servers:
+        server.work_ms = 100.0
+    in_parallel([lambda: cell.send(cell.vms[0], "/tools/x") for _ in range(20)])
+    assert all(s.n_running_max <= s.n_slots for s in cell.servers)
+
+
+def test_metrics_are_served(cell):
+    cell.send(cell.vms[0], "/tools/x")
+    texts = [cell.call(vm, "admin", "GET", "/metrics").body for vm in cell.vms]
+    assert any(b"hornbeamstand_calls_total" in text for text in texts)
