Know the owner before the first request is placed

Cause: in the first milliseconds after a start no retry had a budget; two process tests showed it.

Change: ownership is looked at with each request, not at ticks alone.

--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -175,6 +175,7 @@
 
     def _acquire(self, message, now_ms):
         service = self.find_service(message.service_name)
+        service.note_owner(now_ms)
         return service.acquire(message, now_ms)
 
     def _owns(self, service_name, failure_domain, now_ms):
