--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -40,8 +40,11 @@
 BEHIND_MS = 1200.0
 # Rounds of signs of life and looks at this VM's part in them.
 ROUND_MS = 125.0
-# A VM that need no longer follow the targets goes on for this long.
-UNFOLLOW_MS = 6000.0
+# Peers' answers to this VM's first sign of life are here by then.
+HEARD_MS = 300.0
+# A VM that need no longer follow the targets goes on for this long; one that
+# never did forgets those of its first read by then.
+UNFOLLOW_MS = 3000.0
 
 
 class EdgeIdentity(Record):
@@ -111,6 +114,7 @@
         "_next_beat_ms",
         "_behind_since_ms",
         "_needed_at_ms",
+        "_served_at_ms",
         "_handlers",
     )
 
@@ -129,6 +133,7 @@
         self._next_beat_ms = 0.0
         self._behind_since_ms = None
         self._needed_at_ms = 0.0
+        self._served_at_ms = 0.0
         self._handlers = {
             FindRoute: self._find_route,
             AcquireSlot: self._acquire,
@@ -231,8 +236,9 @@
         self.revision = max(self.revision, revision)
         self.peers.revision = self.revision
         self._behind_since_ms = None
-        if self.routing.config is not None:
+        if self.routing.config is not None and not self.peers.is_serving:
             self.peers.is_serving = True
+            self._served_at_ms = now_ms
         return self._drain_all(now_ms)
 
     def _drain_all(self, now_ms):
@@ -326,11 +332,13 @@
         if self.peers.is_standing_by:
             self._needed_at_ms = now_ms
         if self.peers.is_standing_by and not self.peers.is_following:
+            if now_ms - self._served_at_ms < HEARD_MS:
+                return []
             self.peers.is_following = True
             return [Follow(True), Belief("store", "following targets", self.me.ip)]
-        if not self.peers.is_following:
+        if not self.peers.is_following and not self.table.by_key:
             return []
-        if now_ms - self._needed_at_ms < UNFOLLOW_MS:
+        if now_ms - max(self._needed_at_ms, self._served_at_ms) < UNFOLLOW_MS:
             return []
         self.peers.is_following = False
         self.table.clear()
--- a/packages/entry/hornbeamstand_entry/edge/follower.py
+++ b/packages/entry/hornbeamstand_entry/edge/follower.py
@@ -11,9 +11,9 @@
 # How long the store may hold a watch that sees nothing.
 WATCH_MS = 28_000.0
 # Changes that come in quick succession are read by one call.
-BATCH_MS = 450.0
+BATCH_MS = 500.0
 BACKOFF_MIN_MS = 60.0
-BACKOFF_MAX_MS = 800.0
+BACKOFF_MAX_MS = 1200.0
 STATUS_HISTORY_GONE = 410
 STATUS_NO_LEASE = 404
 LEASE_MS = 60_000.0
@@ -41,6 +41,8 @@
         "decider",
         "log",
         "_revision",
+        "_all_revision",
+        "_is_first",
         "_prefix",
         "_backoff_ms",
         "_watcher",
@@ -51,7 +53,9 @@
         self.decider = decider
         self.log = log
         self._revision = None
-        self._prefix = ""
+        self._all_revision = None
+        self._is_first = True
+        self._prefix = store.codec.operator_prefix
         self._backoff_ms = BACKOFF_MIN_MS
         self._watcher = None
 
@@ -64,16 +68,20 @@
         """Read everything again: a peer has seen what the watch did not bring."""
         self.log.info("store: resync", revision=self._revision)
         self._revision = None
+        self._all_revision = None
         self._restart()
 
     def follow(self, message):
-        """Follow the targets too, or what operators write alone."""
-        prefix = "" if message.is_on else self.store.codec.operator_prefix
-        if prefix == self._prefix:
-            return
-        self._prefix = prefix
+        """Follow the targets too, or what operators write alone.
+
+        What the first read brought needs no second one if it is still recent.
+        """
         if message.is_on:
-            self._revision = None
+            self._prefix = ""
+            self._revision = self._all_revision
+        else:
+            self._prefix = self.store.codec.operator_prefix
+        self._all_revision = None
         self._restart()
 
     def _restart(self):
@@ -91,10 +99,13 @@
             self._backoff_ms = BACKOFF_MIN_MS
 
     def _read_all(self):
-        result = self.store.read_all(self._prefix)
+        result = self.store.read_all("" if self._is_first else self._prefix)
         if result.is_ok():
             page = result.ok_value
             self._revision = page.revision
+            if self._is_first:
+                self._is_first = False
+                self._all_revision = page.revision
             self.decider.post(StoreBack())
             self.decider.post(StoreSnapshot(page.records, page.revision))
         return result
@@ -115,6 +126,7 @@
         self.log.info("store: call failed", error=str(error))
         if error.status == STATUS_HISTORY_GONE:
             self._revision = None
+            self._all_revision = None
             return
         self.decider.post(StoreAway(str(error)))
 
--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -19,6 +19,7 @@
 from hornbeamstand_core.filters.edge_chain import build_edge_chain
 
 from ..clock import make_process_clock
+from ..closing import close_bounded
 from ..http_server import CallerHandler
 from ..tasks.connections import ConnectionRules
 from ..tasks.pools import Pools
@@ -45,6 +46,8 @@
 STOP_POLL_MS = 50.0
 # Left for the process's own end before the platform kills it.
 STOP_MARGIN_MS = 600.0
+# Greenlets that do not end at once are left to the end of the process.
+CLOSE_MAX_MS = 150.0
 MS_PER_S = 1000.0
 GC_YOUNG_MAX = 20_000
 GC_MIDDLE_MAX = 50
@@ -244,6 +247,7 @@
         wait_for_stop(process, reload_settings)
         stop(process)
         process.log.info("process: stopped")
+        close_bounded(stack, CLOSE_MAX_MS)
 
 
 def calm_collector():
--- a/packages/entry/hornbeamstand_entry/edge/store_client.py
+++ b/packages/entry/hornbeamstand_entry/edge/store_client.py
@@ -1,5 +1,6 @@
 """The client of the platform's store: calls through a codec, typed errors."""
 
+import gevent
 from gevent.queue import SimpleQueue
 from hornbeamstand_core.errors import PlatformError
 from hornbeamstand_core.messages import SendFailure
@@ -63,7 +64,12 @@
             SimpleQueue(),
         )
         self.pools.post(self.address, exchange)
-        answer = exchange.receive_end(timeout_ms)
+        try:
+            answer = exchange.receive_end(timeout_ms)
+        except gevent.GreenletExit:
+            # The call's task is ended while it waits.
+            exchange.cancel()
+            raise
         if answer is None:
             exchange.cancel(was_silent=True)
             return Err(StoreError(step, self.address, "no answer in time"))
--- a/packages/entry/hornbeamstand_entry/process.py
+++ b/packages/entry/hornbeamstand_entry/process.py
@@ -21,6 +21,7 @@
 
 from .admin import make_admin_app
 from .clock import make_process_clock
+from .closing import close_bounded
 from .front import Front
 from .http_server import start_server
 from .logs import make_logs
@@ -209,7 +210,7 @@
     init_grpc()
     with ExitStack() as stack:
         serve(settings, stack)
-        close_bounded(stack)
+        close_bounded(stack, CLOSE_MAX_MS)
     return 0
 
 
@@ -227,12 +228,6 @@
     log.info("process: stopped")
 
 
-def close_bounded(resources):
-    """Close what the stack owns, but leave what does not close in time."""
-    with gevent.Timeout(CLOSE_MAX_MS / 1000.0, False):
-        resources.close()
-
-
 def calm_collector():
     """Keep the collector's pauses short: what lives since the start stays out.
 
