Pass the old interface's path byte for byte; serve metrics; keep idle limits

Cause: found on reading: the path went on decoded, a deadline of inf or nan ended in an error, callers' idle limit was a constant, metrics had no address on the platform.

--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -162,19 +162,28 @@
         """Start the HTTP servers."""
         settings, front = self.settings, self.front
         peer_address = f"{settings.ip}:{settings.peer_port}"
-        self.servers = [start_server(settings.front_address, front.serve_caller, stack)]
-        start_server(peer_address, front.serve_peer, stack)
-        start_server(settings.ready_address, front.serve_ready, stack)
-        start_server(settings.lookup_address, front.serve_lookup, stack)
-        if settings.admin_address:
-            start_server(settings.admin_address, self.serve_admin, stack)
+
+        def listen_at(address, app):
+            return start_server(address, app, stack, self.idle_ms)
+
+        self.servers = [listen_at(settings.front_address, front.serve_caller)]
+        listen_at(peer_address, front.serve_peer)
+        listen_at(settings.ready_address, front.serve_ready)
+        listen_at(settings.lookup_address, front.serve_lookup)
+        listen_at(settings.admin_address, self.serve_admin)
+
+    def idle_ms(self):
+        """Return how long a caller's connection may stay idle."""
+        config = self.node.routing.config
+        limit_ms = config.limits.idle_ms if config else IDLE_DEFAULT_MS
+        return limit_ms + IDLE_MARGIN_MS
 
 
 class EdgeHandler(CallerHandler):
     """Serves one connection and lets a planned stop close it while idle."""
 
     def handle(self):
-        """Keep the set of open connections true."""
+        """Keep the server's set of open connections up to date."""
         self.server.open_handlers.add(self)
         self.is_idle = True
         try:
@@ -185,18 +194,23 @@
     def read_requestline(self):
         """Mark the connection as busy once a request begins."""
         self.is_idle = True
+        self.socket.settimeout(self.server.idle_ms() / MS_PER_S)
         line = super().read_requestline()
         self.is_idle = False
         return line
 
 
-def start_server(address, app, stack):
-    """Listen and serve an application; the stack ends it."""
+def start_server(address, app, stack, idle_ms):
+    """Listen and serve an application; the stack ends it.
+
+    ``idle_ms`` returns how long a connection may stay idle.
+    """
     host, _, port = address.rpartition(":")
     server = WSGIServer(
         (host, int(port)), app, log=None, error_log=None, handler_class=EdgeHandler
     )
-    server.caller_idle_s = (IDLE_DEFAULT_MS + IDLE_MARGIN_MS) / MS_PER_S
+    server.caller_idle_s = idle_ms() / MS_PER_S
+    server.idle_ms = idle_ms
     server.open_handlers = set()
     server.start()
     stack.callback(server.stop, timeout=0)
--- a/packages/entry/hornbeamstand_entry/front.py
+++ b/packages/entry/hornbeamstand_entry/front.py
@@ -112,9 +112,10 @@
             watcher.close()
 
     def _read_request(self, environ, arrived_at_ms):
-        rest = environ["PATH_INFO"].removeprefix(SERVICES_PREFIX)
-        name, _, path = rest.partition("/")
-        path = f"/{path}"
+        # The target as it was sent goes on byte for byte, not decoded.
+        sent = environ["hornbeamstand.target"].removeprefix(SERVICES_PREFIX)
+        name, _, sent_path = sent.partition("/")
+        sent_path = f"/{sent_path}"
         self._n_seen += 1
         given_id = environ.get("HTTP_HORNBEAM_REQUEST_ID")
         given_id = given_id or f"{self.settings.vm_id}-{self._n_seen}"
@@ -122,7 +123,7 @@
             f"{given_id}~{self._n_seen}",
             name,
             environ["REQUEST_METHOD"],
-            path,
+            sent_path.partition("?")[0],
             environ.get("HTTP_IDEMPOTENCY_KEY"),
             read_number(environ.get("HTTP_HORNBEAM_DEADLINE_MS")),
             arrived_at_ms,
@@ -130,8 +131,7 @@
             environ.get("HTTP_HORNBEAM_RECORDED") == "1",
             environ.get("HTTP_HORNBEAM_ATTEMPT") == "1",
         )
-        query = environ["QUERY_STRING"]
-        return request, f"{path}?{query}" if query else path
+        return request, sent_path
 
     def _room_header(self, name):
         service = self.node.balancer.services.get(name)
--- a/standins/edge_cell.py
+++ b/standins/edge_cell.py
@@ -20,6 +20,7 @@
 GRACE_MS = 3000
 WAIT_S = 10.0
 FIRST_PORT = 20100
+METRICS_PORT = 9464
 
 SETTINGS = """
 [Self]
@@ -37,7 +38,6 @@
 Frontend = "{ip}:{front_port}"
 Readiness = "{ip}:{ready_port}"
 Registry = "{ip}:{lookup_port}"
-Admin = "{ip}:{admin_port}"
 [Network.Zones]
 ub-a = "r"
 ub-b = "r"
@@ -109,8 +109,9 @@
     def __enter__(self):
         self.store.start(self.stack)
         base = FIRST_PORT + (os.getpid() % 500) * 20
-        names = ("front", "ready", "lookup", "admin", "peer", "last")
+        names = ("front", "ready", "lookup", "peer", "last")
         ports = {name: base + i for i, name in enumerate(names)}
+        ports["metrics"] = METRICS_PORT
         for i in range(self.n_vms):
             self.vms.append(self._make_vm(i, ports))
         return self
--- a/standins/target.py
+++ b/standins/target.py
@@ -87,6 +87,7 @@
         """Give the application the socket, to see a caller that goes away."""
         environ = super().get_environ()
         environ["standin.socket"] = self.socket
+        environ["standin.sent"] = self.path
         return environ
 
 
@@ -150,6 +151,7 @@
         body = {
             "target": target.target_id,
             "path": environ["PATH_INFO"],
+            "sent": environ["standin.sent"],
             "request_id": environ.get("HTTP_HORNBEAM_REQUEST_ID"),
             "n_bytes": len(raw),
         }
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -73,6 +73,19 @@
     assert json.loads(raw)["n_bytes"] == 5
 
 
+def test_the_path_goes_on_byte_for_byte(shop):
+    path = "/a%2Fb//c%20d?x=%20&x=2"
+    _, _, raw = request(front(shop), "GET", f"/services/shop{path}")
+    assert json.loads(raw)["sent"] == path
+
+
+@pytest.mark.parametrize("value", [b"inf", b"nan", b"-inf", b"soon"])
+def test_a_malformed_deadline_is_taken_as_none(shop, value):
+    head = b"GET /services/shop/x HTTP/1.1\r\nHost: x\r\nHornbeam-Deadline-Ms: "
+    data = raw_exchange(front(shop), head + value + b"\r\nConnection: close\r\n\r\n")
+    assert data.startswith(b"HTTP/1.1 200")
+
+
 def test_chunked_body_and_100_continue(shop):
     head = b"POST /services/shop/x HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\n"
     head += b"Transfer-Encoding: chunked\r\n\r\n"
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -229,5 +229,5 @@
 
 def test_metrics_are_served(cell):
     cell.send(cell.vms[0], "/tools/x")
-    texts = [cell.call(vm, "admin", "GET", "/metrics").body for vm in cell.vms]
+    texts = [cell.call(vm, "metrics", "GET", "/metrics").body for vm in cell.vms]
     assert any(b"hornbeamstand_calls_total" in text for text in texts)
