--- a/packages/core/hornbeamstand_core/controllers/capacity.py
+++ b/packages/core/hornbeamstand_core/controllers/capacity.py
@@ -5,8 +5,8 @@
 through ``_grant``.
 """
 
-from ..balancer_messages import Decision, Granted
-from ..edge_messages import FIRST, HEDGE, LookFirst, SendLook
+from ..balancer_messages import Decision, Granted, SendProbe
+from ..edge_messages import FIRST, HEDGE, LookFirst
 from ..messages import CANCELLED, NOT_RUN, Permit, Refusal, SendFailure
 from .learning import learn
 from .placing import (
@@ -257,7 +257,7 @@
             target.looked_at_ms = now_ms
             entry = target.entry
             path = self._health_path()
-            out.append(SendLook(self.name, entry.target_id, entry.address, path))
+            out.append(SendProbe(self.name, entry.target_id, entry.address, path))
         return out
 
     def note_load(self, message, now_ms):
--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -18,17 +18,12 @@
 from ..edge_messages import (
     AcquireSlot,
     AskPeerAlive,
-    Beat,
     Belief,
-    EdgeTick,
     FindRoute,
-    Follow,
     LoadSeen,
-    Resync,
     Routed,
-    SendBeat,
-    StopEdge,
 )
+from ..edge_node_messages import Beat, EdgeTick, Follow, Resync, SendBeat, StopEdge
 from ..messages import Refusal, Release, Withdraw
 from ..records import Record
 from .capacity import ServiceCapacity
--- a/packages/core/hornbeamstand_core/controllers/peer_view.py
+++ b/packages/core/hornbeamstand_core/controllers/peer_view.py
@@ -8,7 +8,8 @@
 often, those of others seldom.
 """
 
-from ..edge_messages import Beat, Belief, SendBeat
+from ..edge_messages import Belief
+from ..edge_node_messages import Beat, SendBeat
 from ..hashing import score
 
 # VMs that callers depend on beat often, so that their loss is noticed soon.
--- a/packages/core/tests/test_capacity.py
+++ b/packages/core/tests/test_capacity.py
@@ -3,10 +3,11 @@
 import pytest
 from tests.edge_parts import Shop, entry, is_look, is_permit
 
+from hornbeamstand_core.balancer_messages import SendProbe
 from hornbeamstand_core.controllers.placing import usable_slots
 from hornbeamstand_core.controllers.retry_window import RetryWindow
 from hornbeamstand_core.discovery import DRAINING
-from hornbeamstand_core.edge_messages import HEDGE, RETRY, LoadReport, SendLook
+from hornbeamstand_core.edge_messages import HEDGE, RETRY, LoadReport
 from hornbeamstand_core.messages import (
     CANCELLED,
     CONNECT_FAILED,
@@ -131,7 +132,7 @@
     known(shop, t1=4.0)
     shop.ask()
     shop.now_ms += 60.0
-    looks = [m for m in shop.service.drain(shop.now_ms) if isinstance(m, SendLook)]
+    looks = [m for m in shop.service.drain(shop.now_ms) if isinstance(m, SendProbe)]
     assert [look.target_id for look in looks] == ["t1"]
 
 
--- a/packages/core/tests/test_edge_node.py
+++ b/packages/core/tests/test_edge_node.py
@@ -16,11 +16,10 @@
     StoreSnapshot,
     VmEntry,
 )
-from hornbeamstand_core.edge_messages import (
+from hornbeamstand_core.edge_messages import Belief, FindRoute
+from hornbeamstand_core.edge_node_messages import (
     Beat,
-    Belief,
     EdgeTick,
-    FindRoute,
     Follow,
     Resync,
     SendBeat,
--- a/packages/entry/hornbeamstand_entry/edge/beats.py
+++ b/packages/entry/hornbeamstand_entry/edge/beats.py
@@ -3,7 +3,7 @@
 import gevent
 import msgspec
 from gevent import socket
-from hornbeamstand_core.edge_messages import Beat
+from hornbeamstand_core.edge_node_messages import Beat
 
 from ..tasks.task import Task
 
--- a/packages/entry/hornbeamstand_entry/edge/decider.py
+++ b/packages/entry/hornbeamstand_entry/edge/decider.py
@@ -1,7 +1,8 @@
 """The task that owns the controllers of an edge process."""
 
 from hornbeamstand_core.balancer_messages import Decision, Granted
-from hornbeamstand_core.edge_messages import AskPeerAlive, Belief, EdgeTick
+from hornbeamstand_core.edge_messages import AskPeerAlive, Belief
+from hornbeamstand_core.edge_node_messages import EdgeTick
 
 from ..tasks.task import Ask, Task, start_loop
 
--- a/packages/entry/hornbeamstand_entry/edge/looks.py
+++ b/packages/entry/hornbeamstand_entry/edge/looks.py
@@ -1,6 +1,7 @@
 """The task that asks targets for their load while requests wait."""
 
-from hornbeamstand_core.edge_messages import LoadSeen, SendLook
+from hornbeamstand_core.balancer_messages import SendProbe
+from hornbeamstand_core.edge_messages import LoadSeen
 from hornbeamstand_core.messages import SendFailure
 
 from ..encoding import encode_request
@@ -39,7 +40,7 @@
         self._open = {}
 
     def post(self, message):
-        """Send a SendLook."""
+        """Send a SendProbe."""
         self.task.post(message)
 
     def start(self, stack):
@@ -50,7 +51,7 @@
         while True:
             message = self.task.mailbox.get()
             self._drop_unanswered()
-            if type(message) is SendLook:
+            if type(message) is SendProbe:
                 self._send(message)
             elif type(message) is Done:
                 self._take(message)
--- a/packages/entry/hornbeamstand_entry/edge/performers.py
+++ b/packages/entry/hornbeamstand_entry/edge/performers.py
@@ -3,6 +3,7 @@
 Runs in the greenlet that serves the request.
 """
 
+from hornbeamstand_core.balancer_messages import SendProbe
 from hornbeamstand_core.edge_messages import (
     Abort,
     AcquireSlot,
@@ -15,7 +16,6 @@
     LoadSeen,
     Look,
     Relay,
-    SendLook,
     TimeUp,
 )
 from hornbeamstand_core.messages import (
@@ -110,7 +110,7 @@
         first = effect.first
         until_ms = clock.now_ms() + LOOK_MS
         for target_id, address in first.targets:
-            key = SendLook(first.service_name, target_id, address, first.path)
+            key = SendProbe(first.service_name, target_id, address, first.path)
             exchange = start_look(key, targets, until_ms, context.mailbox)
             context.key_by_exchange[exchange] = key
         n_open = len(first.targets)
@@ -122,7 +122,7 @@
             key = None
             if type(message) is Done:
                 key = context.key_by_exchange.get(message.exchange)
-            if type(key) is not SendLook:
+            if type(key) is not SendProbe:
                 context.pending.append(message)
                 continue
             n_open -= 1
@@ -139,7 +139,7 @@
 
     def note_unanswered(context):
         for exchange, key in list(context.key_by_exchange.items()):
-            if type(key) is SendLook:
+            if type(key) is SendProbe:
                 del context.key_by_exchange[exchange]
                 exchange.cancel()
                 decider.post(LoadSeen(key.service_name, key.target_id, None))
@@ -156,7 +156,7 @@
                 return message
             if type(message) is Done:
                 key = context.key_by_exchange.get(message.exchange)
-                if type(key) is SendLook:
+                if type(key) is SendProbe:
                     note_look(message, context)
                 elif key is not None:
                     del context.key_by_exchange[message.exchange]
--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -8,14 +8,9 @@
 import gevent
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
+from hornbeamstand_core.balancer_messages import SendProbe
 from hornbeamstand_core.controllers.edge import EdgeIdentity, EdgeNode, RepeatBounds
-from hornbeamstand_core.edge_messages import (
-    Follow,
-    Resync,
-    SendBeat,
-    SendLook,
-    StopEdge,
-)
+from hornbeamstand_core.edge_node_messages import Follow, Resync, SendBeat, StopEdge
 from hornbeamstand_core.filters.edge_chain import build_edge_chain
 
 from ..clock import make_process_clock
@@ -124,7 +119,7 @@
             ),
         )
         looks = Looks(targets, self.decider, self.dialect, self.clock)
-        self.decider.connect(SendLook, looks.post)
+        self.decider.connect(SendProbe, looks.post)
         looks.start(stack)
         self.metrics.gauges["looks"] = lambda: looks.n_sent + self.metrics.n_looks
         peers = Pools(self.clock, stack, ConnectionRules(PEER_CONNECT_MS, SILENT_MS))
--- /dev/null
+++ b/tests/test_operations_page.py
@@ -0,0 +1,37 @@
+"""The page for engineers on call names every event that the edge logs."""
+
+import re
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+SOURCES = [
+    *(ROOT / "packages/entry/hornbeamstand_entry/edge").glob("*.py"),
+    *(ROOT / "packages/core/hornbeamstand_core/controllers").glob("*.py"),
+]
+EDGE_CONTROLLERS = {
+    "capacity.py",
+    "edge.py",
+    "learning.py",
+    "peer_view.py",
+    "routing.py",
+    "target_table.py",
+}
+
+
+def logged_events():
+    """Return the events in the sources' log calls, beliefs and decisions."""
+    events = set()
+    for source in SOURCES:
+        if source.parent.name == "controllers" and source.name not in EDGE_CONTROLLERS:
+            continue
+        text = source.read_text()
+        events |= set(re.findall(r'log\.(?:info|warning)\(\s*"([^"]+)"', text))
+        for part, event in re.findall(r'Belief\(\s*"(\w+)", "([^"]+)"', text):
+            events.add(f"{part}: {event}")
+    return events
+
+
+def test_every_event_is_on_the_page():
+    page = (ROOT / "docs/OPERATIONS.md").read_text()
+    missing = sorted(event for event in logged_events() if event not in page)
+    assert missing == []
