Notice a watch that the store never answers

Keep-alive does not show it: the connection is sound.

Change: after a failed call the store may hold the next watch for 300 ms only; the first VM of each failure domain asks every 2 s; signs of life carry the version in force, and a VM that is behind for 0.9 s reads again, whether it follows the targets or not.

--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -32,7 +32,7 @@
 from .target_table import TargetTable
 
 # A peer's later revision is fetched only if the watch has not brought it by then.
-BEHIND_MS = 1200.0
+BEHIND_MS = 900.0
 # Rounds of signs of life and looks at this VM's part in them.
 ROUND_MS = 125.0
 # Peers' answers to this VM's first sign of life are here by then.
@@ -110,6 +110,7 @@
         "_behind_since_ms",
         "_needed_at_ms",
         "_served_at_ms",
+        "_is_first",
         "_handlers",
     )
 
@@ -129,6 +130,7 @@
         self._behind_since_ms = None
         self._needed_at_ms = 0.0
         self._served_at_ms = 0.0
+        self._is_first = False
         self._handlers = {
             FindRoute: self._find_route,
             AcquireSlot: self._acquire,
@@ -230,6 +232,7 @@
     def _note_revision(self, revision, now_ms):
         self.revision = max(self.revision, revision)
         self.peers.revision = self.revision
+        self.peers.config_version = self.routing.version
         self._behind_since_ms = None
         if self.routing.config is not None and not self.peers.is_serving:
             self.peers.is_serving = True
@@ -305,11 +308,18 @@
     # Peers and time.
 
     def _note_beat(self, beat, now_ms):
-        is_later = beat.is_following and beat.revision > self.revision
-        if is_later and self.peers.is_following and self._behind_since_ms is None:
+        if self._is_behind(beat) and self._behind_since_ms is None:
             self._behind_since_ms = now_ms
         return self.peers.note_beat(beat, now_ms)
 
+    def _is_behind(self, beat):
+        """Tell whether a peer has seen what this VM should have seen too."""
+        if beat.config_version > self.routing.version:
+            return True
+        if not beat.is_following or not self.peers.is_following:
+            return False
+        return beat.revision > self.revision
+
     def _tick(self, message, now_ms):
         for service in self.services.values():
             service.note_owner(now_ms)
@@ -330,15 +340,34 @@
             if now_ms - self._served_at_ms < HEARD_MS:
                 return []
             self.peers.is_following = True
-            return [Follow(True), Belief("store", "following targets", self.me.ip)]
+            self._is_first = self._is_domain_first(now_ms)
+            return [
+                Follow(True, self._is_first),
+                Belief("store", "following targets", self.me.ip),
+            ]
         if not self.peers.is_following and not self.table.by_key:
             return []
+        if self.peers.is_standing_by:
+            return self._change_first(now_ms)
         if now_ms - max(self._needed_at_ms, self._served_at_ms) < UNFOLLOW_MS:
             return []
         self.peers.is_following = False
         self.table.clear()
         return [Follow(False), Belief("store", "no longer following", self.me.ip)]
 
+    def _is_domain_first(self, now_ms):
+        return any(
+            self._owns(name, self.me.failure_domain, now_ms)
+            for name in self._service_names()
+        )
+
+    def _change_first(self, now_ms):
+        is_first = self._is_domain_first(now_ms)
+        if is_first == self._is_first:
+            return []
+        self._is_first = is_first
+        return [Follow(True, is_first)]
+
     def _service_names(self):
         config = self.routing.config
         return config.services if config else ()
--- a/packages/core/hornbeamstand_core/controllers/peer_view.py
+++ b/packages/core/hornbeamstand_core/controllers/peer_view.py
@@ -62,6 +62,7 @@
         "is_standing_by",
         "is_following",
         "revision",
+        "config_version",
         "_ranks",
         "_candidates",
         "_fresh_until_ms",
@@ -76,6 +77,7 @@
         self.is_standing_by = False
         self.is_following = False
         self.revision = 0
+        self.config_version = 0
         self._ranks = {}
         self._candidates = ()
         self._fresh_until_ms = float("-inf")
@@ -94,6 +96,7 @@
             self.is_standing_by,
             self.is_following,
             self.me.capacity,
+            self.config_version,
             self.revision,
         )
 
--- a/packages/core/hornbeamstand_core/edge_node_messages.py
+++ b/packages/core/hornbeamstand_core/edge_node_messages.py
@@ -10,7 +10,7 @@
     the store's revision that it has followed. ``is_settled`` means that it has
     been up for a while; ``is_frequent`` that it beats at the short interval;
     ``is_following`` that it follows the targets; ``capacity`` is a class of VM
-    size, greater for larger ones.
+    size, greater for larger ones; ``config_version`` is what is in force there.
     """
 
     __slots__ = (
@@ -23,6 +23,7 @@
         "is_frequent",
         "is_following",
         "capacity",
+        "config_version",
         "revision",
     )
 
@@ -37,6 +38,7 @@
         is_frequent,
         is_following,
         capacity,
+        config_version,
         revision,
     ):
         self.ip = ip
@@ -48,6 +50,7 @@
         self.is_frequent = is_frequent
         self.is_following = is_following
         self.capacity = capacity
+        self.config_version = config_version
         self.revision = revision
 
 
@@ -71,12 +74,17 @@
 
 
 class Follow(Record):
-    """Tell the follower whether to follow targets, or the operators' keys only."""
+    """Tell the follower whether to follow targets, or the operators' keys only.
 
-    __slots__ = ("is_on",)
+    A VM that is ``is_first`` in its failure domain asks the store often enough
+    to notice a watch that is never answered; the others learn of it from peers.
+    """
+
+    __slots__ = ("is_on", "is_first")
 
-    def __init__(self, is_on):
+    def __init__(self, is_on, is_first=False):
         self.is_on = is_on
+        self.is_first = is_first
 
 
 class EdgeTick(Record):
--- a/packages/core/tests/test_edge_node.py
+++ b/packages/core/tests/test_edge_node.py
@@ -56,6 +56,7 @@
         "is_frequent": True,
         "is_following": True,
         "capacity": 0,
+        "config_version": 0,
         "revision": 0,
     }
     fields.update(values)
@@ -175,6 +176,17 @@
     assert resyncs(node, 1700.0)
 
 
+def test_a_vm_that_misses_a_version_reads_again_though_it_does_not_follow():
+    """Load: a watch that the store took while it was silent is never answered."""
+    node = configured()
+    for now_ms in (400.0, 900.0, 1400.0):
+        for i in range(2, 9):
+            node.handle(beat(f"10.0.0.{i}", capacity=3, config_version=2), now_ms)
+        found = resyncs(node, now_ms)
+    assert not node.peers.is_following
+    assert found
+
+
 def resyncs(node, now_ms):
     return [m for m in node.handle(EdgeTick(), now_ms) if isinstance(m, Resync)]
 
--- a/packages/entry/hornbeamstand_entry/edge/beats.py
+++ b/packages/entry/hornbeamstand_entry/edge/beats.py
@@ -10,7 +10,7 @@
 DATAGRAM_MAX_BYTES = 2048
 # Fields on the wire; the sender's address is the datagram's own.
 FIELDS = tuple(name for name in Beat.__slots__ if name != "ip")
-FIELD_TYPES = (str, int, bool, bool, bool, bool, bool, int, int)
+FIELD_TYPES = (str, int, bool, bool, bool, bool, bool, int, int, int)
 
 
 def encode_beat(beat):
--- a/packages/entry/hornbeamstand_entry/edge/follower.py
+++ b/packages/entry/hornbeamstand_entry/edge/follower.py
@@ -10,6 +10,10 @@
 
 # How long the store may hold a watch that sees nothing.
 WATCH_MS = 28_000.0
+# The same for the first VM of a failure domain, and after a failed call: a watch
+# may have been taken by a store that never answers it.
+FIRST_WATCH_MS = 2000.0
+RETRY_WATCH_MS = 300.0
 # Changes that come in quick succession are read by one call.
 BATCH_MS = 500.0
 BACKOFF_MIN_MS = 60.0
@@ -44,6 +48,8 @@
         "_all_revision",
         "_is_first",
         "_prefix",
+        "_wait_ms",
+        "_has_failed",
         "_backoff_ms",
         "_watcher",
     )
@@ -55,6 +61,8 @@
         self._revision = None
         self._all_revision = None
         self._is_first = True
+        self._wait_ms = WATCH_MS
+        self._has_failed = False
         self._prefix = store.codec.operator_prefix
         self._backoff_ms = BACKOFF_MIN_MS
         self._watcher = None
@@ -76,6 +84,9 @@
 
         What the first read brought needs no second one if it is still recent.
         """
+        self._wait_ms = FIRST_WATCH_MS if message.is_first else WATCH_MS
+        if message.is_on and self._prefix == "":
+            return
         if message.is_on:
             self._prefix = ""
             self._revision = self._all_revision
@@ -95,7 +106,9 @@
                 self._note_error(result.err_value)
                 gevent.sleep(self._backoff_ms / MS_PER_S)
                 self._backoff_ms = min(BACKOFF_MAX_MS, 2.0 * self._backoff_ms)
+                self._has_failed = True
                 continue
+            self._has_failed = False
             self._backoff_ms = BACKOFF_MIN_MS
 
     def _read_all(self):
@@ -111,7 +124,8 @@
         return result
 
     def _watch(self):
-        result = self.store.watch(self._prefix, self._revision, WATCH_MS)
+        wait_ms = RETRY_WATCH_MS if self._has_failed else self._wait_ms
+        result = self.store.watch(self._prefix, self._revision, wait_ms)
         if result.is_err():
             return result
         page = result.ok_value
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -10,6 +10,7 @@
 PREFIXES = {"/tools/": ("shop", "idempotent"), "/orders/": ("desk", "non_idempotent")}
 CONFIG_APPLY_S = 2.0
 DRAIN_S = 2.0
+CONTACT_S = 3.0
 
 
 @pytest.fixture
@@ -75,6 +76,19 @@
     assert {cell.send(vm, "/new/x").status for vm in cell.vms} == {200}
 
 
+def test_a_configuration_comes_though_the_store_swallowed_the_watches(cell):
+    """Calls that the store takes while it is silent are never answered."""
+    cell.store.mode = "silent"
+    cell.store.forget_history()
+    gevent.sleep(1.0)
+    cell.store.mode = "ok"
+    cell.set_config(2, {"/new/": ("shop", "idempotent")})
+    cell.wait_for(
+        lambda: {cell.send(vm, "/new/x").status for vm in cell.vms} == {200},
+        CONTACT_S + CONFIG_APPLY_S,
+    )
+
+
 def test_a_server_that_drains_gets_nothing_after_the_bound(cell):
     server = cell.servers[0]
     server.state = "draining"
