Remove what nothing reads

Cause: read again as a newcomer: a call kept whether it was relayed and the stand-in server a queue of slots; nothing read either.

Change: both removed; nothing decides differently.

--- a/packages/core/hornbeamstand_core/edge_messages.py
+++ b/packages/core/hornbeamstand_core/edge_messages.py
@@ -72,19 +72,17 @@
         "deadline_at_ms",
         "objective_at_ms",
         "relay_to",
-        "is_relayed",
         "n_sent",
         "n_ran_max",
         "tried_target_ids",
     )
 
-    def __init__(self, request, terms=None, is_relayed=False):
+    def __init__(self, request, terms=None):
         self.request = request
         self.terms = terms
         self.deadline_at_ms = 0.0
         self.objective_at_ms = 0.0
         self.relay_to = None
-        self.is_relayed = is_relayed
         self.n_sent = 0
         self.n_ran_max = 0
         self.tried_target_ids = ()
--- a/packages/entry/hornbeamstand_entry/edge/front.py
+++ b/packages/entry/hornbeamstand_entry/edge/front.py
@@ -91,7 +91,7 @@
                 return respond(start_response, status, b"", [PLAIN, CLOSE])
             context = self._read_context(environ, body)
             request = self._read_request(environ, context, arrived_at_ms)
-            call = EdgeCall(request, terms, terms is not None)
+            call = EdgeCall(request, terms)
             outcome = self._run(environ, context, call)
             return answer(start_response, outcome, context)
         finally:
--- a/standins/server.py
+++ b/standins/server.py
@@ -5,7 +5,6 @@
 
 import gevent
 from gevent.pywsgi import WSGIHandler, WSGIServer
-from gevent.queue import Queue
 
 
 class QuickHandler(WSGIHandler):
@@ -51,7 +50,6 @@
         "runs",
         "run_at_s",
         "seen",
-        "_slots",
     )
 
     def __init__(self, server_id, service, domain, n_slots=3, work_ms=20.0):
@@ -71,7 +69,6 @@
         self.runs = Counter()
         self.run_at_s = []
         self.seen = []
-        self._slots = Queue()
 
     def start(self, stack):
         """Listen; the stack ends it."""
