Look at targets whose speed no answer has told yet

Cause: after a start every target's speed is unknown, and only targets that had told it once were looked at. Change: a target may tell its speed until an answer without figures shows that it does not; a look that is answered without figures no longer counts as unanswered.

--- a/packages/core/hornbeamstand_core/controllers/capacity.py
+++ b/packages/core/hornbeamstand_core/controllers/capacity.py
@@ -230,7 +230,7 @@
         stale = [
             target
             for target in sound
-            if target.speed is not None and pace(target, now_ms) == UNKNOWN
+            if target.may_report and pace(target, now_ms) == UNKNOWN
         ]
         stale.sort(key=lambda target: self._cost(target, now_ms))
         return stale[:N_LOOKED]
@@ -247,7 +247,7 @@
         """Return the looks that tell when a target's slow phase is over."""
         out = []
         for target in self.usable(now_ms):
-            if target.speed is None:
+            if not target.may_report:
                 continue
             if len(target.started_at_ms) >= target.n_usable_slots:
                 continue
@@ -265,11 +265,14 @@
         target = self.targets.get(message.target_id)
         if target is None:
             return []
-        if message.report is None:
+        if not message.is_answered:
             target.speed = UNANSWERED_SPEED
             target.speed_at_ms = now_ms
             return []
-        target.note_load(message.report, 0, now_ms)
+        if message.report is None:
+            target.note_no_load()
+        else:
+            target.note_load(message.report, 0, now_ms)
         return self.drain(now_ms) if self.waiting else []
 
     # Outcomes of a decision.
@@ -371,7 +374,7 @@
         target = self._choose(sound, message, now_ms)
         if target is not None:
             known = pace(target, now_ms)
-            is_looked_at = target.speed is not None and known != FAST
+            is_looked_at = target.may_report and known != FAST
             if not is_looked_at or now_ms >= waiting.patient_until_ms:
                 return self._grant(message, target, now_ms)
         if now_ms >= waiting.until_ms:
--- a/packages/core/hornbeamstand_core/controllers/found_target.py
+++ b/packages/core/hornbeamstand_core/controllers/found_target.py
@@ -26,6 +26,7 @@
 class FoundTarget:
     """Counts, speed and recent failures of one start of one target.
 
+    ``may_report`` is False for a target that is known to tell no speed;
     ``started_at_ms`` maps a dispatch in flight to its start; ``speed`` is the
     work time over the usual one as last reported; ``slowness`` is the ratio of
     latencies seen to the service's; ``cold_sent_at_ms`` has the sends of the
@@ -37,6 +38,7 @@
         "is_open",
         "started_at_ms",
         "lingering_until_ms",
+        "may_report",
         "speed",
         "speed_at_ms",
         "slowness",
@@ -62,6 +64,7 @@
         self.is_open = True
         self.started_at_ms = {}
         self.lingering_until_ms = deque()
+        self.may_report = True
         self.speed = None
         self.speed_at_ms = now_ms
         self.slowness = 1.0
@@ -144,9 +147,19 @@
         n_own = len(self.started_at_ms) + n_ended
         self.n_others = max(0, report.n_running + report.n_waiting - n_own)
         self.others_at_ms = now_ms
-        if report.speed is not None:
-            self.speed = report.speed
-            self.speed_at_ms = now_ms
+        if report.speed is None:
+            self.note_no_load()
+            return
+        self.speed = report.speed
+        self.speed_at_ms = now_ms
+
+    def note_no_load(self):
+        """Take an answer without load figures.
+
+        One such answer of a target that told its speed before says nothing.
+        """
+        if self.speed is None:
+            self.may_report = False
 
     def note_good(self):
         """End a run of failures."""
--- a/packages/core/hornbeamstand_core/controllers/learning.py
+++ b/packages/core/hornbeamstand_core/controllers/learning.py
@@ -39,6 +39,8 @@
     if reply.report is not None:
         target.note_load(reply.report, 1, now_ms)
         learn_speed(service, reply.report)
+    elif reply.status < STATUS_ERROR:
+        target.note_no_load()
     if reply.status == MISDIRECTED_STATUS:
         target.ejected_until_ms = now_ms + MISDIRECTED_MS
         return [ejected(service, target, "another target has the address")]
--- a/packages/core/hornbeamstand_core/edge_messages.py
+++ b/packages/core/hornbeamstand_core/edge_messages.py
@@ -181,14 +181,19 @@
 
 
 class LoadSeen(Record):
-    """A target's answer to a look; ``report`` is None if none came."""
+    """The end of a look at a target.
 
-    __slots__ = ("service_name", "target_id", "report")
+    ``report`` is None if no load figures came; ``is_answered`` tells a target
+    that answers without them from one that does not answer.
+    """
+
+    __slots__ = ("service_name", "target_id", "report", "is_answered")
 
-    def __init__(self, service_name, target_id, report):
+    def __init__(self, service_name, target_id, report, is_answered=True):
         self.service_name = service_name
         self.target_id = target_id
         self.report = report
+        self.is_answered = is_answered
 
 
 class Launch(Record):
--- a/packages/core/tests/test_capacity.py
+++ b/packages/core/tests/test_capacity.py
@@ -278,3 +278,38 @@
     shop = Shop([entry("t1")])
     shop.table.remove("servers/t1", shop.now_ms)
     assert not shop.service.targets
+
+
+# Targets whose speed no answer has told yet.
+
+
+def test_a_target_of_unknown_speed_is_looked_at_before_its_first_request():
+    """Load: after a restart every target is unknown, and a third of them slow."""
+    shop = Shop([entry("t1"), entry("t2"), entry("t3")])
+    reply = shop.ask(n_looks=0)
+    assert is_look(reply)
+    assert {target_id for target_id, _ in reply.targets} == {"t1", "t2", "t3"}
+    shop.see("t1", 5.0)
+    shop.see("t2", 1.0)
+    shop.see("t3", 5.0)
+    assert shop.ask(n_looks=1).target_id == "t2"
+
+
+def test_a_target_that_tells_no_speed_is_not_looked_at_again():
+    shop = Shop([entry("t1")])
+    assert is_look(shop.ask(n_looks=0))
+    shop.see_no_load("t1")
+    assert is_permit(shop.ask(n_looks=0))
+
+
+def test_an_answer_without_load_figures_tells_that_none_will_come():
+    shop = Shop([entry("t1")])
+    shop.end(shop.ask())
+    assert is_permit(shop.ask(n_looks=0))
+
+
+def test_a_target_that_does_not_answer_a_look_counts_as_slow():
+    shop = Shop([entry("t1"), entry("t2")])
+    shop.see_no_load("t1", is_answered=False)
+    shop.see("t2", 1.2)
+    assert shop.ask(n_looks=2).target_id == "t2"
--- a/packages/entry/hornbeamstand_entry/edge/looks.py
+++ b/packages/entry/hornbeamstand_entry/edge/looks.py
@@ -65,7 +65,7 @@
     def _take(self, done):
         found = self._open.pop(done.exchange, None)
         if found is not None:
-            self._tell(found[0], read_load(done.result, self.dialect))
+            self.decider.post(read_look(found[0], done.result, self.dialect))
 
     def _drop_unanswered(self):
         now_ms = self.clock.now_ms()
@@ -73,10 +73,7 @@
             if now_ms > until_ms:
                 del self._open[exchange]
                 exchange.cancel()
-                self._tell(look, None)
-
-    def _tell(self, look, report):
-        self.decider.post(LoadSeen(look.service_name, look.target_id, report))
+                self.decider.post(unanswered(look))
 
 
 def start_look(look, pools, until_ms, reply_to):
@@ -87,9 +84,15 @@
     return exchange
 
 
-def read_load(result, dialect):
-    """Return the LoadReport of a look's result, or None."""
+def read_look(look, result, dialect):
+    """Return the LoadSeen of a look's result."""
     if type(result) is SendFailure:
-        return None
+        return unanswered(look)
     load = result.get(dialect.headers.load)
-    return dialect.decode_load(load) if load is not None else None
+    report = dialect.decode_load(load) if load is not None else None
+    return LoadSeen(look.service_name, look.target_id, report)
+
+
+def unanswered(look):
+    """Return the LoadSeen of a look that no answer came to."""
+    return LoadSeen(look.service_name, look.target_id, None, False)
--- a/packages/entry/hornbeamstand_entry/edge/performers.py
+++ b/packages/entry/hornbeamstand_entry/edge/performers.py
@@ -13,7 +13,6 @@
     Ended,
     FindRoute,
     Launch,
-    LoadSeen,
     Look,
     Relay,
     TimeUp,
@@ -30,7 +29,7 @@
 from ..encoding import encode_request
 from ..tasks.connections import Done, Exchange
 from ..tasks.task import receive
-from .looks import read_load, start_look
+from .looks import read_look, start_look, unanswered
 from .messages import peer_items, peer_reply, target_items, target_reply
 
 ANSWER_MAX_BYTES = 64 << 20
@@ -132,9 +131,10 @@
 
     def note_look(message, context):
         key = context.key_by_exchange.pop(message.exchange)
-        report = read_load(message.result, dialect)
-        decider.post(LoadSeen(key.service_name, key.target_id, report))
+        seen = read_look(key, message.result, dialect)
+        decider.post(seen)
         metrics.n_looks += 1
+        report = seen.report
         return report is not None and report.speed is not None and report.speed <= 1.0
 
     def note_unanswered(context):
@@ -142,7 +142,7 @@
             if type(key) is SendProbe:
                 del context.key_by_exchange[exchange]
                 exchange.cancel()
-                decider.post(LoadSeen(key.service_name, key.target_id, None))
+                decider.post(unanswered(key))
 
     def await_event(effect, context):
         while True:
--- a/tests/edge_parts.py
+++ b/tests/edge_parts.py
@@ -83,6 +83,11 @@
         report = LoadReport(n_running, 0, 3, speed)
         return self.service.note_load(LoadSeen("shop", name, report), self.now_ms)
 
+    def see_no_load(self, name, is_answered=True):
+        """Take the end of a look that brought no load figures."""
+        seen = LoadSeen("shop", name, None, is_answered)
+        return self.service.note_load(seen, self.now_ms)
+
 
 def is_permit(reply):
     """Tell whether a reply is a permit."""
