Make few calls of the store: stale reads, told contacts, copied versions

Change: the first read may be stale and is caught up by one watch; only VMs that stand by enter themselves and follow the store; seeds and they tell new VMs of the others; a new version is told by signs of life and copied from a peer. VMs of other domains hear each other only if both stand by. A peer's later revision is watched for, not read.

--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -23,23 +23,27 @@
     LoadSeen,
     Routed,
 )
-from ..edge_node_messages import Beat, EdgeTick, Follow, Resync, SendBeat, StopEdge
+from ..edge_node_messages import (
+    TARGETS,
+    Beat,
+    Contacts,
+    EdgeTick,
+    FetchConfig,
+    SendBeat,
+    StopEdge,
+)
 from ..messages import Refusal, Release, Withdraw
 from ..records import Record
 from .capacity import ServiceCapacity
+from .following import Following
 from .peer_view import PeerView
 from .routing import Routing
 from .target_table import TargetTable
 
-# A peer's later revision is fetched only if the watch has not brought it by then.
-BEHIND_MS = 900.0
 # Rounds of signs of life and looks at this VM's part in them.
 ROUND_MS = 125.0
-# Peers' answers to this VM's first sign of life are here by then.
-HEARD_MS = 300.0
-# A VM that need no longer follow the targets goes on for this long; one that
-# never did forgets those of its first read by then.
-UNFOLLOW_MS = 3000.0
+# A peer's copy of the configuration is asked for again after this time.
+FETCH_AGAIN_MS = 200.0
 
 
 class EdgeIdentity(Record):
@@ -100,17 +104,16 @@
         "n_named",
         "routing",
         "peers",
+        "following",
         "table",
         "services",
         "out_domains",
         "revision",
+        "config_raw",
         "is_store_away",
         "_rng",
         "_next_beat_ms",
-        "_behind_since_ms",
-        "_needed_at_ms",
-        "_served_at_ms",
-        "_is_first",
+        "_fetch_at_ms",
         "_handlers",
     )
 
@@ -120,17 +123,17 @@
         self.n_named = n_named
         self.routing = Routing()
         self.peers = PeerView(me, seed_ips)
+        is_seed = not seed_ips or me.ip in seed_ips
+        self.following = Following(self.peers, is_seed)
         self.services = {}
         self.table = TargetTable(self.find_service)
         self.out_domains = {}
         self.revision = 0
+        self.config_raw = b""
         self.is_store_away = False
         self._rng = Random(f"{me.vm_id}{me.start_id}")
         self._next_beat_ms = 0.0
-        self._behind_since_ms = None
-        self._needed_at_ms = 0.0
-        self._served_at_ms = 0.0
-        self._is_first = False
+        self._fetch_at_ms = float("-inf")
         self._handlers = {
             FindRoute: self._find_route,
             AcquireSlot: self._acquire,
@@ -143,6 +146,7 @@
             StoreAway: self._note_store_away,
             StoreBack: self._note_store_back,
             Beat: self._note_beat,
+            Contacts: self._note_contacts,
             EdgeTick: self._tick,
             StopEdge: self._stop,
         }
@@ -233,10 +237,10 @@
         self.revision = max(self.revision, revision)
         self.peers.revision = self.revision
         self.peers.config_version = self.routing.version
-        self._behind_since_ms = None
+        self.following.note_news()
         if self.routing.config is not None and not self.peers.is_serving:
             self.peers.is_serving = True
-            self._served_at_ms = now_ms
+            self.following.note_serving(now_ms)
         return self._drain_all(now_ms)
 
     def _drain_all(self, now_ms):
@@ -250,7 +254,7 @@
         if type(record) is TargetEntry:
             return self.table.put(record, now_ms)
         if type(record) is ConfigEntry:
-            return self._adopt_config(record.config)
+            return self._adopt_config(record, now_ms)
         if type(record) is DomainOut:
             return self._take_domain_out(record)
         if type(record) is VmEntry:
@@ -265,8 +269,14 @@
             return self._take_domain_in(record.key, now_ms)
         return self.table.remove(record.key, now_ms)
 
-    def _adopt_config(self, config):
-        out = self.routing.adopt(config)
+    def _adopt_config(self, record, now_ms):
+        out = self.routing.adopt(record.config)
+        if not out:
+            return []
+        self.config_raw = record.raw
+        if self.following.what == TARGETS:
+            self.peers.hurry_near()
+            self._next_beat_ms = now_ms
         for service in self.services.values():
             service.rules = self.routing.config.services.get(service.name)
         return out
@@ -308,17 +318,25 @@
     # Peers and time.
 
     def _note_beat(self, beat, now_ms):
-        if self._is_behind(beat) and self._behind_since_ms is None:
-            self._behind_since_ms = now_ms
-        return self.peers.note_beat(beat, now_ms)
-
-    def _is_behind(self, beat):
-        """Tell whether a peer has seen what this VM should have seen too."""
+        out = self.peers.note_beat(beat, now_ms)
         if beat.config_version > self.routing.version:
-            return True
-        if not beat.is_following or not self.peers.is_following:
-            return False
-        return beat.revision > self.revision
+            self.following.note_behind(now_ms)
+            return out + self._fetch_config(beat, now_ms)
+        if beat.is_following and self.peers.is_following:
+            if beat.revision > self.revision:
+                self.following.note_behind(now_ms)
+        return out
+
+    def _fetch_config(self, beat, now_ms):
+        if now_ms - self._fetch_at_ms < FETCH_AGAIN_MS:
+            return []
+        self._fetch_at_ms = now_ms
+        return [FetchConfig(beat.ip, beat.config_version)]
+
+    def _note_contacts(self, message, now_ms):
+        for ip in message.ips:
+            self.peers.note_contact(ip)
+        return []
 
     def _tick(self, message, now_ms):
         for service in self.services.values():
@@ -326,34 +344,24 @@
         out = self._drain_all(now_ms)
         out += self.table.end_doubt(now_ms)
         if now_ms >= self._next_beat_ms:
+            self._next_beat_ms = now_ms + ROUND_MS
+            self._note_following()
             out += self.peers.beat_round(self._service_names(), now_ms)
             out += self._change_following(now_ms)
-            self._next_beat_ms = now_ms + ROUND_MS
-        out += self._ask_resync(now_ms)
+        out += self.following.ask_resync(self.revision, now_ms)
         return out
 
     def _change_following(self, now_ms):
-        """Follow the targets only while this VM stands by to serve them."""
-        if self.peers.is_standing_by:
-            self._needed_at_ms = now_ms
-        if self.peers.is_standing_by and not self.peers.is_following:
-            if now_ms - self._served_at_ms < HEARD_MS:
-                return []
-            self.peers.is_following = True
-            self._is_first = self._is_domain_first(now_ms)
-            return [
-                Follow(True, self._is_first),
-                Belief("store", "following targets", self.me.ip),
-            ]
-        if not self.peers.is_following and not self.table.by_key:
-            return []
-        if self.peers.is_standing_by:
-            return self._change_first(now_ms)
-        if now_ms - max(self._needed_at_ms, self._served_at_ms) < UNFOLLOW_MS:
-            return []
-        self.peers.is_following = False
-        self.table.clear()
-        return [Follow(False), Belief("store", "no longer following", self.me.ip)]
+        """Follow what this VM needs; forget the targets that it need not know."""
+        out = self.following.change(self._is_domain_first(now_ms), now_ms)
+        if self.table.by_key and not self.following.needs_targets(now_ms):
+            self.table.clear()
+        self._note_following()
+        return out
+
+    def _note_following(self):
+        is_on = self.following.what == TARGETS
+        self.peers.is_following = is_on and not self.is_store_away
 
     def _is_domain_first(self, now_ms):
         return any(
@@ -361,24 +369,10 @@
             for name in self._service_names()
         )
 
-    def _change_first(self, now_ms):
-        is_first = self._is_domain_first(now_ms)
-        if is_first == self._is_first:
-            return []
-        self._is_first = is_first
-        return [Follow(True, is_first)]
-
     def _service_names(self):
         config = self.routing.config
         return config.services if config else ()
 
-    def _ask_resync(self, now_ms):
-        since_ms = self._behind_since_ms
-        if since_ms is None or now_ms - since_ms < BEHIND_MS:
-            return []
-        self._behind_since_ms = None
-        return [Resync(self.revision)]
-
     def _stop(self, message, now_ms):
         self.peers.is_stopping = True
         beat = self.peers.my_beat(now_ms)
--- a/packages/core/hornbeamstand_core/controllers/peer_view.py
+++ b/packages/core/hornbeamstand_core/controllers/peer_view.py
@@ -5,22 +5,32 @@
 counts and the targets' load reports.
 
 Bytes between failure domains are priced: VMs of one domain hear each other
-often, those of others seldom.
+often; of other domains only those that stand by hear each other. A VM that has
+just started calls its seeds, and those that entered themselves in the store; they
+tell it whom else to call.
 """
 
+from math import inf
+
 from ..edge_messages import Belief
-from ..edge_node_messages import Beat, SendBeat
+from ..edge_node_messages import Beat, Contacts, SendBeat, SendContacts
 from ..hashing import score
 
 # VMs that callers depend on beat often, so that their loss is noticed soon.
 NEAR_FREQUENT_MS = 250.0
 NEAR_SELDOM_MS = 750.0
 FAR_FREQUENT_MS = 1000.0
-FAR_SELDOM_MS = 5000.0
+FAR_SELDOM_MS = 60_000.0
 # A peer that was silent for this many of its intervals is taken as gone.
 N_SILENT = 3.4
-# Silent contacts hear of this VM at this interval.
-CALL_MS = 2000.0
+# Contacts that do not answer are called at this interval, doubled each time.
+CALL_MIN_MS = 1000.0
+CALL_MAX_MS = 16_000.0
+# A peer that hears less than this share of the VMs that this one hears is told of
+# the others, but not more often than this.
+KNOWN_SHARE = 0.6
+TELL_MS = 400.0
+N_TOLD_MAX = 300
 # So many of a service's first VMs beat often and follow the targets.
 N_STANDING_BY = 2
 # With more VMs than this in a failure domain, services have owners of their own.
@@ -34,12 +44,33 @@
 class Peer:
     """One peer's last sign of life."""
 
-    __slots__ = ("beat", "heard_at_ms", "sent_at_ms")
+    __slots__ = ("beat", "heard_at_ms", "sent_at_ms", "told_at_ms")
 
     def __init__(self, beat, heard_at_ms, sent_at_ms):
         self.beat = beat
         self.heard_at_ms = heard_at_ms
         self.sent_at_ms = sent_at_ms
+        self.told_at_ms = -inf
+
+
+class Contact:
+    """An address to call; ``failure_domain`` is None until its VM was heard."""
+
+    __slots__ = ("failure_domain", "call_at_ms", "interval_ms")
+
+    def __init__(self):
+        self.failure_domain = None
+        self.reset()
+
+    def reset(self):
+        """Call it at once when it is silent."""
+        self.call_at_ms = -inf
+        self.interval_ms = CALL_MIN_MS
+
+    def note_call(self, now_ms):
+        """Call it again later, and later each time."""
+        self.call_at_ms = now_ms + self.interval_ms
+        self.interval_ms = min(CALL_MAX_MS, 2.0 * self.interval_ms)
 
 
 class PeerView:
@@ -56,7 +87,8 @@
     __slots__ = (
         "me",
         "peers",
-        "called_at_ms",
+        "contacts",
+        "_is_seed",
         "is_serving",
         "is_stopping",
         "is_standing_by",
@@ -71,7 +103,8 @@
     def __init__(self, me, seed_ips):
         self.me = me
         self.peers = {}
-        self.called_at_ms = {ip: float("-inf") for ip in seed_ips if ip != me.ip}
+        self.contacts = {ip: Contact() for ip in seed_ips if ip != me.ip}
+        self._is_seed = me.ip in seed_ips
         self.is_serving = False
         self.is_stopping = False
         self.is_standing_by = False
@@ -80,7 +113,7 @@
         self.config_version = 0
         self._ranks = {}
         self._candidates = ()
-        self._fresh_until_ms = float("-inf")
+        self._fresh_until_ms = -inf
 
     # Signs of life.
 
@@ -96,30 +129,54 @@
             self.is_standing_by,
             self.is_following,
             self.me.capacity,
+            len(self.peers),
             self.config_version,
             self.revision,
         )
 
     def note_contact(self, ip):
-        """Learn where a peer is from its entry in the store."""
-        if ip != self.me.ip:
-            self.called_at_ms.setdefault(ip, float("-inf"))
+        """Learn where a peer is, from the store or from another peer."""
+        if ip != self.me.ip and ip not in self.contacts:
+            self.contacts[ip] = Contact()
 
     def note_beat(self, beat, now_ms):
         """Take a peer's sign of life; returns messages."""
         if beat.ip == self.me.ip:
             return []
         self.note_contact(beat.ip)
+        self.contacts[beat.ip].failure_domain = beat.failure_domain
         known = self.peers.get(beat.ip)
         if known is not None and known.beat.start_id == beat.start_id:
             known.beat = beat
             known.heard_at_ms = now_ms
-            return []
-        self.peers[beat.ip] = Peer(beat, now_ms, now_ms)
+            return self._tell(known, now_ms)
+        peer = Peer(beat, now_ms, now_ms)
+        self.peers[beat.ip] = peer
         return [
             SendBeat(beat.ip, self.my_beat(now_ms)),
             Belief("peer", "heard", beat.ip, f"start={beat.start_id}"),
+            *self._tell(peer, now_ms),
+        ]
+
+    def _tell(self, peer, now_ms):
+        """Tell a peer that hears few VMs of the others."""
+        if not self._is_seed and not self.is_standing_by:
+            return []
+        if now_ms - peer.told_at_ms < TELL_MS:
+            return []
+        others = [
+            ip
+            for ip, other in self.peers.items()
+            if ip != peer.beat.ip and self._is_of_use(other.beat, peer.beat)
         ]
+        if peer.beat.n_peers >= KNOWN_SHARE * len(others):
+            return []
+        peer.told_at_ms = now_ms
+        return [SendContacts(peer.beat.ip, Contacts(others[:N_TOLD_MAX]))]
+
+    def _is_of_use(self, beat, receiver):
+        """Tell whether a VM should hear of another one."""
+        return beat.is_frequent or beat.failure_domain == receiver.failure_domain
 
     def beat_round(self, service_names, now_ms):
         """Return the signs of life that are due, and what became silent."""
@@ -127,15 +184,41 @@
         self._stand_by(service_names, now_ms)
         beat = self.my_beat(now_ms)
         for ip, peer in self.peers.items():
-            if now_ms - peer.sent_at_ms >= self._interval_ms(beat, peer.beat):
+            interval_ms = self._interval_ms(
+                beat, peer.beat.failure_domain, peer.beat.is_frequent
+            )
+            if now_ms - peer.sent_at_ms >= interval_ms:
                 peer.sent_at_ms = now_ms
                 out.append(SendBeat(ip, beat))
-        for ip, called_at_ms in self.called_at_ms.items():
-            if ip not in self.peers and now_ms - called_at_ms >= CALL_MS:
-                self.called_at_ms[ip] = now_ms
-                out.append(SendBeat(ip, beat))
+        for ip, contact in self.contacts.items():
+            if ip not in self.peers and now_ms >= contact.call_at_ms:
+                contact.note_call(now_ms)
+                if self._is_called(contact):
+                    out.append(SendBeat(ip, beat))
         return out
 
+    def _is_called(self, contact):
+        """Tell whether a silent contact is of use to this VM."""
+        if contact.failure_domain in (None, self.me.failure_domain):
+            return True
+        return self.is_standing_by
+
+    def hurry_near(self):
+        """Let the peers of this failure domain hear of this VM in the next round."""
+        for peer in self.peers.values():
+            if peer.beat.failure_domain == self.me.failure_domain:
+                peer.sent_at_ms = -inf
+
+    def n_near_following(self, now_ms):
+        """Count the peers of this failure domain that follow the targets."""
+        return sum(
+            peer.beat.is_following
+            and peer.beat.failure_domain == self.me.failure_domain
+            and not peer.beat.is_stopping
+            and not self._is_silent(peer, now_ms)
+            for peer in self.peers.values()
+        )
+
     def _stand_by(self, service_names, now_ms):
         was_standing_by = self.is_standing_by
         self.is_standing_by = any(
@@ -145,16 +228,19 @@
         )
         if self.is_standing_by != was_standing_by:
             for peer in self.peers.values():
-                peer.sent_at_ms = float("-inf")
+                peer.sent_at_ms = -inf
 
-    def _interval_ms(self, sender, receiver):
+    def _interval_ms(self, sender, other_domain, is_other_frequent):
         """Return the interval of signs of life from one VM to another."""
-        if sender.failure_domain == receiver.failure_domain:
+        if sender.failure_domain == other_domain:
             return NEAR_FREQUENT_MS if sender.is_frequent else NEAR_SELDOM_MS
-        return FAR_FREQUENT_MS if sender.is_frequent else FAR_SELDOM_MS
+        is_frequent = sender.is_frequent and is_other_frequent
+        return FAR_FREQUENT_MS if is_frequent else FAR_SELDOM_MS
 
     def _is_silent(self, peer, now_ms):
-        interval_ms = self._interval_ms(peer.beat, self.me)
+        interval_ms = self._interval_ms(
+            peer.beat, self.me.failure_domain, self.is_standing_by
+        )
         return now_ms - peer.heard_at_ms > N_SILENT * interval_ms
 
     def _note_silent(self, now_ms):
@@ -163,6 +249,7 @@
         ]
         for ip in silent:
             del self.peers[ip]
+            self.contacts[ip].reset()
         return [Belief("peer", "silent", ip) for ip in silent]
 
     def is_alive(self, ip, now_ms):
@@ -178,13 +265,15 @@
     def _is_candidate(self, peer, now_ms):
         """Tell whether a peer may own a service or be named to callers.
 
-        One of another failure domain counts only while it beats often: the loss
-        of the others is noticed too late.
+        One of another failure domain counts only while both hear each other
+        often: the loss of the others would not be noticed.
         """
         beat = peer.beat
         if not beat.is_serving or beat.is_stopping or self._is_silent(peer, now_ms):
             return False
-        return beat.is_frequent or beat.failure_domain == self.me.failure_domain
+        if beat.failure_domain == self.me.failure_domain:
+            return True
+        return beat.is_frequent and self.is_standing_by
 
     def candidates(self, now_ms):
         """Return the signs of life of the VMs that may own a service."""
--- a/packages/core/hornbeamstand_core/controllers/target_table.py
+++ b/packages/core/hornbeamstand_core/controllers/target_table.py
@@ -64,7 +64,10 @@
         target.cold_until_ms = now_ms + cold_ms
         self.by_key[entry.key] = target
         service.targets[entry.target_id] = target
-        detail = f"service={entry.service_name} cold_ms={int(cold_ms)}"
+        detail = (
+            f"service={entry.service_name} domain={entry.failure_domain}"
+            f" cold_ms={int(cold_ms)}"
+        )
         return [Belief("target", f"seen {entry.state}", entry.target_id, detail)]
 
     def _update(self, target, entry, now_ms):
--- a/packages/core/hornbeamstand_core/discovery.py
+++ b/packages/core/hornbeamstand_core/discovery.py
@@ -74,13 +74,14 @@
 
 
 class ConfigEntry(Record):
-    """The operators' newest routes."""
+    """The operators' newest routes; ``raw`` is the value as peers copy it."""
 
-    __slots__ = ("key", "config")
+    __slots__ = ("key", "config", "raw")
 
-    def __init__(self, key, config):
+    def __init__(self, key, config, raw=b""):
         self.key = key
         self.config = config
+        self.raw = raw
 
 
 class VmEntry(Record):
--- a/packages/core/hornbeamstand_core/edge_node_messages.py
+++ b/packages/core/hornbeamstand_core/edge_node_messages.py
@@ -2,6 +2,12 @@
 
 from .records import Record
 
+# What a VM follows in the store: every target and what operators write, what
+# operators write alone, or nothing, because peers tell it of each new version.
+TARGETS = "targets"
+OPERATORS = "operators"
+NOTHING = "nothing"
+
 
 class Beat(Record):
     """One VM's sign of life; its address names it.
@@ -9,8 +15,9 @@
     ``start_id`` tells one start of its process from the next; ``revision`` is
     the store's revision that it has followed. ``is_settled`` means that it has
     been up for a while; ``is_frequent`` that it beats at the short interval;
-    ``is_following`` that it follows the targets; ``capacity`` is a class of VM
-    size, greater for larger ones; ``config_version`` is what is in force there.
+    ``is_following`` that it follows the targets and the store answers it;
+    ``capacity`` is a class of VM size, greater for larger ones; ``n_peers`` is how
+    many peers it hears; ``config_version`` is what is in force there.
     """
 
     __slots__ = (
@@ -23,6 +30,7 @@
         "is_frequent",
         "is_following",
         "capacity",
+        "n_peers",
         "config_version",
         "revision",
     )
@@ -38,6 +46,7 @@
         is_frequent,
         is_following,
         capacity,
+        n_peers,
         config_version,
         revision,
     ):
@@ -50,6 +59,7 @@
         self.is_frequent = is_frequent
         self.is_following = is_following
         self.capacity = capacity
+        self.n_peers = n_peers
         self.config_version = config_version
         self.revision = revision
 
@@ -64,6 +74,35 @@
         self.beat = beat
 
 
+class Contacts(Record):
+    """Addresses of VMs that a peer knows."""
+
+    __slots__ = ("ips",)
+
+    def __init__(self, ips):
+        self.ips = ips
+
+
+class SendContacts(Record):
+    """Send the addresses of known VMs to an IP address."""
+
+    __slots__ = ("ip", "contacts")
+
+    def __init__(self, ip, contacts):
+        self.ip = ip
+        self.contacts = contacts
+
+
+class FetchConfig(Record):
+    """Fetch a peer's copy of the operators' configuration."""
+
+    __slots__ = ("ip", "version")
+
+    def __init__(self, ip, version):
+        self.ip = ip
+        self.version = version
+
+
 class Resync(Record):
     """Tell the follower that a peer has seen a later revision of the store."""
 
@@ -74,16 +113,16 @@
 
 
 class Follow(Record):
-    """Tell the follower whether to follow targets, or the operators' keys only.
+    """Tell the follower what to follow: TARGETS, OPERATORS or NOTHING.
 
     A VM that is ``is_first`` in its failure domain asks the store often enough
     to notice a watch that is never answered; the others learn of it from peers.
     """
 
-    __slots__ = ("is_on", "is_first")
+    __slots__ = ("what", "is_first")
 
-    def __init__(self, is_on, is_first=False):
-        self.is_on = is_on
+    def __init__(self, what, is_first=False):
+        self.what = what
         self.is_first = is_first
 
 
--- a/packages/entry/hornbeamstand_entry/edge/beats.py
+++ b/packages/entry/hornbeamstand_entry/edge/beats.py
@@ -1,16 +1,19 @@
 """The task that owns the UDP socket for signs of life between entry VMs."""
 
+from ipaddress import AddressValueError, IPv4Address
+
 import gevent
 import msgspec
 from gevent import socket
-from hornbeamstand_core.edge_node_messages import Beat
+from hornbeamstand_core.edge_node_messages import Beat, Contacts, SendContacts
 
 from ..tasks.task import Task
 
 DATAGRAM_MAX_BYTES = 2048
+IP_BYTES = 4
 # Fields on the wire; the sender's address is the datagram's own.
 FIELDS = tuple(name for name in Beat.__slots__ if name != "ip")
-FIELD_TYPES = (str, int, bool, bool, bool, bool, bool, int, int, int)
+FIELD_TYPES = (str, int, bool, bool, bool, bool, bool, int, int, int, int)
 
 
 def encode_beat(beat):
@@ -32,6 +35,22 @@
     return Beat(ip, *fields)
 
 
+def encode_contacts(contacts):
+    """Return addresses of VMs as MessagePack: four bytes each, one after another."""
+    packed = b"".join(IPv4Address(ip).packed for ip in contacts.ips)
+    return msgspec.msgpack.encode(packed)
+
+
+def decode_contacts(raw):
+    """Return the Contacts of a datagram, or None if the bytes are none."""
+    try:
+        packed = msgspec.msgpack.decode(raw, type=bytes)
+        starts = range(0, len(packed), IP_BYTES)
+        return Contacts([str(IPv4Address(packed[i : i + IP_BYTES])) for i in starts])
+    except (msgspec.DecodeError, AddressValueError):
+        return None
+
+
 class Beats:
     """The UDP socket of one VM.
 
@@ -60,7 +79,7 @@
         self._sock = None
 
     def post(self, message):
-        """Send a SendBeat."""
+        """Send a SendBeat or SendContacts."""
         self.task.post(message)
 
     def start(self, stack):
@@ -76,7 +95,7 @@
         while True:
             message = self.task.mailbox.get()
             try:
-                self._sock.sendto(encode_beat(message.beat), (message.ip, self.port))
+                self._sock.sendto(encode(message), (message.ip, self.port))
             except OSError:
                 # A lost sign of life is repeated by the next round.
                 self.n_unsent += 1
@@ -90,8 +109,15 @@
             except OSError:
                 # An earlier datagram was refused; the socket goes on.
                 continue
-            beat = decode_beat(raw, peer[0])
-            if beat is None:
+            message = decode_beat(raw, peer[0]) or decode_contacts(raw)
+            if message is None:
                 self.log.info("peer: unreadable datagram", peer=peer[0])
                 continue
-            self.decider.post(beat)
+            self.decider.post(message)
+
+
+def encode(message):
+    """Return the datagram of a SendBeat or SendContacts."""
+    if type(message) is SendContacts:
+        return encode_contacts(message.contacts)
+    return encode_beat(message.beat)
--- /dev/null
+++ b/packages/entry/hornbeamstand_entry/edge/config_copies.py
@@ -0,0 +1,88 @@
+"""The task that fetches peers' copies of the operators' configuration."""
+
+import gevent
+from gevent.queue import SimpleQueue
+from hornbeamstand_core.discovery import ConfigEntry, StoreChanges
+from hornbeamstand_core.messages import SendFailure
+
+from ..encoding import encode_request
+from ..tasks.connections import Exchange
+from ..tasks.task import Task
+
+# Peers serve their copy at this path of the port between VMs.
+COPY_PATH = "/configuration"
+COPY_MAX_BYTES = 8 << 20
+COPY_TIMEOUT_MS = 500.0
+STATUS_OK = 200
+
+
+class ConfigCopies:
+    """Fetches one copy at a time.
+
+    Parameters
+    ----------
+    peers : Pools
+        Connections to other entry VMs.
+    peer_port : int
+        Port of every VM.
+    decode : callable
+        Returns the ConfigEntry of a copy, or a BadEntry.
+    decider : EdgeDecider
+        Takes the configuration.
+    clock, log
+        The process's own.
+    """
+
+    __slots__ = ("peers", "peer_port", "decode", "decider", "clock", "log", "task")
+
+    def __init__(self, peers, peer_port, decode, decider, clock, log):
+        self.peers = peers
+        self.peer_port = peer_port
+        self.decode = decode
+        self.decider = decider
+        self.clock = clock
+        self.log = log
+        self.task = Task("config-copies")
+
+    def post(self, message):
+        """Take a FetchConfig."""
+        self.task.post(message)
+
+    def start(self, stack):
+        """Start the task."""
+        self.task.start(self._run, stack)
+
+    def _run(self):
+        while True:
+            order = self.task.mailbox.get()
+            answer = self._fetch(f"{order.ip}:{self.peer_port}")
+            self._take(order, answer)
+
+    def _fetch(self, address):
+        wire = encode_request("GET", COPY_PATH, [("Host", address)], b"")
+        until_ms = self.clock.now_ms() + COPY_TIMEOUT_MS
+        exchange = Exchange("GET", wire, until_ms, False, COPY_MAX_BYTES, SimpleQueue())
+        self.peers.post(address, exchange)
+        try:
+            answer = exchange.receive_end(COPY_TIMEOUT_MS)
+        except gevent.GreenletExit:
+            exchange.cancel()
+            raise
+        if answer is None:
+            exchange.cancel(was_silent=True)
+        return answer
+
+    def _take(self, order, answer):
+        if answer is None or isinstance(answer, SendFailure):
+            detail = "no answer in time" if answer is None else answer.kind
+            self.log.info("config: no copy", peer=order.ip, error=detail)
+            return
+        if answer.status_code != STATUS_OK:
+            status = answer.status_code
+            self.log.info("config: no copy", peer=order.ip, error=f"status {status}")
+            return
+        entry = self.decode(answer.body)
+        if isinstance(entry, ConfigEntry):
+            self.log.info("config: copied", peer=order.ip, version=order.version)
+        # A copy says nothing of the store's revision.
+        self.decider.post(StoreChanges([entry], 0))
--- a/packages/entry/hornbeamstand_entry/edge/dialect.py
+++ b/packages/entry/hornbeamstand_entry/edge/dialect.py
@@ -39,8 +39,9 @@
     """Requests to the store and their answers.
 
     Requests are functions that return a StoreRequest; ``decode_page`` and
-    ``decode_events`` return a StorePage, ``decode_lease`` a lease id. Operators write
-    below ``operator_prefix``.
+    ``decode_events`` return a StorePage, ``decode_lease`` a lease id and
+    ``decode_config_copy`` a ConfigEntry or BadEntry of the value that a peer copied.
+    Operators write below ``operator_prefix``.
     """
 
     __slots__ = (
@@ -52,6 +53,7 @@
         "decode_page",
         "decode_events",
         "decode_lease",
+        "decode_config_copy",
         "operator_prefix",
     )
 
@@ -65,6 +67,7 @@
         decode_page,
         decode_events,
         decode_lease,
+        decode_config_copy,
         operator_prefix,
     ):
         self.range_request = range_request
@@ -75,6 +78,7 @@
         self.decode_page = decode_page
         self.decode_events = decode_events
         self.decode_lease = decode_lease
+        self.decode_config_copy = decode_config_copy
         self.operator_prefix = operator_prefix
 
 
--- a/packages/entry/hornbeamstand_entry/edge/follower.py
+++ b/packages/entry/hornbeamstand_entry/edge/follower.py
@@ -7,9 +7,12 @@
     StoreChanges,
     StoreSnapshot,
 )
+from hornbeamstand_core.edge_node_messages import NOTHING, TARGETS
 
 # How long the store may hold a watch that sees nothing.
 WATCH_MS = 28_000.0
+# The same after a read that may have been stale: what is newer comes at once.
+FRESH_WATCH_MS = 1.0
 # The same for the first VM of a failure domain, and after a failed call: a watch
 # may have been taken by a store that never answers it.
 FIRST_WATCH_MS = 2000.0
@@ -20,15 +23,15 @@
 BACKOFF_MAX_MS = 1200.0
 STATUS_HISTORY_GONE = 410
 STATUS_NO_LEASE = 404
+# A VM enters itself only once it has followed the targets for this long.
+REGISTER_AFTER_MS = 1500.0
 LEASE_MS = 60_000.0
 KEEP_MS = 20_000.0
 MS_PER_S = 1000.0
 
 
 class Follower:
-    """Reads the whole store once, then its changes.
-
-    A VM that does not follow the targets reads only what operators write.
+    """Reads the whole store once, then the changes of what this VM follows.
 
     Parameters
     ----------
@@ -44,12 +47,14 @@
         "store",
         "decider",
         "log",
+        "_what",
         "_revision",
         "_all_revision",
-        "_is_first",
-        "_prefix",
         "_wait_ms",
         "_has_failed",
+        "_is_stale_fit",
+        "_is_read",
+        "_wanted",
         "_backoff_ms",
         "_watcher",
     )
@@ -58,78 +63,125 @@
         self.store = store
         self.decider = decider
         self.log = log
+        # Until the first read is over everything is read.
+        self._what = TARGETS
         self._revision = None
+        # Up to here the targets that the decider holds are known.
         self._all_revision = None
-        self._is_first = True
         self._wait_ms = WATCH_MS
         self._has_failed = False
-        self._prefix = store.codec.operator_prefix
+        self._is_stale_fit = True
+        self._is_read = False
+        self._wanted = None
         self._backoff_ms = BACKOFF_MIN_MS
         self._watcher = None
 
     def start(self, stack):
         """Start to follow; the stack ends it."""
-        self._watcher = gevent.spawn(self._run)
-        stack.callback(self._watcher.kill, block=False)
+        self._watcher = gevent.spawn(self._run_first)
+        stack.callback(self._stop)
+
+    def _stop(self):
+        self._watcher.kill(block=False)
 
     def resync(self, message):
-        """Read everything again: a peer has seen what the watch did not bring."""
+        """Watch anew: a peer has seen what the watch did not bring."""
         self.log.info("store: resync", revision=self._revision)
-        self._revision = None
-        self._all_revision = None
+        if not self._is_read:
+            return
+        self._has_failed = True
         self._restart()
 
     def follow(self, message):
-        """Follow the targets too, or what operators write alone.
+        """Follow the targets too, what operators write alone, or nothing.
 
         What the first read brought needs no second one if it is still recent.
         """
+        if not self._is_read:
+            self._wanted = message
+            return
         self._wait_ms = FIRST_WATCH_MS if message.is_first else WATCH_MS
-        if message.is_on and self._prefix == "":
+        if message.what == self._what:
             return
-        if message.is_on:
-            self._prefix = ""
+        if message.what == TARGETS:
             self._revision = self._all_revision
-        else:
-            self._prefix = self.store.codec.operator_prefix
-        self._all_revision = None
+        elif self._what == TARGETS:
+            self._all_revision = None
+        self._what = message.what
         self._restart()
 
     def _restart(self):
         self._watcher.kill(block=False)
         self._watcher = gevent.spawn(self._run)
 
+    def _run_first(self):
+        """Read everything; what is followed from then on is decided later."""
+        self._until_ok(self._read_all)
+        self._what = NOTHING
+        self._is_read = True
+        if self._wanted is not None:
+            self.follow(self._wanted)
+
     def _run(self):
+        while self._what != NOTHING:
+            self._until_ok(self._read_all if self._revision is None else self._watch)
+
+    def _until_ok(self, call):
         while True:
-            result = self._read_all() if self._revision is None else self._watch()
-            if result.is_err():
-                self._note_error(result.err_value)
-                gevent.sleep(self._backoff_ms / MS_PER_S)
-                self._backoff_ms = min(BACKOFF_MAX_MS, 2.0 * self._backoff_ms)
-                self._has_failed = True
-                continue
-            self._has_failed = False
-            self._backoff_ms = BACKOFF_MIN_MS
+            result = call()
+            if result.is_ok():
+                break
+            self._note_error(result.err_value)
+            gevent.sleep(self._backoff_ms / MS_PER_S)
+            self._backoff_ms = min(BACKOFF_MAX_MS, 2.0 * self._backoff_ms)
+            self._has_failed = True
+            if self._revision is None:
+                call = self._read_all
+        self._has_failed = False
+        self._backoff_ms = BACKOFF_MIN_MS
+
+    def _prefix(self):
+        return "" if self._what == TARGETS else self.store.codec.operator_prefix
 
     def _read_all(self):
-        result = self.store.read_all("" if self._is_first else self._prefix)
-        if result.is_ok():
-            page = result.ok_value
-            self._revision = page.revision
-            if self._is_first:
-                self._is_first = False
-                self._all_revision = page.revision
-            self.decider.post(StoreBack())
-            self.decider.post(StoreSnapshot(page.records, page.revision))
+        """Read what is followed; returns the last call's result.
+
+        A read that may be stale is cheap. The changes since then are asked for
+        before anything is decided by it.
+        """
+        prefix = self._prefix()
+        result = self.store.read_all(prefix, self._is_stale_fit)
+        if result.is_err():
+            return result
+        pages = [result.ok_value]
+        if self._is_stale_fit:
+            later = self.store.watch(prefix, pages[0].revision, FRESH_WATCH_MS)
+            if later.is_err():
+                self._is_stale_fit = False
+                return later
+            pages.append(later.ok_value)
+        self._is_stale_fit = True
+        self._take_read(pages)
         return result
 
+    def _take_read(self, pages):
+        self._revision = max(page.revision for page in pages)
+        if self._what == TARGETS:
+            self._all_revision = self._revision
+        self.decider.post(StoreBack())
+        self.decider.post(StoreSnapshot(pages[0].records, pages[0].revision))
+        for page in pages[1:]:
+            self.decider.post(StoreChanges(page.records, page.revision))
+
     def _watch(self):
         wait_ms = RETRY_WATCH_MS if self._has_failed else self._wait_ms
-        result = self.store.watch(self._prefix, self._revision, wait_ms)
+        result = self.store.watch(self._prefix(), self._revision, wait_ms)
         if result.is_err():
             return result
         page = result.ok_value
         self._revision = max(self._revision, page.revision)
+        if self._what == TARGETS:
+            self._all_revision = self._revision
         self.decider.post(StoreBack())
         self.decider.post(StoreChanges(page.records, page.revision))
         if page.records:
@@ -139,6 +191,7 @@
     def _note_error(self, error):
         self.log.info("store: call failed", error=str(error))
         if error.status == STATUS_HISTORY_GONE:
+            self._is_stale_fit = False
             self._revision = None
             self._all_revision = None
             return
@@ -146,22 +199,38 @@
 
 
 class Registration:
-    """Keeps this VM's entry in the store, so that peers find it."""
+    """Keeps the entry of a VM that stands by, so that new VMs find it.
+
+    The others are found through it and through the seeds.
+    """
 
-    __slots__ = ("store", "key", "value", "log")
+    __slots__ = ("store", "key", "value", "log", "_keeper")
 
     def __init__(self, store, key, value, log):
         self.store = store
         self.key = key
         self.value = value
         self.log = log
+        self._keeper = None
 
     def start(self, stack):
-        """Start to register; the stack ends it."""
-        greenlet = gevent.spawn(self._run)
-        stack.callback(greenlet.kill, block=False)
+        """Let the stack end the task that ``follow`` starts."""
+        stack.callback(self._stop)
+
+    def follow(self, message):
+        """Keep an entry while the targets are followed; else let it lapse."""
+        if message.what != TARGETS:
+            self._stop()
+        elif self._keeper is None:
+            self._keeper = gevent.spawn(self._run)
+
+    def _stop(self):
+        if self._keeper is not None:
+            self._keeper.kill(block=False)
+            self._keeper = None
 
     def _run(self):
+        gevent.sleep(REGISTER_AFTER_MS / MS_PER_S)
         backoff_ms = BACKOFF_MIN_MS
         while True:
             result = self._register()
--- a/packages/entry/hornbeamstand_entry/edge/front.py
+++ b/packages/entry/hornbeamstand_entry/edge/front.py
@@ -6,6 +6,7 @@
 from ..http_server import BodyError, read_body, read_number, watch_caller
 from ..performers import drive
 from ..responses import status_line
+from .config_copies import COPY_PATH
 from .context import EdgeContext
 from .messages import (
     RETRY_AFTER_MS,
@@ -74,12 +75,19 @@
 
     def serve_peer(self, environ, start_response):
         """Serve one request that a peer handed over (a WSGI application)."""
+        if environ["PATH_INFO"] == COPY_PATH and "HTTP_HORNBEAM_TERMS" not in environ:
+            return self._serve_copy(start_response)
         text = environ.get("HTTP_HORNBEAM_TERMS")
         terms = read_terms(text) if text else None
         if terms is None:
             return respond(start_response, 400, b"no terms", [PLAIN])
         return self._serve(environ, start_response, terms, self._respond_peer)
 
+    def _serve_copy(self, start_response):
+        """Answer with the operators' configuration as the store holds it."""
+        raw = self.node.config_raw
+        return respond(start_response, 200 if raw else 404, raw, [JSON])
+
     def _serve(self, environ, start_response, terms, answer):
         arrived_at_ms = self.clock.now_ms()
         self.n_requests += 1
--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -10,7 +10,14 @@
 from gevent.pywsgi import WSGIServer
 from hornbeamstand_core.balancer_messages import SendProbe
 from hornbeamstand_core.controllers.edge import EdgeIdentity, EdgeNode, RepeatBounds
-from hornbeamstand_core.edge_node_messages import Follow, Resync, SendBeat, StopEdge
+from hornbeamstand_core.edge_node_messages import (
+    FetchConfig,
+    Follow,
+    Resync,
+    SendBeat,
+    SendContacts,
+    StopEdge,
+)
 from hornbeamstand_core.filters.edge_chain import build_edge_chain
 
 from ..clock import make_process_clock
@@ -19,6 +26,7 @@
 from ..tasks.connections import ConnectionRules
 from ..tasks.pools import Pools
 from .beats import Beats
+from .config_copies import ConfigCopies
 from .decider import EdgeDecider
 from .follower import Follower, Registration
 from .front import EdgeFront, respond
@@ -67,6 +75,8 @@
         "front",
         "store",
         "follower",
+        "registration",
+        "peers",
         "servers",
     )
 
@@ -82,6 +92,8 @@
         self.metrics = EdgeMetrics()
         self.node = make_node(settings, self.clock)
         self.decider = EdgeDecider(self.node, self.clock, self.log)
+        rules = ConnectionRules(PEER_CONNECT_MS, SILENT_MS)
+        self.peers = Pools(self.clock, stack, rules)
         self._build_store(stack)
         self._build_front(stack)
         return self
@@ -95,16 +107,32 @@
         )
         self.follower = Follower(self.store, self.decider, self.log)
         key, value = dialect.vm_item(settings.vm_id, settings.ip)
-        registration = Registration(self.store, key, value, self.log)
+        self.registration = Registration(self.store, key, value, self.log)
         beats = Beats(settings.ip, settings.peer_port, self.decider, self.log)
         self.decider.connect(SendBeat, beats.post)
         self.decider.connect(Resync, self.follower.resync)
-        self.decider.connect(Follow, self.follower.follow)
+        self.decider.connect(Follow, self.follow)
+        self.decider.connect(SendContacts, beats.post)
+        copies = ConfigCopies(
+            self.peers,
+            settings.peer_port,
+            dialect.store.decode_config_copy,
+            self.decider,
+            self.clock,
+            self.log,
+        )
+        self.decider.connect(FetchConfig, copies.post)
         beats.start(stack)
         self.decider.start(stack)
-        registration.start(stack)
+        copies.start(stack)
+        self.registration.start(stack)
         self.follower.start(stack)
 
+    def follow(self, message):
+        """Pass on what to follow to the tasks that depend on it."""
+        self.follower.follow(message)
+        self.registration.follow(message)
+
     def _build_front(self, stack):
         targets = Pools(
             self.clock,
@@ -122,11 +150,10 @@
         self.decider.connect(SendProbe, looks.post)
         looks.start(stack)
         self.metrics.gauges["looks"] = lambda: looks.n_sent + self.metrics.n_looks
-        peers = Pools(self.clock, stack, ConnectionRules(PEER_CONNECT_MS, SILENT_MS))
         performers = make_performers(
             self.decider,
             targets,
-            peers,
+            self.peers,
             self.dialect,
             self.metrics,
             self.log,
--- a/packages/entry/hornbeamstand_entry/edge/store_client.py
+++ b/packages/entry/hornbeamstand_entry/edge/store_client.py
@@ -83,19 +83,23 @@
         except ValueError as error:
             return Err(StoreError(step, self.address, f"unreadable answer: {error}"))
 
-    def read_all(self, prefix):
-        """Return one StorePage of a prefix; its revision is the first page's."""
+    def read_all(self, prefix, may_be_stale=False):
+        """Return one StorePage of a prefix.
+
+        Its revision is the least of its pages': what was written after it can be
+        watched for, also where another replica answered a later page.
+        """
         records = []
-        revision = None
+        revision = float("inf")
         after_key = ""
         while True:
-            request = self.codec.range_request(prefix, after_key)
+            request = self.codec.range_request(prefix, after_key, may_be_stale)
             answer = self._call("store.range", request, self.codec.decode_page)
             if answer.is_err():
                 return answer
             page = answer.ok_value
             records += page.records
-            revision = page.revision if revision is None else revision
+            revision = min(revision, page.revision)
             after_key = page.last_key
             if not page.has_more:
                 page.records = records
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -11,6 +11,7 @@
 EDGE_CONTROLLERS = {
     "capacity.py",
     "edge.py",
+    "following.py",
     "learning.py",
     "peer_view.py",
     "routing.py",
