--- a/packages/entry/hornbeamstand_entry/edge/logs.py
+++ b/packages/entry/hornbeamstand_entry/edge/logs.py
@@ -3,28 +3,79 @@
 Lines collect in a buffer that a greenlet writes to standard output. What the
 reader does not take, or what exceeds the rate, is left out and counted; lines
 about failures have a reserve of their own.
+
+Lines are rendered when they are written. The library that renders them takes a
+fifth of the program's imports, so it is loaded with the first lines, once the
+process serves.
 """
 
 import os
+import time
 
 import gevent
 import msgspec
-import structlog
+from hornbeamstand_core.records import Record
 
 N_BUFFERED_MAX = 4000
 LINES_PER_S_MAX = 600
 # Lines about failures and beliefs may exceed the rate by this many a second.
 URGENT_PER_S_MAX = 200
 FLUSH_MS = 100.0
+# The first lines are written this long after the start, or at the end.
+FIRST_FLUSH_MS = 800.0
+LEVEL_INFO = 20
 MS_PER_S = 1000.0
 WRITE_MAX_BYTES = 65536
 
 
-def render_json(logger, name, event_dict):
-    """Encode one log line as JSON."""
+class LogLine(Record):
+    """One line before it is rendered; ``time_s`` is the time of day."""
+
+    __slots__ = ("time_s", "event", "fields")
+
+    def __init__(self, time_s, event, fields):
+        self.time_s = time_s
+        self.event = event
+        self.fields = fields
+
+
+def encode_json(logger, name, event_dict):
+    """Encode one log line as JSON (a processor of structlog)."""
     return msgspec.json.encode(event_dict).decode()
 
 
+class Renderer:
+    """Renders the lines of one VM."""
+
+    __slots__ = ("vm_id", "_logger", "_rendered")
+
+    def __init__(self, vm_id):
+        self.vm_id = vm_id
+        self._logger = None
+        self._rendered = []
+
+    def render(self, line):
+        """Return a LogLine as JSON text."""
+        if self._logger is None:
+            self._logger = self._make_logger()
+        self._logger.info(line.event, time_s=line.time_s, **line.fields)
+        return self._rendered.pop()
+
+    def info(self, text):
+        """Take what the logger made (the end of structlog's chain)."""
+        self._rendered.append(text)
+
+    def _make_logger(self):
+        import structlog
+
+        return structlog.wrap_logger(
+            self,
+            processors=[encode_json],
+            wrapper_class=structlog.make_filtering_bound_logger(LEVEL_INFO),
+            cache_logger_on_first_use=True,
+        ).bind(vm=self.vm_id)
+
+
 class BoundedLines:
     """Buffer of log lines in front of a descriptor that must not block.
 
@@ -34,11 +85,14 @@
         Where lines are written; it is set to non-blocking.
     clock : Clock
         Counts lines by the second.
+    render : callable
+        Returns the text of what was kept.
     """
 
     __slots__ = (
         "descriptor",
         "clock",
+        "render",
         "n_left_out",
         "_lines",
         "_rest",
@@ -47,9 +101,10 @@
         "_n_reported",
     )
 
-    def __init__(self, descriptor, clock):
+    def __init__(self, descriptor, clock, render=str):
         self.descriptor = descriptor
         self.clock = clock
+        self.render = render
         self.n_left_out = 0
         self._lines = []
         self._rest = b""
@@ -66,9 +121,6 @@
         """Keep an urgent line, from the reserve if need be."""
         self._keep(line, LINES_PER_S_MAX + URGENT_PER_S_MAX)
 
-    msg = debug = info
-    error = critical = warning
-
     def _keep(self, line, per_s_max):
         second = int(self.clock.now_ms() / MS_PER_S)
         if second != self._second:
@@ -82,13 +134,14 @@
 
     def flush(self):
         """Write as much as the reader takes now."""
+        texts = [self.render(line) for line in self._lines]
+        self._lines.clear()
         if self.n_left_out > self._n_reported:
             n_new = self.n_left_out - self._n_reported
             self._n_reported = self.n_left_out
-            self._lines.append(f'{{"event":"log: lines left out","n_lines":{n_new}}}')
-        if self._lines:
-            self._rest += ("\n".join(self._lines) + "\n").encode()
-            self._lines.clear()
+            texts.append(f'{{"event":"log: lines left out","n_lines":{n_new}}}')
+        if texts:
+            self._rest += ("\n".join(texts) + "\n").encode()
         while self._rest:
             try:
                 n_written = os.write(self.descriptor, self._rest[:WRITE_MAX_BYTES])
@@ -114,36 +167,26 @@
 class EdgeLog:
     """The log of one process, with a line for each decision and belief."""
 
-    __slots__ = ("lines", "clock", "_logger")
+    __slots__ = ("lines",)
 
     @classmethod
     def from_config(cls, vm_id, clock, descriptor=1):
         """Build a log that writes to a descriptor."""
         self = cls()
-        self.lines = BoundedLines(descriptor, clock)
-        self.clock = clock
-        self._logger = structlog.wrap_logger(
-            self.lines,
-            processors=[
-                structlog.processors.TimeStamper(fmt=None, key="time_s"),
-                render_json,
-            ],
-            wrapper_class=structlog.make_filtering_bound_logger(20),
-            cache_logger_on_first_use=True,
-        ).bind(vm=vm_id)
+        self.lines = BoundedLines(descriptor, clock, Renderer(vm_id).render)
         return self
 
     def info(self, event, **fields):
         """Write one line."""
-        self._logger.info(event, **fields)
+        self.lines.info(LogLine(time.time(), event, fields))
 
     def warning(self, event, **fields):
         """Write one urgent line."""
-        self._logger.warning(event, **fields)
+        self.lines.warning(LogLine(time.time(), event, fields))
 
     def decision(self, decision):
         """Write a decision of the controllers."""
-        self._logger.info(
+        self.info(
             f"route: {decision.action}",
             service=decision.service_name,
             request=decision.request_id,
@@ -153,7 +196,7 @@
 
     def belief(self, belief):
         """Write a change of what this VM believes."""
-        self._logger.warning(
+        self.warning(
             f"{belief.part}: {belief.event}",
             subject=belief.subject,
             detail=belief.detail,
@@ -172,7 +215,7 @@
             fields["peer"] = call.relay_to
         if outcome.is_ok():
             answer = outcome.ok_value
-            self._logger.info(
+            self.info(
                 "answer: sent",
                 status=answer.status,
                 target=answer.target_id,
@@ -180,7 +223,7 @@
             )
             return
         refusal = outcome.err_value
-        self._logger.warning(
+        self.warning(
             "answer: refused",
             status=refusal.status,
             certainty=refusal.certainty,
@@ -197,6 +240,7 @@
         stack.callback(writer.kill, block=False)
 
     def _write_forever(self):
+        gevent.sleep(FIRST_FLUSH_MS / MS_PER_S)
         while True:
-            gevent.sleep(FLUSH_MS / MS_PER_S)
             self.lines.flush()
+            gevent.sleep(FLUSH_MS / MS_PER_S)
--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -288,9 +288,9 @@
 
 def calm_collector():
     """Keep the collector's pauses short: what lives since the start stays out."""
-    gc.collect()
     gc.freeze()
     gc.set_threshold(GC_YOUNG_MAX, GC_MIDDLE_MAX, GC_OLD_MAX)
+    gc.enable()
 
 
 def wait_for_stop(process, reload_settings):
--- a/packages/entry/tests/test_edge_logs.py
+++ b/packages/entry/tests/test_edge_logs.py
@@ -1,6 +1,8 @@
 """Log lines are bounded and never block."""
 
 import os
+import subprocess
+import sys
 
 import pytest
 from hornbeamstand_core.clock import Clock
@@ -69,3 +71,22 @@
     line = os.read(pipe[0], 4096).decode()
     assert '"vm":"vm1"' in line
     assert '"event":"process: started"' in line
+
+
+def test_a_line_bears_the_time_at_which_it_was_logged(pipe, monkeypatch):
+    """Lines are rendered later than they are logged."""
+    log = EdgeLog.from_config("vm1", Clock.from_reader(lambda: 0.0), pipe[1])
+    monkeypatch.setattr(logs.time, "time", lambda: 5.0)
+    log.info("process: started")
+    monkeypatch.setattr(logs.time, "time", lambda: 9.0)
+    log.lines.flush()
+    assert '"time_s":5.0' in os.read(pipe[0], 4096).decode()
+
+
+def test_the_start_does_not_load_what_renders_lines():
+    """Load: all VMs start at once while callers wait."""
+    code = (
+        "import sys, hornbeamstand_entry.edge.process;"
+        "sys.exit('structlog' in sys.modules)"
+    )
+    assert subprocess.run([sys.executable, "-c", code], check=False).returncode == 0
