--- a/packages/core/hornbeamstand_core/controllers/placing.py
+++ b/packages/core/hornbeamstand_core/controllers/placing.py
@@ -13,7 +13,7 @@
 # A request that an erring target fails costs a repeat or the answer.
 ERROR_FACTOR = 6.0
 # Bytes to another failure domain are priced.
-FAR_FACTOR = 1.2
+FAR_FACTOR = 1.6
 IN_FLIGHT_WEIGHT = 0.04
 # A request in flight for longer than this many times the mean speaks for a
 # slow target.
