Serve only with targets at hand: read forgotten ones again, wait for a read

A VM that had never followed forgot the targets of its first read, and later followed from that read's revision on without reading them; another served with a peer's configuration before its first read was over. Change: the follower is told whether the targets are still known; a VM serves once it has read them; a request that comes while they are read waits within its objective.

--- a/packages/core/hornbeamstand_core/controllers/capacity.py
+++ b/packages/core/hornbeamstand_core/controllers/capacity.py
@@ -83,6 +83,9 @@
     owns : callable
         Tells whether this VM counts the requests to a service's targets in a
         failure domain.
+
+    While ``is_awaiting_targets`` is set the targets are being read and requests
+    wait for them.
     """
 
     __slots__ = (
@@ -96,6 +99,7 @@
         "mean_ms",
         "usual_speed",
         "out_domains",
+        "is_awaiting_targets",
         "_rng",
         "_owns",
     )
@@ -111,6 +115,7 @@
         self.mean_ms = None
         self.usual_speed = SPEED_PRIOR
         self.out_domains = frozenset()
+        self.is_awaiting_targets = False
         self._rng = rng
         self._owns = owns
 
@@ -337,8 +342,9 @@
         wait_max_ms = self._wait_max_ms(message, now_ms)
         expected_ms = self.expected_wait_ms(now_ms)
         if expected_ms == float("inf"):
-            return self._refuse(message, "no target", now_ms)
-        if expected_ms > wait_max_ms:
+            if not self.is_awaiting_targets:
+                return self._refuse(message, "no target", now_ms)
+        elif expected_ms > wait_max_ms:
             return self._refuse(message, "wait exceeds objective", now_ms)
         objective_ms = message.objective_at_ms - now_ms
         patience_ms = min(wait_max_ms, PATIENCE_SHARE * max(0.0, objective_ms))
--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -181,6 +181,7 @@
 
     def _acquire(self, message, now_ms):
         service = self.find_service(message.service_name)
+        service.is_awaiting_targets = not self.table.is_filled
         service.note_owner(now_ms)
         return service.acquire(message, now_ms)
 
@@ -238,7 +239,8 @@
         self.peers.revision = self.revision
         self.peers.config_version = self.routing.version
         self.following.note_news()
-        if self.routing.config is not None and not self.peers.is_serving:
+        is_ready = self.routing.config is not None and self.table.is_filled
+        if is_ready and not self.peers.is_serving:
             self.peers.is_serving = True
             self.following.note_serving(now_ms)
         return self._drain_all(now_ms)
@@ -353,9 +355,11 @@
 
     def _change_following(self, now_ms):
         """Follow what this VM needs; forget the targets that it need not know."""
-        out = self.following.change(self._is_domain_first(now_ms), now_ms)
-        if self.table.by_key and not self.following.needs_targets(now_ms):
+        if self.table.is_filled and not self.following.needs_targets(now_ms):
             self.table.clear()
+        out = self.following.change(
+            self._is_domain_first(now_ms), self.table.is_filled, now_ms
+        )
         self._note_following()
         return out
 
--- a/packages/core/hornbeamstand_core/controllers/following.py
+++ b/packages/core/hornbeamstand_core/controllers/following.py
@@ -77,11 +77,11 @@
         if self._behind_since_ms is None:
             self._behind_since_ms = now_ms
 
-    def change(self, is_first, now_ms):
+    def change(self, is_first, has_targets, now_ms):
         """Return the messages that change what is followed, if it changes.
 
         ``is_first`` tells whether this VM counts a service's requests in its
-        failure domain.
+        failure domain, ``has_targets`` whether it still knows those that it read.
         """
         if self.peers.is_standing_by:
             self._needed_at_ms = now_ms
@@ -92,7 +92,7 @@
         is_new = what != self.what
         self.what = what
         self._is_first = is_first
-        follow = Follow(what, is_first)
+        follow = Follow(what, is_first, has_targets)
         return [follow, Belief("store", "following", what)] if is_new else [follow]
 
     def _wanted(self, now_ms):
--- a/packages/core/hornbeamstand_core/controllers/target_table.py
+++ b/packages/core/hornbeamstand_core/controllers/target_table.py
@@ -15,6 +15,8 @@
 class TargetTable:
     """Found targets by key, and the services that hold them.
 
+    ``is_filled`` tells whether they were read and are still followed.
+
     Parameters
     ----------
     find_service : callable
@@ -26,7 +28,7 @@
         "_find_service",
         "_doubted_until_ms",
         "_doubted_keys",
-        "_is_filled",
+        "is_filled",
     )
 
     def __init__(self, find_service):
@@ -34,7 +36,7 @@
         self._find_service = find_service
         self._doubted_until_ms = float("-inf")
         self._doubted_keys = set()
-        self._is_filled = False
+        self.is_filled = False
 
     def note_store_away(self, now_ms):
         """Doubt removals from now on."""
@@ -59,7 +61,7 @@
         target.is_open = entry.state != DRAINING
         service = self._find_service(entry.service_name)
         cold_ms = entry.cold_left_ms
-        if self._is_filled and service.rules is not None:
+        if self.is_filled and service.rules is not None:
             cold_ms = max(cold_ms, service.rules.cold_ms)
         target.cold_until_ms = now_ms + cold_ms
         self.by_key[entry.key] = target
@@ -114,7 +116,7 @@
             self._drop(target)
         self.by_key.clear()
         self._doubted_keys.clear()
-        self._is_filled = False
+        self.is_filled = False
 
     def replace_all(self, entries, now_ms):
         """Take a snapshot: what it does not name is gone; returns messages."""
@@ -124,7 +126,7 @@
         named = {entry.key for entry in entries}
         for key in [key for key in self.by_key if key not in named]:
             out += self.remove(key, now_ms)
-        self._is_filled = True
+        self.is_filled = True
         return out
 
     def begin_cold(self, failure_domain, now_ms):
--- a/packages/core/hornbeamstand_core/edge_node_messages.py
+++ b/packages/core/hornbeamstand_core/edge_node_messages.py
@@ -117,13 +117,15 @@
 
     A VM that is ``is_first`` in its failure domain asks the store often enough
     to notice a watch that is never answered; the others learn of it from peers.
+    Without ``has_targets`` the targets of an earlier read are forgotten.
     """
 
-    __slots__ = ("what", "is_first")
+    __slots__ = ("what", "is_first", "has_targets")
 
-    def __init__(self, what, is_first=False):
+    def __init__(self, what, is_first=False, has_targets=True):
         self.what = what
         self.is_first = is_first
+        self.has_targets = has_targets
 
 
 class EdgeTick(Record):
--- a/packages/core/tests/test_edge_node.py
+++ b/packages/core/tests/test_edge_node.py
@@ -16,7 +16,7 @@
     StoreSnapshot,
     VmEntry,
 )
-from hornbeamstand_core.edge_messages import Belief, FindRoute
+from hornbeamstand_core.edge_messages import FIRST, AcquireSlot, Belief, FindRoute
 from hornbeamstand_core.edge_node_messages import (
     NOTHING,
     OPERATORS,
@@ -371,6 +371,41 @@
     assert not node.table.by_key
 
 
+def test_a_vm_that_forgot_the_targets_says_so_when_it_follows_them():
+    node = configured()
+    play(node, 4000.0)
+    out = []
+    for now_ms in range(4000, 8000, 125):
+        out += node.handle(EdgeTick(), float(now_ms))
+    follows = [m for m in out if isinstance(m, Follow) and m.what == TARGETS]
+    assert not follows[0].has_targets
+
+
+def test_a_vm_serves_only_once_it_has_read_the_targets():
+    """Load: a slow store; a peer's copy of the configuration comes first."""
+    node = make_node()
+    node.handle(StoreChanges([ConfigEntry("op/config", config())], 0), 0.0)
+    assert not node.peers.is_serving
+    node.handle(snapshot(), 10.0)
+    assert node.peers.is_serving
+
+
+def test_requests_wait_while_the_targets_are_being_read():
+    """Load: both VMs that stood by are gone; the next one has to read first."""
+    node = configured()
+    play(node, 4000.0)
+    ask = AcquireSlot("shop", "r1", "r1#1", FIRST, True, 0, 6000.0, 4600.0)
+    assert not granted(node.handle(ask, 4000.0))
+    node.handle(snapshot(entry("t1"), revision=9), 4030.0)
+    node.handle(StoreChanges([], 9), 4030.0)
+    replies = granted(node.handle(EdgeTick(), 4300.0))
+    assert [reply.target_id for reply in replies] == ["t1"]
+
+
+def granted(messages):
+    return [m.reply for m in messages if isinstance(m, Granted)]
+
+
 def test_a_first_contact_tells_a_new_vm_of_the_others():
     node = make_node(seeds=("10.0.0.1",))
     surrounded(node, 0.0)
--- a/packages/entry/hornbeamstand_entry/edge/follower.py
+++ b/packages/entry/hornbeamstand_entry/edge/follower.py
@@ -103,6 +103,8 @@
         self._wait_ms = FIRST_WATCH_MS if message.is_first else WATCH_MS
         if message.what == self._what:
             return
+        if not message.has_targets:
+            self._all_revision = None
         if message.what == TARGETS:
             self._revision = self._all_revision
         elif self._what == TARGETS:
--- a/packages/entry/tests/test_edge_follower.py
+++ b/packages/entry/tests/test_edge_follower.py
@@ -163,6 +163,16 @@
     ]
 
 
+def test_targets_that_were_forgotten_are_read_again(made):
+    """Load: a rolling stop; the next VM in line has forgotten its first read."""
+    store, _, task, begin = made
+    begin()
+    store.calls.clear()
+    task.follow(Follow(TARGETS, True, has_targets=False))
+    gevent.sleep(0.01)
+    assert store.calls[0] == ("stale read", "")
+
+
 def test_what_a_peer_has_seen_is_watched_for_not_read(made):
     """Load: a slow store; reading all of it again would cost a call a page."""
     store, _, task, begin = made
