Explain a request from the logs of the VMs that had it

Cause: the pages said how to grep for a request; lines of several VMs with clocks seconds apart had to be put together by hand, with what the VMs had just learned.

--- a/packages/ctl/hornbeamstand_ctl/main.py
+++ b/packages/ctl/hornbeamstand_ctl/main.py
@@ -16,6 +16,9 @@
 
 from . import __version__  # noqa: E402
 from .base import digests_of  # noqa: E402
+from .explain import describe_story  # noqa: E402
+from .explain import explain as explain_request  # noqa: E402
+from .log_lines import read_logs  # noqa: E402
 from .operations import check_folder, plan_folder, publish_folder  # noqa: E402
 from .status import describe_status, fetch_status  # noqa: E402
 
@@ -130,6 +133,23 @@
         raise typer.Exit(EXIT_FAILED)
 
 
+@app.command()
+def explain(
+    request_id: Annotated[str, typer.Argument(help="the caller's id of the request")],
+    logs: Annotated[list[str], typer.Argument(help="log files of entry VMs")],
+):
+    """Tell what happened to a request, from the logs of the VMs that had it."""
+    found = unwrap(read_logs(logs), EXIT_BAD_INPUT)
+    story = explain_request(found.lines, request_id)
+    if found.n_unreadable:
+        typer.echo(f"note: {found.n_unreadable} lines are no log lines", err=True)
+    if story is None:
+        typer.echo(f"error: no line is about {request_id}", err=True)
+        raise typer.Exit(EXIT_FAILED)
+    for line in describe_story(story):
+        typer.echo(line)
+
+
 @app.command()
 def reference():
     """Print the reference page of the folder's files."""
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -3,6 +3,9 @@
 import re
 from pathlib import Path
 
+from hornbeamstand_ctl.explain import explain
+from hornbeamstand_ctl.log_lines import read_logs
+
 ROOT = Path(__file__).resolve().parent.parent
 SOURCES = [
     *(ROOT / "packages/entry/hornbeamstand_entry/edge").glob("*.py"),
@@ -36,3 +39,12 @@
     page = (ROOT / "docs/OPERATIONS.md").read_text()
     missing = sorted(event for event in logged_events() if event not in page)
     assert missing == []
+
+
+def test_the_examples_say_what_the_command_says():
+    page = (ROOT / "docs/OPERATIONS.md").read_text()
+    commands = re.findall(r"\$ hornbeamctl explain (\w+) (\S+)", page)
+    assert len(commands) == 3
+    for request_id, path in commands:
+        lines = read_logs([ROOT / path]).ok_value.lines
+        assert f"= {explain(lines, request_id).cause}\n" in page
