Give a reload's limits of repeats to the services at hand

Cause: a reload of the settings changed the limits for services that came later only, and another task's state was written from outside of it. Change: the limits are a message to the decider, which hands them to every service.

--- a/packages/core/hornbeamstand_core/controllers/capacity.py
+++ b/packages/core/hornbeamstand_core/controllers/capacity.py
@@ -119,6 +119,11 @@
         self._rng = rng
         self._owns = owns
 
+    def adopt_bounds(self, bounds):
+        """Take new limits of repeated sends; what was sent still counts."""
+        self.bounds = bounds
+        self.repeats.adopt(bounds.ratio, bounds.slack, bounds.window_ms)
+
     # Requests.
 
     def acquire(self, message, now_ms):
--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -29,6 +29,7 @@
     Contacts,
     EdgeTick,
     FetchConfig,
+    RepeatBounds,
     SendBeat,
     StopEdge,
 )
@@ -67,22 +68,6 @@
         self.capacity = capacity
 
 
-class RepeatBounds(Record):
-    """Limits of repeated sends to a service, over all VMs.
-
-    ``n_owners`` is how many VMs count a service's requests: one for each
-    failure domain.
-    """
-
-    __slots__ = ("ratio", "slack", "window_ms", "n_owners")
-
-    def __init__(self, ratio, slack, window_ms, n_owners=1):
-        self.ratio = ratio
-        self.slack = slack
-        self.window_ms = window_ms
-        self.n_owners = n_owners
-
-
 class EdgeNode:
     """Routes, targets, capacities and peers of one VM, driven by messages.
 
@@ -148,6 +133,7 @@
             Beat: self._note_beat,
             Contacts: self._note_contacts,
             EdgeTick: self._tick,
+            RepeatBounds: self._adopt_bounds,
             StopEdge: self._stop,
         }
 
@@ -377,6 +363,13 @@
         config = self.routing.config
         return config.services if config else ()
 
+    def _adopt_bounds(self, bounds, now_ms):
+        """Take new limits of repeated sends, for the services at hand too."""
+        self.bounds = bounds
+        for service in self.services.values():
+            service.adopt_bounds(bounds)
+        return []
+
     def _stop(self, message, now_ms):
         self.peers.is_stopping = True
         beat = self.peers.my_beat(now_ms)
--- a/packages/core/hornbeamstand_core/controllers/retry_window.py
+++ b/packages/core/hornbeamstand_core/controllers/retry_window.py
@@ -42,6 +42,12 @@
         self._first_at_ms = deque()
         self._repeat_at_ms = deque()
 
+    def adopt(self, ratio, slack, window_ms):
+        """Take new limits; what was counted still counts."""
+        self.ratio = ratio
+        self.slack = slack
+        self.window_ms = window_ms
+
     def _forget(self, times, now_ms):
         while times and times[0] <= now_ms - self.window_ms:
             times.popleft()
--- a/packages/core/hornbeamstand_core/edge_node_messages.py
+++ b/packages/core/hornbeamstand_core/edge_node_messages.py
@@ -128,6 +128,22 @@
         self.has_targets = has_targets
 
 
+class RepeatBounds(Record):
+    """Limits of repeated sends to a service, over all VMs.
+
+    ``n_owners`` is how many VMs count a service's requests: one for each
+    failure domain.
+    """
+
+    __slots__ = ("ratio", "slack", "window_ms", "n_owners")
+
+    def __init__(self, ratio, slack, window_ms, n_owners=1):
+        self.ratio = ratio
+        self.slack = slack
+        self.window_ms = window_ms
+        self.n_owners = n_owners
+
+
 class EdgeTick(Record):
     """Time passes."""
 
--- a/packages/core/tests/test_edge_node.py
+++ b/packages/core/tests/test_edge_node.py
@@ -4,7 +4,7 @@
 from tests.edge_parts import entry
 
 from hornbeamstand_core.balancer_messages import Granted
-from hornbeamstand_core.controllers.edge import EdgeIdentity, EdgeNode, RepeatBounds
+from hornbeamstand_core.controllers.edge import EdgeIdentity, EdgeNode
 from hornbeamstand_core.discovery import (
     BadEntry,
     ConfigEntry,
@@ -26,6 +26,7 @@
     EdgeTick,
     FetchConfig,
     Follow,
+    RepeatBounds,
     Resync,
     SendBeat,
     SendContacts,
@@ -280,6 +281,16 @@
     return [m for m in node.handle(EdgeTick(), now_ms) if isinstance(m, Resync)]
 
 
+def test_new_limits_of_repeats_hold_for_services_at_hand():
+    """A reload of the settings once reached later services only."""
+    node = configured()
+    service = node.find_service("shop")
+    service.repeats.note_repeat(0.0)
+    node.handle(RepeatBounds(0.0, 0.0, 5000.0, 3), 10.0)
+    assert service.bounds.window_ms == 5000.0
+    assert service.repeats.n_left(3, 10.0) == -1.0
+
+
 # Peers.
 
 
--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -9,10 +9,11 @@
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 from hornbeamstand_core.balancer_messages import SendProbe
-from hornbeamstand_core.controllers.edge import EdgeIdentity, EdgeNode, RepeatBounds
+from hornbeamstand_core.controllers.edge import EdgeIdentity, EdgeNode
 from hornbeamstand_core.edge_node_messages import (
     FetchConfig,
     Follow,
+    RepeatBounds,
     Resync,
     SendBeat,
     SendContacts,
@@ -312,7 +313,7 @@
 
 def adopt_settings(process, settings):
     """Take the settings that may change while the process runs."""
-    process.node.bounds = read_bounds(settings)
+    process.decider.post(read_bounds(settings))
     process.settings.grace_ms = settings.grace_ms
     process.settings.lookup_ttl_ms = settings.lookup_ttl_ms
     process.log.info("process: settings reloaded", grace_ms=settings.grace_ms)
--- a/tests/edge_parts.py
+++ b/tests/edge_parts.py
@@ -3,7 +3,6 @@
 from random import Random
 
 from hornbeamstand_core.controllers.capacity import ServiceCapacity
-from hornbeamstand_core.controllers.edge import RepeatBounds
 from hornbeamstand_core.controllers.target_table import TargetTable
 from hornbeamstand_core.discovery import READY, TargetEntry
 from hornbeamstand_core.edge_messages import (
@@ -13,6 +12,7 @@
     LoadSeen,
     LookFirst,
 )
+from hornbeamstand_core.edge_node_messages import RepeatBounds
 from hornbeamstand_core.messages import Permit, Release, Reply
 from hornbeamstand_core.routes import ServiceRules
 
