--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,40 @@
+"""`python -m soak`: plays seeds and ends with status 1 if one has a finding."""
+
+import shutil
+import sys
+from typing import Annotated
+
+import typer
+
+from .run import fresh_seed, play
+
+# Some runs take many more processes than the usual dozen.
+N_VMS_MAX = 200
+
+
+def main(
+    seed: Annotated[int, typer.Option(help="first seed; 0 draws fresh ones")] = 0,
+    n_seeds: Annotated[int, typer.Option("--n", min=1, help="seeds in a row")] = 1,
+    n_vms: Annotated[int, typer.Option("--vms", min=1, max=N_VMS_MAX)] = 6,
+    length_s: Annotated[float, typer.Option("--seconds", min=10.0)] = 20.0,
+):
+    """Play seeds; logs of a seed with a finding are kept and named."""
+    n_failed = 0
+    for i in range(n_seeds):
+        report = play(seed + i if seed else fresh_seed(), length_s, n_vms)
+        statuses = dict(sorted(report.statuses.items()))
+        print(f"seed {report.seed}: {report.n_faults} faults, answers {statuses}")
+        for finding in report.findings[:20]:
+            print(f"  FINDING {finding}")
+        if report.findings:
+            n_failed += 1
+            print(f"  logs in {report.folder}")
+        else:
+            shutil.rmtree(report.folder)
+        sys.stdout.flush()
+    print(f"{n_seeds - n_failed} passed, {n_failed} failed")
+    raise typer.Exit(1 if n_failed else 0)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,253 @@
+"""Carries out faults on a cell, from outside of its processes."""
+
+import signal
+
+import gevent
+
+from standins.edge_cell import DOMAINS, GRACE_MS
+
+from .proxy import DELAY, ONE_WAY, PASS, SILENT
+from .records import Span
+from .schedule import PLANNED
+
+MS_PER_S = 1000.0
+# A planned stop that takes longer than the grace is a finding.
+STOP_MARGIN_S = 0.7
+RESTART_S = 0.1
+# A server leaves this long after it said that it drains, and comes back later.
+DRAIN_S = 2.0
+GONE_S = 3.0
+# A failure domain is out for longer than the bound after which nothing may come.
+OUT_S = 7.0
+COLD_MS = 2500
+SLOW_SPEED = 4.0
+
+
+class Actor:
+    """Carries out the faults of one run.
+
+    Parameters
+    ----------
+    cell : SoakCell
+        What is harmed.
+    journal : Journal
+        Where harm and planned work are written down.
+    now_s : callable
+        The run's clock.
+    """
+
+    __slots__ = ("cell", "journal", "now_s", "_handlers")
+
+    def __init__(self, cell, journal, now_s):
+        self.cell = cell
+        self.journal = journal
+        self.now_s = now_s
+        self._handlers = {
+            "kill": self._kill,
+            "kill-many": self._kill_many,
+            "pause": self._pause,
+            "stop": self._stop,
+            "reload": self._reload,
+            "store-forgets": lambda fault: cell.store.forget_history(),
+            "store-refuses-one": lambda fault: self._link(fault, SILENT),
+            "store-delay": lambda fault: self._link(fault, DELAY),
+            "store-one-way": lambda fault: self._link(fault, ONE_WAY),
+            "store-cut": self._cut_store,
+            "store-reset": self._reset_store,
+            "server-slow": self._slow,
+            "server-reset": self._reset_server,
+            "server-delay": lambda fault: self._server_link(fault, DELAY),
+            "server-silent": lambda fault: self._server_link(fault, SILENT),
+            "server-one-way": lambda fault: self._server_link(fault, ONE_WAY),
+            "server-again": self._again,
+            "server-cold": self._cold,
+            "server-drains": self._drain,
+            "domain-out": self._take_out,
+            "config": self._publish,
+        }
+        for mode in ("busy", "many", "silent", "lost"):
+            self._handlers[f"store-{mode}"] = self._make_store_mode(mode)
+        for name, mode in (
+            ("sheds", "shed"),
+            ("errors", "error"),
+            ("cuts", "cut"),
+            ("extra", "extra"),
+        ):
+            self._handlers[f"server-{name}"] = self._make_server_mode(mode)
+
+    def act(self, fault):
+        """Carry out one fault, and end it."""
+        if fault.kind in PLANNED:
+            self._handlers[fault.kind](fault)
+            return
+        span = Span(fault.kind, self.now_s())
+        self.journal.harm.append(span)
+        self._handlers[fault.kind](fault)
+        span.end_s = self.now_s()
+
+    def _vm(self, fault):
+        return self.cell.vms[fault.index % len(self.cell.vms)]
+
+    def _server(self, fault):
+        return self.cell.servers[fault.index % len(self.cell.servers)]
+
+    # Processes.
+
+    def _claim(self, vm):
+        """Return whether no other fault has the VM's process."""
+        if vm.name in self.cell.busy_vms:
+            return False
+        self.cell.busy_vms.add(vm.name)
+        return True
+
+    def _restart(self, vm):
+        self.cell.start_vm(vm)
+        self.cell.busy_vms.discard(vm.name)
+
+    def _kill(self, fault):
+        vm = self._vm(fault)
+        if not self._claim(vm):
+            return
+        self.cell.kill(vm)
+        gevent.sleep(fault.for_s)
+        self._restart(vm)
+
+    def _kill_many(self, fault):
+        claimed = [vm for vm in self.cell.vms if self._claim(vm)]
+        for vm in claimed:
+            self.cell.kill(vm)
+        gevent.sleep(RESTART_S)
+        for vm in claimed:
+            self._restart(vm)
+
+    def _pause(self, fault):
+        vm = self._vm(fault)
+        if not self._claim(vm):
+            return
+        self.cell.signal(vm, signal.SIGSTOP)
+        gevent.sleep(fault.for_s)
+        self.cell.signal(vm, signal.SIGCONT)
+        self.cell.busy_vms.discard(vm.name)
+
+    def _stop(self, fault):
+        vm = self._vm(fault)
+        if not self._claim(vm):
+            return
+        self.cell.signal(vm, signal.SIGTERM)
+        if not self.cell.wait_end(vm, GRACE_MS / MS_PER_S + STOP_MARGIN_S):
+            if not self._was_harmed():
+                self.journal.findings.append(f"{vm.name} outlived its grace")
+            self.cell.kill(vm)
+        self._restart(vm)
+
+    def _was_harmed(self):
+        return any(span.end_s == float("inf") for span in self.journal.harm)
+
+    def _reload(self, fault):
+        vm = self._vm(fault)
+        if vm.name not in self.cell.busy_vms:
+            self.cell.signal(vm, signal.SIGHUP)
+
+    # The store.
+
+    def _make_store_mode(self, mode):
+        def act(fault):
+            self.cell.store.mode = mode
+            gevent.sleep(fault.for_s)
+            self.cell.store.mode = "ok"
+
+        return act
+
+    def _link(self, fault, mode):
+        proxies = self.cell.store_proxies
+        self._hold([proxies[fault.index % len(proxies)]], fault, mode)
+
+    def _cut_store(self, fault):
+        self._hold(self.cell.store_proxies, fault, SILENT)
+
+    def _hold(self, proxies, fault, mode):
+        for proxy in proxies:
+            proxy.mode = mode
+        gevent.sleep(fault.for_s)
+        for proxy in proxies:
+            proxy.mode = PASS
+
+    def _reset_store(self, fault):
+        for proxy in self.cell.store_proxies:
+            proxy.reset_all()
+
+    # Servers.
+
+    def _make_server_mode(self, mode):
+        def act(fault):
+            server = self._server(fault)
+            server.mode = mode
+            gevent.sleep(fault.for_s)
+            server.mode = "ok"
+
+        return act
+
+    def _slow(self, fault):
+        server = self._server(fault)
+        server.speed = SLOW_SPEED
+        gevent.sleep(fault.for_s)
+        server.speed = 1.0
+
+    def _server_link(self, fault, mode):
+        proxy = self.cell.server_proxies[self._server(fault).server_id]
+        self._hold([proxy], fault, mode)
+
+    def _reset_server(self, fault):
+        self.cell.server_proxies[self._server(fault).server_id].reset_all()
+
+    def _again(self, fault):
+        server = self._server(fault)
+        if server.state != "ready":
+            return
+        self.cell.server_proxies[server.server_id].reset_all()
+        server.born_ms += 1
+        self._announce_cold(server)
+
+    def _cold(self, fault):
+        server = self._server(fault)
+        if server.state == "ready":
+            self._announce_cold(server)
+
+    def _announce_cold(self, server):
+        self.cell.announce(server, COLD_MS)
+        now_s = self.now_s()
+        span = Span(server.server_id, now_s, now_s + COLD_MS / MS_PER_S)
+        self.journal.cold.append(span)
+
+    # Planned work of servers and operators.
+
+    def _drain(self, fault):
+        server = self._server(fault)
+        if server.state != "ready":
+            return
+        server.state = "draining"
+        self.cell.announce(server)
+        span = Span(server.server_id, self.now_s())
+        self.journal.drained.append(span)
+        gevent.sleep(DRAIN_S)
+        self.cell.store.delete(f"servers/{server.server_id}")
+        gevent.sleep(GONE_S)
+        span.end_s = self.now_s()
+        server.state = "ready"
+        server.born_ms += 1
+        self._announce_cold(server)
+
+    def _take_out(self, fault):
+        domain = DOMAINS[fault.index % len(DOMAINS)]
+        if any(span.end_s == float("inf") for span in self.journal.out):
+            return
+        self.cell.store.put(f"op/evacuate/{domain}", {})
+        span = Span(domain, self.now_s())
+        self.journal.out.append(span)
+        gevent.sleep(OUT_S)
+        span.end_s = self.now_s()
+        self.cell.store.delete(f"op/evacuate/{domain}")
+
+    def _publish(self, fault):
+        self.cell.publish()
+        self.journal.published_s[self.cell.version] = self.now_s()
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,96 @@
+"""Plays one seed: starts the processes, carries out its faults, checks."""
+
+import tempfile
+import time
+from collections import Counter
+from random import Random
+
+import gevent
+from hornbeamstand_core.records import Record
+
+from .callers import Caller, watch_versions
+from .cell import SoakCell
+from .checks import check_all
+from .faults import Actor
+from .records import Journal
+from .schedule import draw_faults
+
+N_CALLERS = 6
+# Requests in flight at the end may still be answered, or run late.
+SETTLE_S = 0.5
+
+
+class Report(Record):
+    """What one seed led to; ``statuses`` counts callers' answers."""
+
+    __slots__ = ("seed", "findings", "statuses", "n_faults", "folder")
+
+    def __init__(self, seed, findings, statuses, n_faults, folder):
+        self.seed = seed
+        self.findings = findings
+        self.statuses = statuses
+        self.n_faults = n_faults
+        self.folder = folder
+
+
+def play(seed, length_s, n_vms, folder=None):
+    """Play one seed; returns its Report. Logs go to the folder."""
+    folder = folder or tempfile.mkdtemp(prefix=f"soak-{seed}-")
+    faults = draw_faults(seed, length_s)
+    journal = Journal()
+    with SoakCell(folder, n_vms) as cell:
+        cell.add_servers()
+        cell.publish()
+        cell.start_all()
+        began_s = gevent.get_hub().loop.now()
+
+        def now_s():
+            """Return the clock that servers write down arrivals by."""
+            return gevent.get_hub().loop.now()
+
+        journal.published_s[cell.version] = began_s
+        actor = Actor(cell, journal, now_s)
+        jobs = start_jobs(cell, journal, now_s, seed)
+        acts = [gevent.spawn_later(fault.at_s, actor.act, fault) for fault in faults]
+        gevent.sleep(length_s)
+        gevent.joinall(acts, timeout=10.0, raise_error=True)
+        wait_calm(journal, now_s)
+        end_s = now_s()
+        gevent.killall(jobs)
+        gevent.sleep(SETTLE_S)
+        journal.findings += find_ended(cell)
+        findings = check_all(journal, cell.servers, end_s)
+    statuses = Counter(attempt.status for attempt in journal.attempts)
+    return Report(seed, findings, statuses, len(faults), folder)
+
+
+def start_jobs(cell, journal, now_s, seed):
+    """Start the callers; returns their greenlets."""
+    callers = [
+        Caller(cell, journal, now_s, f"c{i}", Random(f"{seed}-{i}"))
+        for i in range(N_CALLERS)
+    ]
+    jobs = [gevent.spawn(caller.run) for caller in callers]
+    jobs.append(gevent.spawn(watch_versions, cell, journal, now_s))
+    return jobs
+
+
+def wait_calm(journal, now_s):
+    """Leave time after the last fault, so that the bounds hold at the end."""
+    calm_s = 5.0
+    last_s = max((span.end_s for span in journal.harm), default=0.0)
+    gevent.sleep(max(0.0, last_s + calm_s - now_s()))
+
+
+def find_ended(cell):
+    """Return the processes that ended though nothing ended them."""
+    return [
+        f"{vm.name} ended by itself with {vm.process.returncode}"
+        for vm in cell.vms
+        if vm.process.poll() is not None and vm.name not in cell.busy_vms
+    ]
+
+
+def fresh_seed():
+    """Return a seed that was not played before."""
+    return time.time_ns() % 1_000_000_007
--- a/standins/edge_cell.py
+++ b/standins/edge_cell.py
@@ -19,8 +19,11 @@
 HOST = "shop.example"
 GRACE_MS = 3000
 WAIT_S = 10.0
+COLD_RATE_PER_S = 5.0
 FIRST_PORT = 20100
 METRICS_PORT = 9464
+RETRY_RATIO = 0.2
+RETRY_SLACK = 50
 
 SETTINGS = """
 [Self]
@@ -47,8 +50,8 @@
 [Terms.Bounds]
 ttl_max = "5s"
 Grace = "{grace_ms}ms"
-RetryRatio = 0.2
-RetrySlack = 50
+RetryRatio = {retry_ratio}
+RetrySlack = {retry_slack}
 RetryWindow = "10s"
 """
 
@@ -123,6 +126,10 @@
                 vm.process.wait()
         self.stack.close()
 
+    def store_address(self):
+        """Return where the processes reach the store."""
+        return self.store.address
+
     def _make_vm(self, i, ports):
         name, domain = f"edge-{i}", DOMAINS[i % len(DOMAINS)]
         ip = f"127.0.{1 + os.getpid() % 200}.{10 + i}"
@@ -131,8 +138,10 @@
             name=name,
             ip=ip,
             domain=domain,
-            store=self.store.address,
+            store=self.store_address(),
             grace_ms=GRACE_MS,
+            retry_ratio=RETRY_RATIO,
+            retry_slack=RETRY_SLACK,
             **{f"{key}_port": port for key, port in ports.items()},
         )
         file.write_text(text)
@@ -145,9 +154,13 @@
         server = Server(name, service, domain, **values)
         server.start(self.stack)
         self.servers.append(server)
-        self.store.put(f"servers/{name}", server.entry())
+        self.announce(server)
         return server
 
+    def announce(self, server, cold_left_ms=0):
+        """Write a server's entry."""
+        self.store.put(f"servers/{server.server_id}", server.entry(cold_left_ms))
+
     def set_config(self, version, prefixes, timeout_ms=1500):
         """Write the operators' configuration.
 
@@ -172,7 +185,7 @@
                 "HealthPath": "/health",
                 "MaxConns": 100,
                 "Warmup": "3s",
-                "WarmupPerS": 5.0,
+                "WarmupPerS": COLD_RATE_PER_S,
             }
             for name in sorted({service for service, _ in prefixes.values()})
         ]
--- a/standins/server.py
+++ b/standins/server.py
@@ -29,8 +29,9 @@
 
     ``mode`` is ``ok``, ``shed`` (did not run), ``error`` (500), ``cut`` (runs and
     closes without an answer) or ``extra`` (answers twice). ``speed`` is its work
-    time over the usual one. ``runs`` counts runs by attempt id; ``seen`` has the
-    request targets and header lines.
+    time over the usual one. ``runs`` counts runs by attempt id; ``arrivals`` has the
+    time and attempt id of each request, also of those that did not run; ``seen`` has
+    the request targets and header lines.
     """
 
     __slots__ = (
@@ -49,6 +50,7 @@
         "n_looks",
         "runs",
         "run_at_s",
+        "arrivals",
         "seen",
     )
 
@@ -68,6 +70,7 @@
         self.n_looks = 0
         self.runs = Counter()
         self.run_at_s = []
+        self.arrivals = []
         self.seen = []
 
     def start(self, stack):
@@ -115,6 +118,7 @@
         expected = environ.get("HTTP_EXPECT_INSTANCE", self.server_id)
         if expected != self.server_id:
             return respond(start_response, 421, b"", [("Instance-Id", self.server_id)])
+        self.arrivals.append((gevent.get_hub().loop.now(), attempt_id))
         if self.mode == "shed" or self.n_running >= self.n_slots:
             items = [("Not-Executed", "1"), ("Server-Load", self.load())]
             return respond(start_response, 503, b"", items)
