--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/.installed
 
-.PHONY: demo demo-platform test lint measure bench slopes faults generate
+.PHONY: demo demo-platform soak test lint measure bench slopes faults generate
 
 $(STAMP): requirements-dev.txt constraints.txt $(wildcard packages/*/pyproject.toml platform/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -16,6 +16,9 @@
 demo-platform: $(STAMP)
 	$(BIN)/python -m standins.demo_platform
 
+soak: $(STAMP)
+	$(BIN)/python -m soak --seed $(or $(SEED),0) --n $(or $(N),1) --vms $(or $(VMS),6)
+
 test: $(STAMP)
 	$(BIN)/python -m pytest
 
