--- a/packages/core/hornbeamstand_core/controllers/capacity.py
+++ b/packages/core/hornbeamstand_core/controllers/capacity.py
@@ -5,10 +5,11 @@
 through ``_grant``.
 """
 
-from ..balancer_messages import Decision, Granted, SendProbe
-from ..edge_messages import FIRST, HEDGE, LookFirst
+from ..balancer_messages import Decision, Granted
+from ..edge_messages import FIRST, HEDGE
 from ..messages import CANCELLED, NOT_RUN, Permit, Refusal, SendFailure
 from .learning import learn
+from .looking import look_first, looks_for_waiting, stale_targets
 from .placing import (
     FAST,
     SLOW,
@@ -41,14 +42,8 @@
 RETRY_AFTER_SPREAD = 0.6
 # How long a service without any target is expected to stay so.
 NO_TARGET_RETRY_MS = 400.0
-# So many targets are looked at at once, and so often for one send.
-N_LOOKED = 3
-N_LOOKS_MAX = 2
-# While requests wait each target is looked at again after this time.
-LOOK_AGAIN_MS = 50.0
 # A target that does not answer a look is taken to be this slow.
 UNANSWERED_SPEED = 6.0
-HEALTH_PATH_DEFAULT = "/health"
 
 
 class Waiting:
@@ -138,9 +133,9 @@
         if self.waiting:
             return self._wait(message, now_ms)
         sound = self._sound(message, now_ms)
-        stale = self._stale(sound, message, now_ms)
+        stale = stale_targets(self, sound, message, now_ms)
         if stale:
-            return self._look_first(message, stale)
+            return look_first(self, message, stale)
         target = self._choose(sound, message, now_ms)
         if target is None or pace(target, now_ms) == SLOW:
             return self._wait(message, now_ms)
@@ -152,9 +147,9 @@
         if message.kind == HEDGE and self._is_busy(now_ms):
             return self._refuse(message, "no capacity for a second send", now_ms)
         sound = self._sound(message, now_ms)
-        stale = self._stale(sound, message, now_ms)
+        stale = stale_targets(self, sound, message, now_ms)
         if stale:
-            return self._look_first(message, stale)
+            return look_first(self, message, stale)
         target = self._choose(sound, message, now_ms)
         if target is None:
             return self._refuse(message, "no free target", now_ms)
@@ -206,9 +201,10 @@
         for target in sound:
             by_pace[pace(target, now_ms)].append(target)
         best = by_pace[FAST] or by_pace[UNKNOWN] or by_pace[SLOW]
-        return min(best, key=lambda target: self._cost(target, now_ms))
+        return min(best, key=lambda target: self.cost(target, now_ms))
 
-    def _cost(self, target, now_ms):
+    def cost(self, target, now_ms):
+        """Return what one more request would cost at a target, to compare."""
         return send_cost(
             target, self.home_domain, self.usual_speed, self.mean_ms, now_ms
         )
@@ -229,46 +225,7 @@
             rate *= OTHER_COLD_SHARE
         return target.n_cold_sent(now_ms) + 1 <= rate
 
-    # Looks at targets whose speed is not known well enough.
-
-    def _stale(self, sound, message, now_ms):
-        """Return the targets to ask for their load before the choice is final."""
-        if message.n_looks >= N_LOOKS_MAX:
-            return []
-        if any(pace(target, now_ms) == FAST for target in sound):
-            return []
-        stale = [
-            target
-            for target in sound
-            if target.may_report and pace(target, now_ms) == UNKNOWN
-        ]
-        stale.sort(key=lambda target: self._cost(target, now_ms))
-        return stale[:N_LOOKED]
-
-    def _health_path(self):
-        return self.rules.health_path if self.rules else HEALTH_PATH_DEFAULT
-
-    def _look_first(self, message, targets):
-        pairs = [(item.entry.target_id, item.entry.address) for item in targets]
-        first = LookFirst(self.name, self._health_path(), pairs)
-        return [Granted(message.request_id, first)]
-
-    def _look_for_waiting(self, now_ms):
-        """Return the looks that tell when a target's slow phase is over."""
-        out = []
-        for target in self.usable(now_ms):
-            if not target.may_report:
-                continue
-            if len(target.started_at_ms) >= target.n_usable_slots:
-                continue
-            known_at_ms = max(target.speed_at_ms, target.looked_at_ms)
-            if now_ms - known_at_ms < LOOK_AGAIN_MS:
-                continue
-            target.looked_at_ms = now_ms
-            entry = target.entry
-            path = self._health_path()
-            out.append(SendProbe(self.name, entry.target_id, entry.address, path))
-        return out
+    # Looks.
 
     def note_load(self, message, now_ms):
         """Take a target's answer to a look; returns messages."""
@@ -357,7 +314,7 @@
         self.waiting.append(waiting)
         self.waiting.sort(key=lambda item: (item.message.priority, item.since_ms))
         waits = Decision(self.name, message.request_id, "wait", "", "no fast slot")
-        return [waits, *self._look_for_waiting(now_ms)]
+        return [waits, *looks_for_waiting(self, now_ms)]
 
     def withdraw(self, request_id, now_ms):
         """Take a request out of the queue; its caller is gone."""
@@ -376,7 +333,7 @@
                 self.waiting.remove(waiting)
                 out += served
         if self.waiting:
-            out += self._look_for_waiting(now_ms)
+            out += looks_for_waiting(self, now_ms)
         return out
 
     def _serve(self, waiting, now_ms):
--- /dev/null
+++ b/packages/core/hornbeamstand_core/controllers/looking.py
@@ -0,0 +1,61 @@
+"""Which targets to ask for their load: plain functions of a service's state.
+
+A target's speed decides how long a request takes and changes several times a second,
+so targets whose last figure is too old are asked right before a send.
+"""
+
+from ..balancer_messages import Granted, SendProbe
+from ..edge_messages import LookFirst
+from .placing import FAST, UNKNOWN, pace
+
+# So many targets are looked at at once, and so often for one send.
+N_LOOKED = 3
+N_LOOKS_MAX = 2
+# While requests wait each target is looked at again after this time.
+LOOK_AGAIN_MS = 50.0
+HEALTH_PATH_DEFAULT = "/health"
+
+
+def stale_targets(service, sound, message, now_ms):
+    """Return the targets to ask for their load before the choice is final."""
+    if message.n_looks >= N_LOOKS_MAX:
+        return []
+    if any(pace(target, now_ms) == FAST for target in sound):
+        return []
+    stale = [
+        target
+        for target in sound
+        if target.may_report and pace(target, now_ms) == UNKNOWN
+    ]
+    stale.sort(key=lambda target: service.cost(target, now_ms))
+    return stale[:N_LOOKED]
+
+
+def health_path(service):
+    """Return the path of the targets' health endpoint."""
+    return service.rules.health_path if service.rules else HEALTH_PATH_DEFAULT
+
+
+def look_first(service, message, targets):
+    """Return the messages that ask for looks before a slot is asked for again."""
+    pairs = [(item.entry.target_id, item.entry.address) for item in targets]
+    first = LookFirst(service.name, health_path(service), pairs)
+    return [Granted(message.request_id, first)]
+
+
+def looks_for_waiting(service, now_ms):
+    """Return the looks that tell when a target's slow phase is over."""
+    out = []
+    for target in service.usable(now_ms):
+        if not target.may_report:
+            continue
+        if len(target.started_at_ms) >= target.n_usable_slots:
+            continue
+        known_at_ms = max(target.speed_at_ms, target.looked_at_ms)
+        if now_ms - known_at_ms < LOOK_AGAIN_MS:
+            continue
+        target.looked_at_ms = now_ms
+        entry = target.entry
+        path = health_path(service)
+        out.append(SendProbe(service.name, entry.target_id, entry.address, path))
+    return out
--- a/packages/ctl/tests/test_explain.py
+++ b/packages/ctl/tests/test_explain.py
@@ -1,12 +1,12 @@
 """A request's story from recorded logs, as the operations page tells it."""
 
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
 from hornbeamstand_ctl.explain import describe_story, explain
 from hornbeamstand_ctl.log_lines import parse_line, read_logs
-from hornbeamstand_ctl.main import app
-from typer.testing import CliRunner
 
 LOGS = Path(__file__).resolve().parents[3] / "tests/logs"
 
@@ -79,18 +79,21 @@
 
 
 def run(*words):
-    return CliRunner().invoke(app, ["explain", *words])
+    """Run the command in a process of its own: it patches the standard library."""
+    code = "from hornbeamstand_ctl.main import main; main()"
+    command = [sys.executable, "-c", code, "explain", *words]
+    return subprocess.run(command, capture_output=True, text=True, check=False)
 
 
 def test_the_command_prints_the_story():
     done = run("035e6fd46f78f690", str(LOGS / "timed-out.log"))
-    assert done.exit_code == 0
+    assert done.returncode == 0
     story = story_of("timed-out.log", "035e6fd46f78f690")
     assert done.stdout.splitlines() == describe_story(story)
 
 
 def test_an_unknown_id_and_a_missing_file_are_errors():
-    assert run("nobody", str(LOGS / "timed-out.log")).exit_code == 1
+    assert run("nobody", str(LOGS / "timed-out.log")).returncode == 1
     missing = run("nobody", str(LOGS / "none.log"))
-    assert missing.exit_code == 2
-    assert "none.log" in missing.output
+    assert missing.returncode == 2
+    assert "none.log" in missing.stderr
--- /dev/null
+++ b/packages/entry/hornbeamstand_entry/edge/calls.py
@@ -0,0 +1,25 @@
+"""One call on pooled connections: sent, awaited, and broken off if it is given up."""
+
+import gevent
+from gevent.queue import SimpleQueue
+
+from ..tasks.connections import Exchange
+
+
+def call(pools, clock, address, method, wire, timeout_ms, answer_max_bytes):
+    """Send bytes to an address; returns a WholeAnswer, a SendFailure, or None.
+
+    None means that no answer came within the timeout. A greenlet that is ended
+    while it waits breaks the call off.
+    """
+    until_ms = clock.now_ms() + timeout_ms
+    exchange = Exchange(method, wire, until_ms, False, answer_max_bytes, SimpleQueue())
+    pools.post(address, exchange)
+    try:
+        answer = exchange.receive_end(timeout_ms)
+    except gevent.GreenletExit:
+        exchange.cancel()
+        raise
+    if answer is None:
+        exchange.cancel(was_silent=True)
+    return answer
--- a/packages/entry/hornbeamstand_entry/edge/config_copies.py
+++ b/packages/entry/hornbeamstand_entry/edge/config_copies.py
@@ -1,13 +1,11 @@
 """The task that fetches peers' copies of the operators' configuration."""
 
-import gevent
-from gevent.queue import SimpleQueue
 from hornbeamstand_core.discovery import ConfigEntry, StoreChanges
 from hornbeamstand_core.messages import SendFailure
 
 from ..encoding import encode_request
-from ..tasks.connections import Exchange
 from ..tasks.task import Task
+from .calls import call
 
 # Peers serve their copy at this path of the port between VMs.
 COPY_PATH = "/configuration"
@@ -60,17 +58,15 @@
 
     def _fetch(self, address):
         wire = encode_request("GET", COPY_PATH, [("Host", address)], b"")
-        until_ms = self.clock.now_ms() + COPY_TIMEOUT_MS
-        exchange = Exchange("GET", wire, until_ms, False, COPY_MAX_BYTES, SimpleQueue())
-        self.peers.post(address, exchange)
-        try:
-            answer = exchange.receive_end(COPY_TIMEOUT_MS)
-        except gevent.GreenletExit:
-            exchange.cancel()
-            raise
-        if answer is None:
-            exchange.cancel(was_silent=True)
-        return answer
+        return call(
+            self.peers,
+            self.clock,
+            address,
+            "GET",
+            wire,
+            COPY_TIMEOUT_MS,
+            COPY_MAX_BYTES,
+        )
 
     def _take(self, order, answer):
         if answer is None or isinstance(answer, SendFailure):
--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -7,7 +7,6 @@
 
 import gevent
 from gevent.event import Event
-from gevent.pywsgi import WSGIServer
 from hornbeamstand_core.balancer_messages import SendProbe
 from hornbeamstand_core.controllers.edge import EdgeIdentity, EdgeNode
 from hornbeamstand_core.edge_node_messages import (
@@ -23,7 +22,6 @@
 
 from ..clock import make_process_clock
 from ..closing import close_bounded
-from ..http_server import CallerHandler
 from ..tasks.connections import ConnectionRules
 from ..tasks.pools import Pools
 from .beats import Beats
@@ -35,6 +33,7 @@
 from .looks import Looks
 from .metrics import EdgeMetrics
 from .performers import make_performers
+from .servers import close_idle, start_server
 from .store_client import StoreClient
 
 TARGET_CONNECT_MS = 250.0
@@ -202,44 +201,6 @@
         return limit_ms + IDLE_MARGIN_MS
 
 
-class EdgeHandler(CallerHandler):
-    """Serves one connection and lets a planned stop close it while idle."""
-
-    def handle(self):
-        """Keep the server's set of open connections up to date."""
-        self.server.open_handlers.add(self)
-        self.is_idle = True
-        try:
-            super().handle()
-        finally:
-            self.server.open_handlers.discard(self)
-
-    def read_requestline(self):
-        """Mark the connection as busy once a request begins."""
-        self.is_idle = True
-        self.socket.settimeout(self.server.idle_ms() / MS_PER_S)
-        line = super().read_requestline()
-        self.is_idle = False
-        return line
-
-
-def start_server(address, app, stack, idle_ms):
-    """Listen and serve an application; the stack ends it.
-
-    ``idle_ms`` returns how long a connection may stay idle.
-    """
-    host, _, port = address.rpartition(":")
-    server = WSGIServer(
-        (host, int(port)), app, log=None, error_log=None, handler_class=EdgeHandler
-    )
-    server.caller_idle_s = idle_ms() / MS_PER_S
-    server.idle_ms = idle_ms
-    server.open_handlers = set()
-    server.start()
-    stack.callback(server.stop, timeout=0)
-    return server
-
-
 def make_node(settings, clock):
     """Return the controllers of this VM."""
     me = EdgeIdentity(
@@ -328,16 +289,8 @@
     gevent.sleep(min(STOP_LISTEN_MS, process.settings.grace_ms / 2) / MS_PER_S)
     for server in process.servers:
         server.close()
-    close_idle(process)
+    close_idle(process.servers)
     end_at_ms = began_at_ms + process.settings.grace_ms - STOP_MARGIN_MS
     while process.front.n_requests and process.clock.now_ms() < end_at_ms:
         gevent.sleep(STOP_POLL_MS / MS_PER_S)
-        close_idle(process)
-
-
-def close_idle(process):
-    """Close the callers' connections that carry no request."""
-    for server in process.servers:
-        for handler in list(server.open_handlers):
-            if handler.is_idle and handler.socket is not None:
-                handler.socket.close()
+        close_idle(process.servers)
--- a/packages/entry/hornbeamstand_entry/edge/store_client.py
+++ b/packages/entry/hornbeamstand_entry/edge/store_client.py
@@ -1,13 +1,11 @@
 """The client of the platform's store: calls through a codec, typed errors."""
 
-import gevent
-from gevent.queue import SimpleQueue
 from hornbeamstand_core.errors import PlatformError
 from hornbeamstand_core.messages import SendFailure
 from result import Err, Ok
 
 from ..encoding import encode_request
-from ..tasks.connections import Exchange
+from .calls import call
 
 ANSWER_MAX_BYTES = 64 << 20
 STATUS_OK = 200
@@ -55,23 +53,16 @@
             items.append(("Content-Type", "application/json"))
         wire = encode_request(request.method, request.path, items, request.body)
         timeout_ms = self.timeout_ms + request.wait_ms
-        exchange = Exchange(
+        answer = call(
+            self.pools,
+            self.clock,
+            self.address,
             request.method,
             wire,
-            self.clock.now_ms() + timeout_ms,
-            False,
+            timeout_ms,
             ANSWER_MAX_BYTES,
-            SimpleQueue(),
         )
-        self.pools.post(self.address, exchange)
-        try:
-            answer = exchange.receive_end(timeout_ms)
-        except gevent.GreenletExit:
-            # The call's task is ended while it waits.
-            exchange.cancel()
-            raise
         if answer is None:
-            exchange.cancel(was_silent=True)
             return Err(StoreError(step, self.address, "no answer in time"))
         if isinstance(answer, SendFailure):
             return Err(StoreError(step, self.address, f"{answer.kind} {answer.peer}"))
