Compress copies of the configuration; ask the store one VM after another

Change: copies are compressed once for each version and may take 0.8 s; VMs without an informed peer ask the store in turn, one a second in each failure domain, and who is answered informs the others.

--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -24,6 +24,7 @@
     Routed,
 )
 from ..edge_node_messages import (
+    NOTHING,
     TARGETS,
     Beat,
     Contacts,
@@ -262,7 +263,7 @@
         if not out:
             return []
         self.config_raw = record.raw
-        if self.following.what == TARGETS:
+        if self.following.what != NOTHING:
             self.peers.hurry_near()
             self._next_beat_ms = now_ms
         for service in self.services.values():
@@ -310,7 +311,7 @@
         if beat.config_version > self.routing.version:
             self.following.note_behind(now_ms)
             return out + self._fetch_config(beat, now_ms)
-        if beat.is_following and self.peers.is_following:
+        if beat.is_following and self.following.what == TARGETS:
             if beat.revision > self.revision:
                 self.following.note_behind(now_ms)
         return out
@@ -350,7 +351,7 @@
         return out
 
     def _note_following(self):
-        is_on = self.following.what == TARGETS
+        is_on = self.following.what != NOTHING
         self.peers.is_following = is_on and not self.is_store_away
 
     def _is_domain_first(self, now_ms):
--- a/packages/core/hornbeamstand_core/controllers/following.py
+++ b/packages/core/hornbeamstand_core/controllers/following.py
@@ -16,8 +16,10 @@
 # So many peers of the own failure domain have to follow the targets. One is
 # enough: if it is cut off from the store, its peers of other domains tell it.
 N_INFORMED_MIN = 1
-# For this long fewer of them may be heard.
+# For this long fewer of them may be heard. Then one VM after another asks the store
+# itself: while it is down for all, most need not try.
 UNINFORMED_MS = 1000.0
+NEXT_ASKS_MS = 1000.0
 # VMs that are not named to others as first contacts wait for their news of the
 # first configuration for this long.
 FIRST_CONFIG_MS = 2500.0
@@ -111,7 +113,8 @@
             self._informed_at_ms = now_ms
         if now_ms < self._distrust_until_ms:
             return False
-        return now_ms - self._informed_at_ms < UNINFORMED_MS
+        turn_ms = self.peers.n_ahead(now_ms) * NEXT_ASKS_MS
+        return now_ms - self._informed_at_ms < UNINFORMED_MS + turn_ms
 
     def needs_targets(self, now_ms):
         """Tell whether the targets of the first read are still of use."""
--- a/packages/core/hornbeamstand_core/controllers/peer_view.py
+++ b/packages/core/hornbeamstand_core/controllers/peer_view.py
@@ -209,6 +209,12 @@
             if peer.beat.failure_domain == self.me.failure_domain:
                 peer.sent_at_ms = -inf
 
+    def n_ahead(self, now_ms):
+        """Count the VMs of this failure domain between those that stand by and me."""
+        order = self.ranked("", now_ms, self.me.failure_domain)
+        place = order.index(self.me.ip) if self.me.ip in order else 0
+        return max(0, place - N_STANDING_BY)
+
     def n_near_following(self, now_ms):
         """Count the peers of this failure domain that follow the targets."""
         return sum(
--- a/packages/core/hornbeamstand_core/edge_node_messages.py
+++ b/packages/core/hornbeamstand_core/edge_node_messages.py
@@ -15,7 +15,7 @@
     ``start_id`` tells one start of its process from the next; ``revision`` is
     the store's revision that it has followed. ``is_settled`` means that it has
     been up for a while; ``is_frequent`` that it beats at the short interval;
-    ``is_following`` that it follows the targets and the store answers it;
+    ``is_following`` that it follows what operators write, and the store answers it;
     ``capacity`` is a class of VM size, greater for larger ones; ``n_peers`` is how
     many peers it hears; ``config_version`` is what is in force there.
     """
--- a/packages/entry/hornbeamstand_entry/edge/config_copies.py
+++ b/packages/entry/hornbeamstand_entry/edge/config_copies.py
@@ -1,4 +1,10 @@
-"""The task that fetches peers' copies of the operators' configuration."""
+"""Copies of the operators' configuration that VMs pass on to each other.
+
+A configuration may have thousands of routes and a small VM's link a few Mbit/s, so a
+copy is compressed.
+"""
+
+import zlib
 
 from hornbeamstand_core.discovery import ConfigEntry, StoreChanges
 from hornbeamstand_core.messages import SendFailure
@@ -10,10 +16,27 @@
 # Peers serve their copy at this path of the port between VMs.
 COPY_PATH = "/configuration"
 COPY_MAX_BYTES = 8 << 20
-COPY_TIMEOUT_MS = 500.0
+COPY_TIMEOUT_MS = 800.0
 STATUS_OK = 200
 
 
+def pack_copy(raw):
+    """Return a configuration's bytes as peers get them."""
+    return zlib.compress(raw)
+
+
+def unpack_copy(packed):
+    """Return the bytes of a peer's copy; raises ValueError if they are none."""
+    unpacker = zlib.decompressobj()
+    try:
+        raw = unpacker.decompress(packed, COPY_MAX_BYTES)
+    except zlib.error as error:
+        raise ValueError(str(error)) from error
+    if not unpacker.eof:
+        raise ValueError("copy is cut short or longer than COPY_MAX_BYTES")
+    return raw
+
+
 class ConfigCopies:
     """Fetches one copy at a time.
 
@@ -77,7 +100,11 @@
             status = answer.status_code
             self.log.info("config: no copy", peer=order.ip, error=f"status {status}")
             return
-        entry = self.decode(answer.body)
+        try:
+            entry = self.decode(unpack_copy(answer.body))
+        except ValueError as error:
+            self.log.info("config: no copy", peer=order.ip, error=str(error))
+            return
         if isinstance(entry, ConfigEntry):
             self.log.info("config: copied", peer=order.ip, version=order.version)
         # A copy says nothing of the store's revision.
--- a/packages/entry/hornbeamstand_entry/edge/front.py
+++ b/packages/entry/hornbeamstand_entry/edge/front.py
@@ -6,7 +6,7 @@
 from ..http_server import BodyError, read_body, read_number, watch_caller
 from ..performers import drive
 from ..responses import status_line
-from .config_copies import COPY_PATH
+from .config_copies import COPY_PATH, pack_copy
 from .context import EdgeContext
 from .messages import (
     RETRY_AFTER_MS,
@@ -20,6 +20,7 @@
 MS_PER_S = 1000.0
 PLAIN = ("Content-Type", "text/plain")
 JSON = ("Content-Type", "application/json")
+BINARY = ("Content-Type", "application/octet-stream")
 CLOSE = ("Connection", "close")
 
 
@@ -51,6 +52,8 @@
         "n_requests",
         "_own_names",
         "_n_seen",
+        "_copied_raw",
+        "_copy",
     )
 
     def __init__(self, node, chain, performers, dialect, clock, settings):
@@ -66,6 +69,8 @@
         own = (names.deadline_ms, names.expected_target)
         self._own_names = frozenset(name.lower() for name in own)
         self._n_seen = 0
+        self._copied_raw = None
+        self._copy = b""
 
     # Requests.
 
@@ -84,9 +89,14 @@
         return self._serve(environ, start_response, terms, self._respond_peer)
 
     def _serve_copy(self, start_response):
-        """Answer with the operators' configuration as the store holds it."""
+        """Answer with a copy of the operators' configuration."""
         raw = self.node.config_raw
-        return respond(start_response, 200 if raw else 404, raw, [JSON])
+        if not raw:
+            return respond(start_response, 404, b"", [PLAIN])
+        if self._copied_raw is not raw:
+            self._copied_raw = raw
+            self._copy = pack_copy(raw)
+        return respond(start_response, 200, self._copy, [BINARY])
 
     def _serve(self, environ, start_response, terms, answer):
         arrived_at_ms = self.clock.now_ms()
--- /dev/null
+++ b/packages/entry/tests/test_config_copies.py
@@ -0,0 +1,109 @@
+"""Copies of the configuration that VMs pass on."""
+
+import random
+
+import msgspec
+import pytest
+from hornbeamstand_core.discovery import BadEntry, ConfigEntry
+from hornbeamstand_entry.edge import config_copies
+from hornbeamstand_entry.edge.config_copies import ConfigCopies, pack_copy, unpack_copy
+
+# A small VM's link brings a copy within the bound for a new version.
+SMALL_LINK_BYTES_PER_S = 5_000_000 / 8
+COPY_MAX_S = 0.25
+
+
+def big_config():
+    rng = random.Random(1)
+
+    def name():
+        return "".join(rng.choices("abcdefghijklmnopqrstuvwxyz0123456789", k=8))
+
+    routes = [
+        {
+            "Name": name(),
+            "Prefix": f"/{name()}/{name()}/",
+            "RouteType": "idempotent",
+            "Timeout": "1500ms",
+            "Goal": "600ms",
+            "Priority": 2,
+            "Attempts": 2,
+            "Backend": "shop",
+        }
+        for _ in range(2000)
+    ]
+    return msgspec.json.encode({"Paths": routes})
+
+
+def test_a_copy_of_thousands_of_routes_fits_a_small_link():
+    """Load: 1,900 routes are added, and a hundred VMs copy them at once."""
+    raw = big_config()
+    packed = pack_copy(raw)
+    assert unpack_copy(packed) == raw
+    assert len(packed) / SMALL_LINK_BYTES_PER_S < COPY_MAX_S
+
+
+@pytest.mark.parametrize("packed", [b"", b"none", pack_copy(b"x" * 100)[:-3]])
+def test_bytes_that_are_no_copy_are_refused(packed):
+    with pytest.raises(ValueError, match=r"."):
+        unpack_copy(packed)
+
+
+def test_a_copy_that_unpacks_to_more_than_the_limit_is_refused(monkeypatch):
+    monkeypatch.setattr(config_copies, "COPY_MAX_BYTES", 50)
+    with pytest.raises(ValueError, match="longer"):
+        unpack_copy(pack_copy(b"x" * 100))
+
+
+class Answer:
+    def __init__(self, status_code, body):
+        self.status_code = status_code
+        self.body = body
+
+
+class Order:
+    ip = "10.0.0.2"
+    version = 7
+
+
+class Log:
+    def __init__(self):
+        self.events = []
+
+    def info(self, event, **fields):
+        self.events.append(event)
+
+
+class Decider:
+    def __init__(self):
+        self.posted = []
+
+    def post(self, message):
+        self.posted.append(message)
+
+
+def take(answer, decode=lambda raw: ConfigEntry("k", None, raw)):
+    log, decider = Log(), Decider()
+    copies = ConfigCopies(None, 1, decode, decider, None, log)
+    copies._take(Order, answer)
+    return log.events, decider.posted
+
+
+def test_a_whole_copy_goes_to_the_decider():
+    events, posted = take(Answer(200, pack_copy(b"raw")))
+    assert events == ["config: copied"]
+    assert posted[0].records[0].raw == b"raw"
+
+
+@pytest.mark.parametrize(
+    "answer", [None, Answer(404, b""), Answer(200, b"none"), Answer(200, b"")]
+)
+def test_what_is_no_copy_leaves_a_line_and_changes_nothing(answer):
+    events, posted = take(answer)
+    assert events == ["config: no copy"]
+    assert posted == []
+
+
+def test_an_unreadable_copy_becomes_a_bad_entry():
+    _, posted = take(Answer(200, pack_copy(b"x")), lambda raw: BadEntry("k", "why"))
+    assert isinstance(posted[0].records[0], BadEntry)
