Believe removals at once if only this VM was cut off from the store

Change: lost history is read anew without a pause; a peer that saw a later revision shows that the store answers, and the doubt counts from then on.

--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -97,6 +97,7 @@
         "revision",
         "config_raw",
         "is_store_away",
+        "_ahead_at_ms",
         "_rng",
         "_next_beat_ms",
         "_fetch_at_ms",
@@ -117,6 +118,8 @@
         self.revision = 0
         self.config_raw = b""
         self.is_store_away = False
+        # When a peer first showed that the store answers others.
+        self._ahead_at_ms = None
         self._rng = Random(f"{me.vm_id}{me.start_id}")
         self._next_beat_ms = 0.0
         self._fetch_at_ms = float("-inf")
@@ -294,6 +297,7 @@
         if self.is_store_away:
             return []
         self.is_store_away = True
+        self._ahead_at_ms = None
         self.table.note_store_away(now_ms)
         return [Belief("store", "away", "", message.detail)]
 
@@ -301,7 +305,8 @@
         if not self.is_store_away:
             return []
         self.is_store_away = False
-        self.table.note_store_back(now_ms)
+        back_at_ms = now_ms if self._ahead_at_ms is None else self._ahead_at_ms
+        self.table.note_store_back(back_at_ms)
         return [Belief("store", "back", "")]
 
     # Peers and time.
@@ -314,6 +319,8 @@
         if beat.is_following and self.following.what == TARGETS:
             if beat.revision > self.revision:
                 self.following.note_behind(now_ms)
+                if self.is_store_away and self._ahead_at_ms is None:
+                    self._ahead_at_ms = now_ms
         return out
 
     def _fetch_config(self, beat, now_ms):
--- a/packages/core/hornbeamstand_core/controllers/target_table.py
+++ b/packages/core/hornbeamstand_core/controllers/target_table.py
@@ -42,9 +42,12 @@
         """Doubt removals from now on."""
         self._doubted_until_ms = float("inf")
 
-    def note_store_back(self, now_ms):
-        """Doubt removals until lapsed entries had time to return."""
-        self._doubted_until_ms = now_ms + RETURN_MS
+    def note_store_back(self, back_at_ms):
+        """Doubt removals until lapsed entries had time to return.
+
+        ``back_at_ms`` is when the store was first known to answer again.
+        """
+        self._doubted_until_ms = back_at_ms + RETURN_MS
 
     def put(self, entry, now_ms):
         """Take one entry; returns messages."""
--- a/packages/core/tests/test_edge_node.py
+++ b/packages/core/tests/test_edge_node.py
@@ -177,6 +177,33 @@
     assert "t1" not in node.services["shop"].targets
 
 
+def test_what_left_while_only_this_vm_was_cut_off_is_gone_at_once():
+    """Load: a VM is cut off from the store for 12 s and owns its domain's targets.
+
+    Its peers saw changes all the while, so no entry lapsed by an outage.
+    """
+    node = configured()
+    node.handle(snapshot(entry("t1"), entry("t2")), 0.0)
+    node.handle(EdgeTick(), 600.0)
+    node.handle(StoreAway("no answer"), 1000.0)
+    node.handle(beat("10.0.0.2", revision=50), 2000.0)
+    node.handle(StoreBack(), 13_000.0)
+    node.handle(snapshot(entry("t2"), revision=60), 13_000.0)
+    assert set(node.services["shop"].targets) == {"t2"}
+
+
+def test_a_peer_that_has_seen_no_change_does_not_end_the_doubt():
+    """Load: the store is silent for all; a peer's watch has not noticed yet."""
+    node = configured()
+    node.handle(snapshot(entry("t1"), entry("t2")), 0.0)
+    node.handle(EdgeTick(), 600.0)
+    node.handle(StoreAway("no answer"), 1000.0)
+    node.handle(beat("10.0.0.2", revision=1), 2000.0)
+    node.handle(StoreBack(), 13_000.0)
+    node.handle(snapshot(entry("t2"), revision=60), 13_000.0)
+    assert set(node.services["shop"].targets) == {"t1", "t2"}
+
+
 def test_a_follower_that_a_peer_is_ahead_of_reads_again():
     node = configured()
     node.handle(EdgeTick(), 600.0)
--- a/packages/entry/hornbeamstand_entry/edge/follower.py
+++ b/packages/entry/hornbeamstand_entry/edge/follower.py
@@ -90,6 +90,7 @@
         if not self._is_read:
             return
         self._has_failed = True
+        self._backoff_ms = BACKOFF_MIN_MS
         self._restart()
 
     def follow(self, message):
@@ -134,11 +135,13 @@
             if result.is_ok():
                 break
             self._note_error(result.err_value)
+            if result.err_value.status == STATUS_HISTORY_GONE:
+                # The store answers: what is missing is read at once.
+                call = self._read_all
+                continue
             gevent.sleep(self._backoff_ms / MS_PER_S)
             self._backoff_ms = min(BACKOFF_MAX_MS, 2.0 * self._backoff_ms)
             self._has_failed = True
-            if self._revision is None:
-                call = self._read_all
         self._has_failed = False
         self._backoff_ms = BACKOFF_MIN_MS
 
--- a/packages/entry/tests/test_edge_follower.py
+++ b/packages/entry/tests/test_edge_follower.py
@@ -151,6 +151,18 @@
     assert calls == ["stale read", "watch", "watch", "read", "watch"]
 
 
+def test_lost_history_after_failed_calls_is_read_without_a_pause(made):
+    """Load: a VM that was cut off for long; each pause keeps it from what left."""
+    store, _, task, begin = made
+    begin()
+    store.answers = [failed(), failed(), failed(), failed(410)]
+    follow(task, TARGETS)
+    gevent.sleep(0.6)
+    calls = [call[0] for call in store.calls]
+    assert calls[-3:] == ["watch", "read", "watch"]
+    assert task._backoff_ms == follower.BACKOFF_MIN_MS
+
+
 def test_a_vm_that_follows_again_reads_everything_again(made):
     store, _, task, begin = made
     begin()
