--- a/packages/core/hornbeamstand_core/controllers/following.py
+++ b/packages/core/hornbeamstand_core/controllers/following.py
@@ -13,8 +13,8 @@
 # A VM that need no longer follow the targets goes on for this long; one that
 # never did forgets those of its first read by then.
 UNFOLLOW_MS = 3000.0
-# So many peers of the own failure domain have to follow the targets. One is
-# enough: if it is cut off from the store, its peers of other domains tell it.
+# So many peers of the own failure domain have to hear of new versions from the store.
+# One is enough: if it is cut off, its peers of other domains tell it.
 N_INFORMED_MIN = 1
 # For this long fewer of them may be heard. Then one VM after another asks the store
 # itself: while it is down for all, most need not try.
--- a/packages/core/hornbeamstand_core/controllers/peer_view.py
+++ b/packages/core/hornbeamstand_core/controllers/peer_view.py
@@ -167,17 +167,13 @@
         others = [
             ip
             for ip, other in self.peers.items()
-            if ip != peer.beat.ip and self._is_of_use(other.beat, peer.beat)
+            if ip != peer.beat.ip and should_know(peer.beat, other.beat)
         ]
         if peer.beat.n_peers >= KNOWN_SHARE * len(others):
             return []
         peer.told_at_ms = now_ms
         return [SendContacts(peer.beat.ip, Contacts(others[:N_TOLD_MAX]))]
 
-    def _is_of_use(self, beat, receiver):
-        """Tell whether a VM should hear of another one."""
-        return beat.is_frequent or beat.failure_domain == receiver.failure_domain
-
     def beat_round(self, service_names, now_ms):
         """Return the signs of life that are due, and what became silent."""
         out = self._note_silent(now_ms)
@@ -216,7 +212,7 @@
         return max(0, place - N_STANDING_BY)
 
     def n_near_following(self, now_ms):
-        """Count the peers of this failure domain that follow the targets."""
+        """Count the peers of this failure domain that hear of new versions."""
         return sum(
             peer.beat.is_following
             and peer.beat.failure_domain == self.me.failure_domain
@@ -338,3 +334,8 @@
         """
         order = self.ranked(service_name, now_ms, failure_domain)
         return order[0] if order else None
+
+
+def should_know(receiver, beat):
+    """Tell whether a VM should be told of the VM that sent a sign of life."""
+    return beat.is_frequent or beat.failure_domain == receiver.failure_domain
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -4,7 +4,6 @@
 
 from hornbeamstand_core.records import Record
 
-STORE = "store"
 # Time at the start without faults, and at the end for the last checks.
 CALM_START_S = 1.5
 CALM_END_S = 6.0
