Bound what callers send, and let a planned stop end connections in order

Cause: the operators' limits of headers, their time and bodies were decoded and not applied; a body was limited alone, at 64 MiB, so a few of them fill a VM of 200 MB; the rest of a refused body was read to its end, however long; a Transfer-Encoding other than "chunked", repeated Content-Length lines and malformed header lines were passed over, so a body could be read as a second request. At a planned stop, closing the socket of an idle connection had no effect, since the handler's file of it stays open: the connection lived until the process ended, and a request that came then was cut off. Connections that waited for acceptance were reset with the listening socket.

Large bodies are no longer copied behind their head. A stop accepts what waits, ends the reading of connections without bytes, keeps those with bytes, and waits for requests that have begun to arrive. Refusals of bodies are logged.

--- a/packages/entry/hornbeamstand_entry/edge/front.py
+++ b/packages/entry/hornbeamstand_entry/edge/front.py
@@ -1,6 +1,8 @@
 """WSGI applications of an edge process: requests, lookups and readiness."""
 
 from hornbeamstand_core.edge_messages import EdgeCall, EdgeRequest
+from hornbeamstand_core.routes import CallerLimits
+from result import Err
 
 from .. import headers
 from ..http_server import BodyError, read_body, read_number, watch_caller
@@ -16,8 +18,8 @@
     response_items,
 )
 
-# Maximum size of a request body.
-BODY_MAX_BYTES = 64 << 20
+# Maximum time in which the body of a request without a deadline arrives.
+BODY_TIMEOUT_MS = 30_000.0
 MS_PER_S = 1000.0
 PLAIN = ("Content-Type", "text/plain")
 JSON = ("Content-Type", "application/json")
@@ -43,6 +45,10 @@
         The platform's headers and codecs.
     clock, settings
         The process's clock and settings.
+    body_budget : ByteBudget
+        Limits the bytes of all requests' bodies.
+    log : EdgeLog
+        The process's log.
     """
 
     __slots__ = (
@@ -52,6 +58,8 @@
         "dialect",
         "clock",
         "settings",
+        "body_budget",
+        "log",
         "is_stopping",
         "n_requests",
         "_own_header_names",
@@ -60,13 +68,17 @@
         "_config_copy",
     )
 
-    def __init__(self, node, chain, performers, dialect, clock, settings):
+    def __init__(
+        self, node, chain, performers, dialect, clock, settings, body_budget, log
+    ):
         self.node = node
         self.chain = chain
         self.performers = performers
         self.dialect = dialect
         self.clock = clock
         self.settings = settings
+        self.body_budget = body_budget
+        self.log = log
         self.is_stopping = False
         self.n_requests = 0
         names = dialect.headers
@@ -103,23 +115,41 @@
         return respond(start_response, 200, self._config_copy, [BINARY])
 
     def _serve(self, environ, start_response, policy, respond_outcome):
-        arrived_at_ms = self.clock.now_ms()
         self.n_requests += 1
         try:
+            hold = self.body_budget.hold()
             try:
-                body = read_body(environ, BODY_MAX_BYTES)
-            except BodyError as error:
-                status = error.refusal.status
-                return respond(start_response, status, b"", [PLAIN, CLOSE])
-            context = self._read_context(environ, body)
-            request = self._read_request(environ, context, arrived_at_ms)
-            call = EdgeCall(request, policy)
-            outcome = self._run(environ, context, call)
-            return respond_outcome(start_response, outcome, context)
+                return self._serve_body(
+                    environ, start_response, policy, respond_outcome, hold
+                )
+            finally:
+                hold.release()
         finally:
             self.n_requests -= 1
 
-    def _read_context(self, environ, body):
+    def _serve_body(self, environ, start_response, policy, respond_outcome, hold):
+        arrived_at_ms = self.clock.now_ms()
+        context = self._read_context(environ)
+        request = self._read_request(environ, context, arrived_at_ms)
+        try:
+            context.body = self._read_body(environ, request, hold)
+        except BodyError as error:
+            self.log.body_refused(request, error.refusal)
+            return respond_outcome(start_response, Err(error.refusal), context)
+        call = EdgeCall(request, policy)
+        outcome = self._run(environ, context, call)
+        return respond_outcome(start_response, outcome, context)
+
+    def _read_body(self, environ, request, hold):
+        """Return the body of a request, which must arrive within its deadline."""
+        config = self.node.routing.config
+        limits = config.limits if config else CallerLimits()
+        timeout_ms = BODY_TIMEOUT_MS
+        if request.deadline_ms is not None:
+            timeout_ms = min(timeout_ms, request.deadline_ms)
+        return read_body(environ, limits.body_max_bytes, hold, timeout_ms)
+
+    def _read_context(self, environ):
         header_items = environ["hornbeamstand.header_items"]
         caller_request_id = None
         id_header = self.dialect.headers.request_id.lower()
@@ -132,7 +162,7 @@
             environ["REQUEST_METHOD"],
             environ["hornbeamstand.target"],
             forwarded_items(header_items, self._own_header_names),
-            body,
+            b"",
         )
 
     def _read_request(self, environ, context, arrived_at_ms):
@@ -161,7 +191,6 @@
 
     def _respond_caller(self, start_response, outcome, context):
         extra_items = [CLOSE] if self.is_stopping else []
-        names = self.dialect.headers
         if outcome.is_ok():
             response = outcome.ok_value.payload
             status = caller_status(response.status_code)
@@ -169,6 +198,7 @@
                 return forward_response(start_response, response, extra_items)
             return respond(start_response, status, b"", [PLAIN, *extra_items])
         refusal = outcome.err_value
+        names = self.dialect.headers
         items = [PLAIN, *extra_items]
         if context.caller_request_id is not None:
             items.append((names.request_id, context.caller_request_id))
--- a/packages/entry/hornbeamstand_entry/edge/logs.py
+++ b/packages/entry/hornbeamstand_entry/edge/logs.py
@@ -240,6 +240,17 @@
             **fields,
         )
 
+    def body_refused(self, request, refusal):
+        """Log a request that was refused because of its body."""
+        self.warning(
+            "answer: refused",
+            request=request.request_id,
+            status=refusal.status,
+            certainty=refusal.certainty,
+            reason=refusal.reason,
+            step=refusal.step,
+        )
+
     def start(self, stack):
         """Start to flush at intervals; the exit stack ends that and flushes again."""
         stack.callback(self.lines.flush)
--- a/packages/entry/hornbeamstand_entry/edge/performers.py
+++ b/packages/entry/hornbeamstand_entry/edge/performers.py
@@ -27,7 +27,7 @@
 )
 
 from ..context import CALLER_GONE
-from ..encoding import encode_request
+from ..encoding import split_request
 from ..tasks.connections import Exchange, ExchangeResult
 from ..tasks.task import receive
 from .load_probes import read_load_probe, start_load_probe, unanswered_result
@@ -84,8 +84,11 @@
             control_task.post(Withdraw(effect.service_name, effect.request_id))
 
     def start_exchange(
-        pools, address, key, request_bytes, effect, context, needs_recent_response
+        pools, address, key, items, effect, context, needs_recent_response
     ):
+        request_bytes, body = split_request(
+            context.method, context.path, items, context.body
+        )
         exchange = Exchange(
             context.method,
             request_bytes,
@@ -94,6 +97,7 @@
             ANSWER_MAX_BYTES,
             context.mailbox,
             context.caller_request_id,
+            body,
         )
         context.key_by_exchange[exchange] = key
         pools.post(address, exchange)
@@ -102,15 +106,12 @@
         permit = effect.permit
         left_ms = effect.deadline_at_ms - clock.now_ms()
         items = target_items(context, permit.target_id, left_ms, dialect.headers)
-        request_bytes = encode_request(
-            context.method, context.path, items, context.body
-        )
         needs_recent_response = not effect.is_idempotent
         start_exchange(
             target_pools,
             permit.address,
             permit,
-            request_bytes,
+            items,
             effect,
             context,
             needs_recent_response,
@@ -119,9 +120,6 @@
     def relay(effect, context):
         now_ms = clock.now_ms()
         items = peer_items(context, effect, now_ms)
-        request_bytes = encode_request(
-            context.method, context.path, items, context.body
-        )
         # The id of a peer is its IP address.
         address = f"{effect.peer_id}:{settings.peer_port}"
         needs_recent_response = not effect.policy.is_idempotent
@@ -129,7 +127,7 @@
             peer_pools,
             address,
             effect,
-            request_bytes,
+            items,
             effect,
             context,
             needs_recent_response,
--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -19,9 +19,11 @@
     StopEdge,
 )
 from hornbeamstand_core.filters.edge_chain import build_edge_chain
+from hornbeamstand_core.routes import CallerLimits
 
 from ..clock import make_process_clock
 from ..closing import close_bounded
+from ..tasks.byte_budget import ByteBudget
 from ..tasks.connections import ConnectionRules
 from ..tasks.pools import Pools
 from .config_copies import ConfigCopies
@@ -32,7 +34,12 @@
 from .logs import EdgeLog
 from .metrics import EdgeMetrics
 from .performers import make_performers
-from .servers import close_idle_connections, start_server
+from .servers import (
+    close_idle_connections,
+    has_requests,
+    start_server,
+    stop_accepting,
+)
 from .store_client import StoreClient
 from .store_watcher import Registration, StoreWatcher
 
@@ -71,8 +78,6 @@
 # Time for which callers' connections may be idle beyond the limit that callers are
 # told, so that no connection is closed while a request is on its way.
 IDLE_MARGIN_MS = 2000.0
-# Idle limit of callers' connections until a configuration is in force.
-IDLE_DEFAULT_MS = 15_000.0
 
 
 class EdgeProcess:
@@ -156,6 +161,7 @@
 
     def _build_front(self, stack):
         """Build the load prober, the performers, the front end and the gauges."""
+        body_budget = ByteBudget(self.settings.body_memory_bytes)
         target_pools = Pools(
             self.clock,
             stack,
@@ -167,6 +173,7 @@
                 accepts_unframed=True,
                 last_response_max_age_ms=TARGET_RESPONSE_MAX_AGE_MS,
                 idle_max_ms=TARGET_IDLE_MS,
+                answer_budget=body_budget,
             ),
         )
         prober = LoadProber(target_pools, self.control_task, self.dialect, self.clock)
@@ -192,7 +199,10 @@
             self.dialect,
             self.clock,
             self.settings,
+            body_budget,
+            self.log,
         )
+        self.metrics.gauges["body_bytes"] = lambda: body_budget.n_used_bytes
         self.metrics.gauges["requests_inside"] = lambda: self.front.n_requests
         self.metrics.gauges["store_calls"] = lambda: self.store.n_calls
         self.metrics.gauges["config_version"] = lambda: self.node.routing.version
@@ -211,7 +221,7 @@
         peer_address = f"{settings.ip}:{settings.peer_port}"
 
         def listen_at(address, app):
-            return start_server(address, app, stack, self.idle_ms)
+            return start_server(address, app, stack, self.idle_ms, self.caller_limits)
 
         self.caller_servers = [listen_at(settings.front_address, front.serve_caller)]
         listen_at(peer_address, front.serve_peer)
@@ -219,11 +229,14 @@
         listen_at(settings.lookup_address, front.serve_lookup)
         listen_at(settings.admin_address, self.serve_admin)
 
+    def caller_limits(self):
+        """Return the CallerLimits in force."""
+        config = self.node.routing.config
+        return config.limits if config else CallerLimits()
+
     def idle_ms(self):
         """Return the maximum idle time of a connection in milliseconds."""
-        config = self.node.routing.config
-        limit_ms = config.limits.idle_ms if config else IDLE_DEFAULT_MS
-        return limit_ms + IDLE_MARGIN_MS
+        return self.caller_limits().idle_ms + IDLE_MARGIN_MS
 
 
 def make_node(settings, clock):
@@ -323,10 +336,12 @@
     process.front.is_stopping = True
     process.control_task.post(StopEdge())
     gevent.sleep(min(STOP_LISTEN_MAX_MS, process.settings.grace_ms / 2) / MS_PER_S)
-    for server in process.caller_servers:
-        server.close()
-    close_idle_connections(process.caller_servers)
+    servers = process.caller_servers
+    stop_accepting(servers)
+    close_idle_connections(servers)
     end_at_ms = began_at_ms + process.settings.grace_ms - STOP_MARGIN_MS
-    while process.front.n_requests and process.clock.now_ms() < end_at_ms:
+    while process.clock.now_ms() < end_at_ms:
+        if not (process.front.n_requests or has_requests(servers)):
+            return
         gevent.sleep(STOP_POLL_INTERVAL_MS / MS_PER_S)
-        close_idle_connections(process.caller_servers)
+        close_idle_connections(servers)
--- a/packages/entry/hornbeamstand_entry/edge/servers.py
+++ b/packages/entry/hornbeamstand_entry/edge/servers.py
@@ -1,5 +1,7 @@
 """WSGI servers of an edge process that keep track of their open connections."""
 
+import socket
+
 from gevent.pywsgi import WSGIServer
 
 from ..http_server import CallerHandler
@@ -19,24 +21,23 @@
         finally:
             self.server.open_handlers.discard(self)
 
-    def read_requestline(self):
-        """Mark the connection as idle until the next request line arrives.
+    def wait_for_request(self):
+        """Mark the connection as idle until the next request begins to arrive.
 
         The wait is limited by the current maximum idle time.
         """
         self.is_idle = True
         self.socket.settimeout(self.server.idle_ms() / MS_PER_S)
-        line = super().read_requestline()
+        super().wait_for_request()
         self.is_idle = False
-        return line
 
 
-def start_server(address, app, stack, idle_ms):
+def start_server(address, app, stack, idle_ms, limits):
     """Start a server for a WSGI application; the exit stack stops it.
 
     ``idle_ms`` is a callable that returns the maximum idle time of a connection in
-    milliseconds. It is called before each request, so that a new limit applies to open
-    connections too.
+    milliseconds, and ``limits`` one that returns the CallerLimits. They are called
+    before each request, so that new limits apply to open connections too.
     """
     host, _, port = address.rpartition(":")
     server = WSGIServer(
@@ -44,15 +45,57 @@
     )
     server.caller_idle_s = idle_ms() / MS_PER_S
     server.idle_ms = idle_ms
+    server.limits = limits
     server.open_handlers = set()
     server.start()
     stack.callback(server.stop, timeout=0)
     return server
 
 
+def stop_accepting(servers):
+    """Close the listening sockets, after accepting the connections that wait there.
+
+    A connection that the operating system has accepted, and this process has not, would
+    be reset otherwise, with the request that its caller has sent.
+    """
+    for server in servers:
+        while accepted := server.do_read():
+            server.do_handle(*accepted)
+        server.close()
+
+
+def has_requests(servers):
+    """Return whether a request is being received or served on any connection."""
+    return any(
+        not handler.is_idle for server in servers for handler in server.open_handlers
+    )
+
+
 def close_idle_connections(servers):
-    """Close the servers' connections that have no request in progress."""
+    """End the servers' connections on which no request has begun to arrive.
+
+    The handler reads the end of the connection and closes it. To close its socket here
+    would have no effect while the handler's file of it is open.
+    """
     for server in servers:
         for handler in list(server.open_handlers):
             if handler.is_idle and handler.socket is not None:
-                handler.socket.close()
+                if not has_bytes(handler.socket):
+                    end_reading(handler.socket)
+
+
+def end_reading(sock):
+    """Let the reader of a socket read the end of the connection."""
+    try:
+        sock.shutdown(socket.SHUT_RD)
+    except OSError:
+        # The other side has closed the connection.
+        return
+
+
+def has_bytes(sock):
+    """Return whether bytes have arrived at a socket and were not read yet."""
+    try:
+        return bool(sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        return False
--- a/packages/entry/hornbeamstand_entry/edge/settings.py
+++ b/packages/entry/hornbeamstand_entry/edge/settings.py
@@ -17,6 +17,7 @@
     ``retry_ratio``, ``retry_slack`` and ``retry_window_ms`` are the ``ratio``,
     ``slack`` and ``window_ms`` of RetryLimits. ``n_domains`` is the number of failure
     domains; ``capacity`` is the VM's size class, greater for larger VMs.
+    ``body_memory_bytes`` is the memory for all bodies of requests and answers together.
     """
 
     __slots__ = (
@@ -38,6 +39,7 @@
         "retry_window_ms",
         "n_domains",
         "capacity",
+        "body_memory_bytes",
     )
 
     def __init__(
@@ -60,6 +62,7 @@
         retry_window_ms=10_000.0,
         n_domains=1,
         capacity=0,
+        body_memory_bytes=100 << 20,
     ):
         self.vm_id = vm_id
         self.ip = ip
@@ -79,6 +82,7 @@
         self.retry_window_ms = retry_window_ms
         self.n_domains = n_domains
         self.capacity = capacity
+        self.body_memory_bytes = body_memory_bytes
 
     @property
     def front_port(self):
--- a/packages/entry/hornbeamstand_entry/encoding.py
+++ b/packages/entry/hornbeamstand_entry/encoding.py
@@ -5,19 +5,36 @@
 
 from . import headers
 
+# Maximum size of a body that is sent with the head by one system call. A larger one is
+# not copied.
+JOINED_BODY_MAX_BYTES = 32_768
+
+
+def split_request(method, path, header_items, body):
+    """Return an HTTP/1.1 request as bytes, and the body if it is sent separately."""
+    head = encode_head(method, path, header_items, len(body))
+    if len(body) > JOINED_BODY_MAX_BYTES:
+        return head, body
+    return head + body, b""
+
 
 def encode_request(method, path, header_items, body):
-    """Return an HTTP/1.1 request as bytes.
+    """Return an HTTP/1.1 request as bytes; see ``encode_head``."""
+    return encode_head(method, path, header_items, len(body)) + body
+
+
+def encode_head(method, path, header_items, n_body_bytes):
+    """Return the request line and the headers of an HTTP/1.1 request as bytes.
 
     ``header_items`` are (name, value) pairs. Content-Length is added to them if there
     is a body, or if the method usually has one.
     """
     lines = [f"{method} {path} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in header_items]
-    if body or method in ("POST", "PUT", "PATCH"):
-        lines.append(f"Content-Length: {len(body)}")
+    if n_body_bytes or method in ("POST", "PUT", "PATCH"):
+        lines.append(f"Content-Length: {n_body_bytes}")
     head = "\r\n".join(lines) + "\r\n\r\n"
-    return head.encode("latin-1") + body
+    return head.encode("latin-1")
 
 
 def read_report(response):
--- a/packages/entry/hornbeamstand_entry/front.py
+++ b/packages/entry/hornbeamstand_entry/front.py
@@ -13,6 +13,7 @@
 from .lookup import answer_lookup
 from .performers import drive
 from .responses import respond_outcome, respond_refusal
+from .tasks.byte_budget import ByteBudget
 
 LOOKUP_PREFIX = "/lookup/"
 SERVICES_PREFIX = "/services/"
@@ -94,7 +95,9 @@
         try:
             request, path = self._read_request(environ, arrived_at_ms)
             try:
-                body = read_body(environ, self.settings.body_max_bytes)
+                # Without a budget, each body alone is limited.
+                hold = ByteBudget().hold()
+                body = read_body(environ, self.settings.body_max_bytes, hold)
             except BodyError as error:
                 close = ("Connection", "close")
                 return respond_refusal(start_response, error.refusal, [close])
--- a/packages/entry/hornbeamstand_entry/http_server.py
+++ b/packages/entry/hornbeamstand_entry/http_server.py
@@ -6,12 +6,32 @@
 import gevent
 from gevent.pywsgi import WSGIHandler, WSGIServer
 from hornbeamstand_core.messages import NOT_RUN, Refusal
+from hornbeamstand_core.routes import CallerLimits
 
 from .context import CALLER_GONE
+from .request_limits import (
+    HeaderTimeout,
+    LimitedLines,
+    RefusedBody,
+    check_headers,
+    error_response,
+)
+
+# Number of bytes of a body that are read at a time.
+BODY_READ_BYTES = 65_536
+# Time after which a caller may retry a request whose body finds no memory.
+NO_MEMORY_RETRY_MS = 200.0
+MS_PER_S = 1000.0
 
 
 class CallerHandler(WSGIHandler):
-    """Serves the requests of one caller's connection."""
+    """Serves the requests of one caller's connection.
+
+    ``header_timer`` limits the time from the first byte of a request to the end of its
+    headers.
+    """
+
+    header_timer = None
 
     def handle(self):
         """Set the options of the socket, then serve its requests."""
@@ -19,6 +39,61 @@
         self.socket.settimeout(self.server.caller_idle_s)
         super().handle()
 
+    def handle_one_request(self):
+        """Serve one request; its headers must arrive in time."""
+        try:
+            return super().handle_one_request()
+        except HeaderTimeout as error:
+            return error_response(error)
+        finally:
+            self._stop_header_timer()
+
+    def wait_for_request(self):
+        """Wait until the first byte of the next request, or the end, arrives."""
+        self.rfile.peek(1)
+
+    def read_requestline(self):
+        """Return the request line, or an empty one at the end of the connection."""
+        self.wait_for_request()
+        timeout_s = self.server.limits().header_ms / MS_PER_S
+        self.header_timer = gevent.Timeout.start_new(
+            timeout_s, HeaderTimeout("headers did not arrive in time")
+        )
+        return super().read_requestline()
+
+    def read_request(self, raw_requestline):
+        """Read the headers; raises RequestError if they are invalid."""
+        is_read = super().read_request(raw_requestline)
+        self._stop_header_timer()
+        check_headers(self.headers)
+        return is_read
+
+    def MessageClass(self, file, seekable):
+        """Return the headers of the request, within their size limit."""
+        limit_bytes = self.server.limits().header_max_bytes
+        limit_bytes -= len(self.requestline)
+        return super().MessageClass(LimitedLines(file, limit_bytes), seekable)
+
+    def _handle_client_error(self, ex):
+        return error_response(ex)
+
+    def _stop_header_timer(self):
+        if self.header_timer is not None:
+            self.header_timer.close()
+            self.header_timer = None
+
+    def refuse_body(self):
+        """End the connection after the response, without reading the whole body."""
+        self.wsgi_input = RefusedBody(self.rfile)
+        self.close_connection = True
+
+    def start_response(self, status, items, exc_info=None):
+        """Start the response; after a body that is not read it ends the connection."""
+        names = {name.lower() for name, _ in items}
+        if isinstance(self.wsgi_input, RefusedBody) and "connection" not in names:
+            items = [*items, ("Connection", "close")]
+        return super().start_response(status, items, exc_info)
+
     def log_request(self):
         """Write no access log, because the decision log covers each request."""
 
@@ -31,6 +106,7 @@
         """
         environ = super().get_environ()
         environ["hornbeamstand.socket"] = self.socket
+        environ["hornbeamstand.refuse_body"] = self.refuse_body
         environ["hornbeamstand.target"] = self.path
         environ["hornbeamstand.header_items"] = self.headers.items()
         return environ
@@ -53,30 +129,80 @@
     return number if number is not None and isfinite(number) else None
 
 
-def read_body(environ, body_max_bytes):
+def read_body(environ, body_max_bytes, hold, timeout_ms=None):
     """Return the whole request body.
 
-    Raises BodyError if the body is larger than ``body_max_bytes``, if it is incomplete
-    or if the caller stops sending it.
+    Raises BodyError if the body is larger than ``body_max_bytes``, if it finds no
+    memory, if it is incomplete or if the caller stops sending it. The rest of the body
+    is then not read, and the connection ends after the response.
+
+    Parameters
+    ----------
+    environ : dict
+        The WSGI environment of a CallerHandler.
+    body_max_bytes : int
+        Maximum size of the body.
+    hold : ByteHold
+        Holds the memory of the body; the caller of this function releases it.
+    timeout_ms : float, optional
+        Maximum time until the body is complete. Without it, only the time between two
+        reads is limited.
     """
     length = environ.get("CONTENT_LENGTH")
     is_chunked = environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked"
     if not length and not is_chunked:
         return b""
-    too_large = BodyError(Refusal("body too large", NOT_RUN, 413, "front"))
-    if length and int(length) > body_max_bytes:
-        raise too_large
+    timeout_s = None if timeout_ms is None else max(0.0, timeout_ms) / MS_PER_S
     try:
-        body = environ["wsgi.input"].read(body_max_bytes + 1)
+        n_expected_bytes = int(length) if length else 0
+        if n_expected_bytes > body_max_bytes:
+            raise too_large()
+        with gevent.Timeout(timeout_s):
+            body = read_pieces(environ["wsgi.input"], body_max_bytes, hold)
+        if len(body) < n_expected_bytes:
+            raise BodyError(Refusal("body broke off", NOT_RUN, 400, "front"))
+        return body
+    except BodyError:
+        environ["hornbeamstand.refuse_body"]()
+        raise
     except (OSError, gevent.Timeout) as error:
+        environ["hornbeamstand.refuse_body"]()
         raise BodyError(Refusal("body broke off", NOT_RUN, 408, "front")) from error
-    if len(body) > body_max_bytes:
-        raise too_large
-    if length and len(body) < int(length):
-        raise BodyError(Refusal("body broke off", NOT_RUN, 400, "front"))
+
+
+def read_pieces(file, body_max_bytes, hold):
+    """Return all that a file has, as bytes or bytearray.
+
+    Raises BodyError as soon as it is too large or finds no memory.
+    """
+    body = file.read(BODY_READ_BYTES)
+    piece = body
+    while piece:
+        if len(body) > body_max_bytes:
+            raise too_large()
+        if not hold.grow_to(len(body)):
+            raise no_memory()
+        piece = file.read(BODY_READ_BYTES) if len(piece) == BODY_READ_BYTES else b""
+        if piece:
+            # Only a long body is worth a buffer that grows.
+            body = body if isinstance(body, bytearray) else bytearray(body)
+            body += piece
     return body
 
 
+def too_large():
+    """Return the BodyError of a body that is larger than allowed."""
+    return BodyError(Refusal("body too large", NOT_RUN, 413, "front"))
+
+
+def no_memory():
+    """Return the BodyError of a body that finds no memory on this VM."""
+    refusal = Refusal(
+        "no memory for the body", NOT_RUN, 503, "front", "", NO_MEMORY_RETRY_MS
+    )
+    return BodyError(refusal)
+
+
 def watch_caller(sock, mailbox):
     """Post CALLER_GONE to ``mailbox`` once the caller disconnects.
 
@@ -111,7 +237,8 @@
     server = WSGIServer(
         (host, int(port)), app, log=None, error_log=None, handler_class=handler_class
     )
-    server.caller_idle_s = caller_idle_ms / 1000.0
+    server.caller_idle_s = caller_idle_ms / MS_PER_S
+    server.limits = CallerLimits
     server.start()
     stack.callback(server.stop, timeout=0)
     return server
--- /dev/null
+++ b/packages/entry/hornbeamstand_entry/request_limits.py
@@ -0,0 +1,103 @@
+"""Limits of what a caller may send: size, duration and framing of a request.
+
+The errors of this module end a connection with the response in ``error_response``.
+"""
+
+from http.client import HTTPException
+
+import gevent
+
+from .responses import status_line
+
+# Maximum number of unread bytes of a refused body that are read and dropped, and the
+# maximum time for that. A close with unread bytes could discard the response.
+DISCARD_MAX_BYTES = 1 << 20
+DISCARD_MAX_MS = 500.0
+DISCARD_READ_BYTES = 16_384
+MS_PER_S = 1000.0
+
+
+class RequestError(ValueError):
+    """A request that can't be served; ``status`` is that of the response."""
+
+    status = 400
+
+
+class HeaderTooLarge(RequestError):
+    """The request line and headers have more bytes than allowed."""
+
+    status = 431
+
+
+class HeaderTimeout(RequestError):
+    """The request line and headers did not arrive in time."""
+
+    status = 408
+
+
+class LimitedLines:
+    """Reads the lines of a request's headers, up to a number of bytes in total."""
+
+    __slots__ = ("file", "n_left_bytes")
+
+    def __init__(self, file, max_bytes):
+        self.file = file
+        self.n_left_bytes = max_bytes
+
+    def readline(self, size):
+        """Return the next line; raises HeaderTooLarge beyond the limit."""
+        line = self.file.readline(min(size, self.n_left_bytes + 1))
+        self.n_left_bytes -= len(line)
+        if self.n_left_bytes < 0:
+            raise HeaderTooLarge("headers are larger than the limit")
+        return line
+
+
+class RefusedBody:
+    """Takes the place of the input of a request whose body is not read."""
+
+    __slots__ = ("file",)
+
+    def __init__(self, file):
+        self.file = file
+
+    def _discard(self):
+        """Read a bounded part of the body, so that the response is not lost."""
+        n_left_bytes = DISCARD_MAX_BYTES
+        with gevent.Timeout(DISCARD_MAX_MS / MS_PER_S, False):
+            while n_left_bytes > 0:
+                data = self.file.read1(DISCARD_READ_BYTES)
+                if not data:
+                    return
+                n_left_bytes -= len(data)
+
+
+def check_headers(headers):
+    """Raise RequestError for headers that servers may read in different ways.
+
+    A request whose length is read differently here and at a target could carry a second
+    one in its body.
+    """
+    if headers.defects or headers.get_payload():
+        raise RequestError("a header line is malformed")
+    if any("\r" in value or "\n" in value for value in headers.values()):
+        raise RequestError("a header line is folded")
+    lengths = headers.get_all("Content-Length", [])
+    if len(lengths) > 1 or not all(text.isdecimal() for text in lengths):
+        raise RequestError("Content-Length is not one number")
+    encodings = headers.get_all("Transfer-Encoding", [])
+    if encodings and [text.lower() for text in encodings] != ["chunked"]:
+        raise RequestError("Transfer-Encoding is not chunked")
+
+
+def error_response(error):
+    """Return the status and the bytes of the response to a request with an error."""
+    status = 400
+    if isinstance(error, RequestError):
+        status = error.status
+    elif isinstance(error, HTTPException):
+        # The standard library reads at most 100 header lines.
+        status = HeaderTooLarge.status
+    line = status_line(status)
+    head = f"HTTP/1.1 {line}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+    return line, head.encode()
--- a/packages/entry/hornbeamstand_entry/tasks/connections.py
+++ b/packages/entry/hornbeamstand_entry/tasks/connections.py
@@ -106,6 +106,7 @@
 
     ``not_after_ms`` is the time on the local clock from which the request is no longer
     sent. ``needs_recent_response`` is set for a request that may run only once.
+    ``request_bytes`` is the whole request, or its head if it has a separate ``body``.
     A response fails if its body is longer than ``answer_max_bytes`` before it is
     complete. ``expected_id`` is the request id that the response echoes, or None.
     ``is_sent`` is set as soon as any byte may have been sent. ``connection`` carries
@@ -124,6 +125,7 @@
         "is_cancelled",
         "has_timed_out",
         "connection",
+        "body",
     )
 
     def __init__(
@@ -135,6 +137,7 @@
         answer_max_bytes,
         reply_to,
         expected_id=None,
+        body=b"",
     ):
         self.method = method
         self.request_bytes = request_bytes
@@ -143,6 +146,7 @@
         self.answer_max_bytes = answer_max_bytes
         self.reply_to = reply_to
         self.expected_id = expected_id
+        self.body = body
         self.is_sent = False
         self.is_cancelled = False
         self.has_timed_out = False
@@ -418,9 +422,10 @@
     """
     sock, data = connection.sock, exchange.request_bytes
     n_sent = sock.send(data)
-    if n_sent == len(data):
+    if n_sent == len(data) and not exchange.body:
         return read_response(sock, connection.parser, exchange, connection.rules)
-    sender = gevent.spawn(send_rest, sock, memoryview(data)[n_sent:])
+    parts = [memoryview(data)[n_sent:], exchange.body]
+    sender = gevent.spawn(send_rest, sock, parts)
     try:
         response = read_response(sock, connection.parser, exchange, connection.rules)
         if not (sender.ready() and sender.value):
@@ -430,10 +435,11 @@
         sender.kill(block=False)
 
 
-def send_rest(sock, data):
-    """Send all bytes; returns whether the connection took them."""
+def send_rest(sock, parts):
+    """Send the parts of a request; returns whether the connection took them."""
     try:
-        sock.sendall(data)
+        for part in parts:
+            sock.sendall(part)
     except OSError:
         # The reader of the connection notices its end too, after what came before.
         return False
--- /dev/null
+++ b/packages/entry/tests/test_caller_limits.py
@@ -0,0 +1,263 @@
+"""Callers that send too much, too slowly, or what can be read in two ways."""
+
+import socket
+from contextlib import ExitStack
+
+import gevent
+import pytest
+from gevent import socket as gevent_socket
+from hornbeamstand_core.routes import CallerLimits
+from hornbeamstand_entry.edge.servers import (
+    close_idle_connections,
+    has_requests,
+    start_server,
+    stop_accepting,
+)
+from hornbeamstand_entry.http_server import BodyError, read_body
+from hornbeamstand_entry.responses import status_line
+from hornbeamstand_entry.tasks.byte_budget import ByteBudget
+
+LIMITS = CallerLimits(
+    header_max_bytes=2000, body_max_bytes=200_000, header_ms=200.0, idle_ms=5000.0
+)
+BODY_TIMEOUT_MS = 200.0
+# Maximum number of bytes that a caller can send before an endless request is cut off.
+# It includes what the sockets of both sides buffer.
+ENDLESS_MAX_BYTES = 16 << 20
+HEAD = b"POST /x HTTP/1.1\r\nHost: h\r\n"
+
+
+class Front:
+    """A server whose application reads each body and returns its length."""
+
+    def __init__(self, stack, memory_bytes=float("inf")):
+        self.budget = ByteBudget(memory_bytes)
+        self.n_requests = 0
+        self.server = start_server(
+            "127.0.0.1:0", self.app, stack, lambda: LIMITS.idle_ms, lambda: LIMITS
+        )
+        self.address = ("127.0.0.1", self.server.server_port)
+
+    def app(self, environ, start_response):
+        hold = self.budget.hold()
+        try:
+            body = read_body(environ, LIMITS.body_max_bytes, hold, BODY_TIMEOUT_MS)
+            status, text = 200, str(len(body)).encode()
+            self.n_requests += 1
+        except BodyError as error:
+            status, text = error.refusal.status, error.refusal.reason.encode()
+        finally:
+            hold.release()
+        start_response(status_line(status), [("Content-Length", str(len(text)))])
+        return [text]
+
+
+@pytest.fixture
+def stack():
+    with ExitStack() as exit_stack:
+        yield exit_stack
+
+
+def connect(stack, front):
+    sock = gevent_socket.create_connection(front.address, timeout=3.0)
+    stack.callback(sock.close)
+    return sock
+
+
+def read_to_end(sock):
+    """Return what comes until the other side closes."""
+    data = b""
+    try:
+        while chunk := sock.recv(65536):
+            data += chunk
+    except ConnectionResetError:
+        pass
+    return data
+
+
+def exchange(stack, front, request):
+    """Send a request; return the response up to the end of the connection."""
+    sock = connect(stack, front)
+    sock.sendall(request)
+    return read_to_end(sock)
+
+
+def send_without_end(sock, start, more):
+    """Send until the other side closes; return the number of bytes sent."""
+    n_sent = 0
+    try:
+        sock.sendall(start)
+        while n_sent < 10 * ENDLESS_MAX_BYTES:
+            sock.sendall(more)
+            n_sent += len(more)
+    except OSError:
+        pass
+    return n_sent
+
+
+ENDLESS = {
+    "request line": (b"GET /", b"x" * 8192),
+    "one header": (HEAD + b"A: ", b"x" * 8192),
+    "headers": (HEAD, b"A: b\r\n" * 1000),
+    "chunked body": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"1000\r\n" + b"x" * 4096 + b"\r\n",
+    ),
+    "chunk extension": (HEAD + b"Transfer-Encoding: chunked\r\n\r\n1;", b"x" * 8192),
+    "trailers": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"A: b\r\n" * 1000,
+    ),
+    "body": (HEAD + b"Content-Length: 99999999999\r\n\r\n", b"x" * 8192),
+}
+
+
+@pytest.mark.parametrize("part", sorted(ENDLESS))
+def test_a_request_without_end_is_cut_off(stack, part):
+    front = Front(stack)
+    start, more = ENDLESS[part]
+    assert send_without_end(connect(stack, front), start, more) < ENDLESS_MAX_BYTES
+    assert front.n_requests == 0
+    assert front.budget.n_used_bytes == 0
+
+
+@pytest.mark.parametrize("part", ["one header", "headers"])
+def test_too_large_headers_are_answered_with_431(stack, part):
+    start, more = ENDLESS[part]
+    assert b" 431 " in exchange(stack, Front(stack), start + more).partition(b"\r\n")[0]
+
+
+def test_headers_that_come_too_slowly_are_answered_with_408(stack):
+    front = Front(stack)
+    sock = connect(stack, front)
+    response = gevent.spawn(read_to_end, sock)
+    with gevent.Timeout(2.0):
+        while not response.ready():
+            gevent.sleep(0.05)
+            try:
+                sock.sendall(b"GET / HTTP/1.1\r\nA: b\r\n"[: 1 + front.n_requests])
+            except OSError:
+                break
+        assert b" 408 " in response.get()
+
+
+def test_an_idle_connection_is_not_limited_by_the_time_for_headers(stack):
+    front = Front(stack)
+    sock = connect(stack, front)
+    for _ in range(2):
+        gevent.sleep(2 * LIMITS.header_ms / 1000.0)
+        sock.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert sock.recv(65536).startswith(b"HTTP/1.1 200")
+
+
+def test_a_body_that_stalls_is_answered_with_408(stack):
+    front = Front(stack)
+    request = HEAD + b"Content-Length: 10\r\n\r\nabc"
+    with gevent.Timeout(2.0):
+        assert exchange(stack, front, request).startswith(b"HTTP/1.1 408")
+    assert front.n_requests == 0
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_a_body_beyond_the_limit_is_answered_with_413(stack, is_chunked):
+    body = b"x" * (LIMITS.body_max_bytes + 1)
+    request = HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body
+    if is_chunked:
+        request = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+        request += b"%x\r\n" % len(body) + body + b"\r\n0\r\n\r\n"
+    response = exchange(stack, Front(stack), request)
+    assert response.startswith(b"HTTP/1.1 413")
+    assert b"Connection: close" in response
+
+
+def test_a_body_without_memory_is_refused_and_others_are_served(stack):
+    front = Front(stack, memory_bytes=150_000)
+    request = HEAD + b"Content-Length: %d\r\n\r\n"
+    large = request % 190_000 + b"x" * 190_000
+    assert exchange(stack, front, large).startswith(b"HTTP/1.1 503")
+    assert front.budget.n_used_bytes == 0
+    sock = connect(stack, front)
+    sock.sendall(request % 100_000 + b"x" * 100_000)
+    assert sock.recv(65536).endswith(b"100000")
+
+
+AMBIGUOUS = [
+    b"Content-Length: 3\r\nContent-Length: 30\r\n\r\nabc",
+    b"Content-Length: +3\r\n\r\nabc",
+    b"Content-Length : 3\r\n\r\nabc",
+    b"Content-Length: 3, 3\r\n\r\nabc",
+    b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+    b"Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n\r\n0\r\n\r\n",
+    b"X: a\r\n b\r\nContent-Length: 0\r\n\r\n",
+    b"no colon\r\nContent-Length: 0\r\n\r\n",
+]
+
+
+@pytest.mark.parametrize("headers", AMBIGUOUS)
+def test_headers_that_can_be_read_in_two_ways_are_refused(stack, headers):
+    front = Front(stack)
+    assert exchange(stack, front, HEAD + headers).startswith(b"HTTP/1.1 400")
+    assert front.n_requests == 0
+
+
+def test_bodies_of_every_framing_are_read_whole(stack):
+    front = Front(stack)
+    sock = connect(stack, front)
+    body = b"x" * 150_000
+    for framed in (
+        b"Content-Length: %d\r\n\r\n" % len(body) + body,
+        b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % len(body)
+        + body
+        + b"\r\n0\r\n\r\n",
+    ):
+        sock.sendall(HEAD + framed)
+        assert sock.recv(65536).endswith(b"150000")
+
+
+# Planned stops.
+
+
+def test_a_connection_that_waits_for_acceptance_is_served_at_a_stop(stack):
+    front = Front(stack)
+    # A socket of the standard library, so that the server does not run meanwhile.
+    sock = socket.create_connection(front.address, timeout=3.0)
+    stack.callback(sock.close)
+    sock.sendall(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+    stop_accepting([front.server])
+    close_idle_connections([front.server])
+    with gevent.Timeout(2.0):
+        gevent.sleep(0)
+        while has_requests([front.server]):
+            gevent.sleep(0.01)
+    assert sock.recv(65536).startswith(b"HTTP/1.1 200")
+
+
+def test_a_request_on_a_kept_connection_is_served_at_a_stop(stack):
+    front = Front(stack)
+    sock = connect(stack, front)
+    sock.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert sock.recv(65536)
+    gevent.sleep(0.01)
+    # A system call of its own, so that the server's task does not run meanwhile.
+    sock._sock.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    close_idle_connections([front.server])
+    assert sock.recv(65536).startswith(b"HTTP/1.1 200")
+
+
+def test_an_idle_connection_is_closed_at_a_stop(stack):
+    front = Front(stack)
+    sock = connect(stack, front)
+    gevent.sleep(0.01)
+    close_idle_connections([front.server])
+    assert read_to_end(sock) == b""
+
+
+def test_a_request_that_has_begun_to_arrive_keeps_a_stop_waiting(stack):
+    front = Front(stack)
+    sock = connect(stack, front)
+    sock.sendall(b"GET / HT")
+    gevent.sleep(0.01)
+    assert has_requests([front.server])
+    close_idle_connections([front.server])
+    sock.sendall(b"TP/1.1\r\nHost: h\r\n\r\n")
+    assert sock.recv(65536).startswith(b"HTTP/1.1 200")
