Share out weighted routes over all VMs, also through new versions

Cause: each VM began each weighted route, and began it anew with each version, at the service with the largest weight. Over many VMs with few requests each, or with versions in quick succession, the smaller parts got next to nothing: 0 instead of a tenth of three requests each at 400 VMs, and of 200 requests with a new version before each.

Change: a VM begins a weighted route at a place that it draws, and keeps it through versions that don't change the weights.

--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -116,7 +116,6 @@
         self.me = me
         self.retry_limits = retry_limits
         self.n_named = n_named
-        self.routing = Routing()
         self.peers = PeerView(me, seed_ips)
         # Without seeds, no peer announces the first configuration: each VM reads it.
         is_seed = not seed_ips or me.ip in seed_ips
@@ -131,6 +130,7 @@
         # this VM, is available to that peer, or None.
         self._available_to_peer_at_ms = None
         self._rng = Random(f"{me.vm_id}{me.start_id}")
+        self.routing = Routing(self._rng)
         self._next_round_ms = 0.0
         self._fetch_sent_at_ms = float("-inf")
         self._handlers = {
--- a/packages/core/hornbeamstand_core/controllers/routing.py
+++ b/packages/core/hornbeamstand_core/controllers/routing.py
@@ -3,19 +3,31 @@
 from ..edge_messages import RequestPolicy, StateChange
 from ..messages import NOT_RUN, Refusal
 
+# Exclusive maximum of the number of picks by which a weighted route is ahead when this
+# VM first uses it.
+N_PICKS_AHEAD_MAX = 256
 # Retry-after time of the refusals of a VM without a configuration: its first
 # configuration is expected to arrive within this time.
 NO_CONFIG_RETRY_MS = 300.0
 
 
 class Routing:
-    """The newest configuration, and the round-robin credits of its weighted routes."""
+    """The newest configuration, and the picks of its weighted routes.
 
-    __slots__ = ("config", "_credits")
+    Parameters
+    ----------
+    rng : Random
+        Draws where each weighted route begins. Each of many VMs may get only a few
+        requests of a route, so they must not all begin with the same service.
+    """
 
-    def __init__(self):
+    __slots__ = ("config", "_rng", "_picks")
+
+    def __init__(self, rng):
         self.config = None
-        self._credits = {}
+        self._rng = rng
+        # Maps a host and a prefix to the WeightedPicks of the route.
+        self._picks = {}
 
     @property
     def version(self):
@@ -27,7 +39,11 @@
         if config.version <= self.version:
             return []
         self.config = config
-        self._credits.clear()
+        self._picks = {
+            key: picks
+            for key, picks in self._picks.items()
+            if key[1] in config.hosts.get(key[0], ())
+        }
         return [StateChange("config", "in force", f"r{config.version}")]
 
     def find(self, host, path):
@@ -49,16 +65,41 @@
         )
 
     def _pick_service(self, host, route):
-        """Return the service of the next request, by smooth weighted round robin."""
+        """Return the service of the next request of a route, by weight."""
         if len(route.weighted_services) == 1:
             return route.weighted_services[0].service_name
-        credits = self._credits.setdefault(
-            (host, route.prefix), [0.0] * len(route.weighted_services)
-        )
+        picks = self._picks.get((host, route.prefix))
+        if picks is None or not picks.is_for(route.weighted_services):
+            picks = WeightedPicks(route.weighted_services)
+            for _ in range(self._rng.randrange(N_PICKS_AHEAD_MAX)):
+                picks.next_name()
+            self._picks[(host, route.prefix)] = picks
+        return picks.next_name()
+
+
+class WeightedPicks:
+    """Picks one of several services for each request, by smooth weighted round robin.
+
+    The credit of a service is the share of requests that it is behind.
+    """
+
+    __slots__ = ("weighted_services", "_credits")
+
+    def __init__(self, weighted_services):
+        self.weighted_services = weighted_services
+        self._credits = [0.0] * len(weighted_services)
+
+    def is_for(self, weighted_services):
+        """Return whether services and weights are those of these picks."""
+        return weighted_services == self.weighted_services
+
+    def next_name(self):
+        """Return the name of the next request's service."""
+        credits = self._credits
         total = 0.0
-        for index, weighted in enumerate(route.weighted_services):
+        for index, weighted in enumerate(self.weighted_services):
             credits[index] += weighted.weight
             total += weighted.weight
         best = max(range(len(credits)), key=credits.__getitem__)
         credits[best] -= total
-        return route.weighted_services[best].service_name
+        return self.weighted_services[best].service_name
