Test uploads, weighted routes and silent servers through real processes

Uploads arrive whole, run once, aren't repeated, survive a planned stop, and are refused without a run if their caller leaves or stalls; each part of a route gets its share, a part without servers refuses and doesn't spill, new weights hold in time; a silent server's connection carries no other request.

--- a/standins/edge_cell.py
+++ b/standins/edge_cell.py
@@ -103,6 +103,19 @@
         )
 
 
+def names_of(service):
+    """Return the names of a service, or of several with weights."""
+    return list(service) if isinstance(service, dict) else [service]
+
+
+def encode_services(service):
+    """Return the field of a route that names its service, or several with weights."""
+    if not isinstance(service, dict):
+        return {"Backend": service}
+    parts = [{"Backend": name, "Weight": weight} for name, weight in service.items()]
+    return {"TrafficSplit": parts}
+
+
 class EdgeCell:
     """A store, servers and edge processes, all stopped when the context is left.
 
@@ -178,7 +191,8 @@
     def set_config(self, version, prefixes, timeout_ms=1500):
         """Write the operators' configuration, with one route for each prefix.
 
-        ``prefixes`` maps a path prefix to (service, kind of its requests).
+        ``prefixes`` maps a path prefix to (service, kind of its requests). A dict of
+        services and weights in place of a service splits the requests.
         """
         paths = [
             {
@@ -189,7 +203,7 @@
                 "Goal": "600ms",
                 "Priority": 1,
                 "Attempts": 2,
-                "Backend": service,
+                **encode_services(service),
             }
             for i, (prefix, (service, kind)) in enumerate(prefixes.items())
         ]
@@ -201,7 +215,9 @@
                 "Warmup": "3s",
                 "WarmupPerS": COLD_RATE_PER_S,
             }
-            for name in sorted({service for service, _ in prefixes.values()})
+            for name in sorted(
+                {name for service, _ in prefixes.values() for name in names_of(service)}
+            )
         ]
         limits = {
             "MaxHeaderBytes": 16384,
--- a/standins/server.py
+++ b/standins/server.py
@@ -6,6 +6,9 @@
 import gevent
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+# Time for which a server in mode "hang" holds a request: longer than any test.
+HANG_S = 3600.0
+
 
 class NoDelayHandler(WSGIHandler):
     """Sends each write at once, and passes on the socket and the raw request."""
@@ -29,7 +32,9 @@
 
     ``mode`` is ``ok``, ``shed`` (rejects requests without running them), ``error``
     (runs them and returns 500), ``cut`` (runs them and closes the connection without
-    a response) or ``extra`` (sends a second response). ``speed`` is the factor of the
+    a response), ``extra`` (sends a second response), ``hang`` (never answers a request,
+    nor any that follows on its connection) or ``early`` (answers before it reads the
+    body). ``speed`` is the factor of the
     work time over ``work_ms``: 2.0 takes twice as long. ``started_wall_ms`` is the
     start time in the server's entry; a change of it stands for a restart. ``runs``
     counts runs by attempt id. ``arrivals`` has the time and attempt id of each request,
@@ -130,6 +135,8 @@
             items = [("Attempt-Id", attempt_id), ("Instance-Id", self.server_id)]
             return respond(start_response, 421, b"", items)
         self.arrivals.append((gevent.get_hub().loop.now(), attempt_id))
+        if self.mode == "hang":
+            gevent.sleep(HANG_S)
         if self.mode == "shed" or self.n_running >= self.n_slots:
             items = [
                 ("Attempt-Id", attempt_id),
@@ -137,7 +144,7 @@
                 ("Server-Load", self.load_figures()),
             ]
             return respond(start_response, 503, b"", items)
-        body = environ["wsgi.input"].read()
+        body = b"" if self.mode == "early" else environ["wsgi.input"].read()
         self.received_requests.append(
             (environ["standin.request_target"], environ["standin.headers"])
         )
