Use no target that has left by a stale read or whose entry is unreadable

Cause, found by reading: - the first read of the store may be seconds old. Its records and the changes since came as two messages, and requests that waited for targets were granted between them: to targets, domains and routes that were gone by then; - an entry that another writer overwrote with what can't be read, or with a state that isn't known, left the former target in use; - a VM that lost the history while it watched the operators' keys took the read of these keys for a read of all: it refused requests with "no target" until it had read the targets.

--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -233,7 +233,8 @@
             key for key in self.out_of_service_domains if key not in out_of_service_keys
         ]:
             out += self._note_domain_in_service(key, now_ms)
-        out += self.table.replace_all(entries, now_ms)
+        if message.has_targets:
+            out += self.table.replace_all(entries, now_ms)
         return out + self._finish_update(message.revision, now_ms)
 
     def _finish_update(self, revision, now_ms):
@@ -265,6 +266,7 @@
             self.peers.note_contact(record.ip)
             return []
         if type(record) is InvalidEntry:
+            self.table.close(record.key)
             return [StateChange("store", "unreadable entry", record.key, record.detail)]
         return self._apply_removal(record, now_ms)
 
--- a/packages/core/hornbeamstand_core/controllers/target_table.py
+++ b/packages/core/hornbeamstand_core/controllers/target_table.py
@@ -93,6 +93,15 @@
         if service.targets.get(target.entry.target_id) is target:
             del service.targets[target.entry.target_id]
 
+    def close(self, key):
+        """Send nothing more to the target of a key until its entry is written again.
+
+        The target keeps its state, because it may only be its entry that is wrong.
+        """
+        target = self.by_key.get(key)
+        if target is not None:
+            target.is_open = False
+
     def remove(self, key, now_ms):
         """Remove the target of a key, or mark it as suspect.
 
--- a/packages/core/hornbeamstand_core/discovery.py
+++ b/packages/core/hornbeamstand_core/discovery.py
@@ -55,7 +55,7 @@
 
 
 class InvalidEntry(Record):
-    """An entry that can't be decoded; no target is derived from it."""
+    """An entry that can't be decoded; a target that it described is not used."""
 
     __slots__ = ("key", "detail")
 
@@ -119,13 +119,17 @@
 
 
 class StoreSnapshot(Record):
-    """All records of the store; keys that are not among them were removed."""
+    """All records of the store; keys that are not among them were removed.
 
-    __slots__ = ("records", "revision")
+    If ``has_targets`` is not set, only the operators' keys were read.
+    """
 
-    def __init__(self, records, revision):
+    __slots__ = ("records", "revision", "has_targets")
+
+    def __init__(self, records, revision, has_targets=True):
         self.records = records
         self.revision = revision
+        self.has_targets = has_targets
 
 
 class StoreUnavailable(Record):
--- a/packages/core/tests/test_edge_node.py
+++ b/packages/core/tests/test_edge_node.py
@@ -2,30 +2,34 @@
 
 import pytest
 from tests.edge_nodes import (
+    deferred_replies,
     find_route,
     make_config,
     make_heartbeat,
     make_node,
     make_serving_node,
     make_snapshot,
+    messages_of_kind,
 )
 from tests.edge_parts import make_entry
 
 from hornbeamstand_core.discovery import (
+    READY,
     ConfigEntry,
     DomainOutOfService,
     InvalidEntry,
     KeyRemoved,
     StoreAvailable,
     StoreChanges,
+    StoreSnapshot,
     StoreUnavailable,
 )
-from hornbeamstand_core.edge_messages import StateChange
+from hornbeamstand_core.edge_messages import FIRST, AcquireSlot, StateChange
 from hornbeamstand_core.edge_node_messages import (
     EdgeTick,
     RetryLimits,
 )
-from hornbeamstand_core.messages import Refusal
+from hornbeamstand_core.messages import Permit, Refusal, Release, UpstreamResponse
 from hornbeamstand_core.routes import (
     CallerLimits,
     HostRoute,
@@ -110,6 +114,44 @@
     assert not node.table.by_key
 
 
+def acquire(node, request_id, now_ms=0.0):
+    """Request a slot of the service "shop"; return the replies to all requests."""
+    message = AcquireSlot(
+        "shop", request_id, request_id, FIRST, True, 0, 2000.0, 600.0, (), 2
+    )
+    return deferred_replies(node.handle(message, now_ms))
+
+
+def test_a_target_whose_entry_became_unreadable_is_not_used_until_it_is_readable():
+    """Another writer may overwrite an entry, which then names no target to use."""
+    node = make_serving_node()
+    node.handle(StoreChanges([make_entry("t1")], 2), 0.0)
+    (permit,) = acquire(node, "r1")
+    out = node.handle(StoreChanges([InvalidEntry("servers/t1", "no slots")], 3), 1.0)
+    assert [m.event for m in messages_of_kind(out, StateChange)] == ["unreadable entry"]
+    (refusal,) = acquire(node, "r2")
+    assert isinstance(refusal, Refusal)
+    node.handle(StoreChanges([make_entry("t1", state=READY)], 4), 2.0)
+    target = node.services["shop"].targets["t1"]
+    assert target.n_in_flight(2.0) == 1
+    node.handle(Release(permit, UpstreamResponse(200, None, None, False)), 3.0)
+    assert target.n_in_flight(3.0) == 0
+    (permit,) = acquire(node, "r3")
+    assert isinstance(permit, Permit)
+
+
+def test_a_read_of_the_operators_keys_says_nothing_about_targets():
+    """A VM that lost the history reads the operators' keys again, without targets."""
+    node = make_serving_node()
+    node.table.clear()
+    snapshot = StoreSnapshot([ConfigEntry("op/config", make_config(2))], 5, False)
+    node.handle(snapshot, 0.0)
+    assert acquire(node, "r1") == []
+    node.handle(make_snapshot(make_entry("t1"), revision=6), 10.0)
+    (permit,) = deferred_replies(node.handle(EdgeTick(), 500.0))
+    assert isinstance(permit, Permit)
+
+
 def test_targets_stay_in_use_while_the_store_is_unavailable():
     node = make_serving_node()
     node.handle(make_snapshot(make_entry("t1")), 0.0)
--- a/packages/entry/hornbeamstand_entry/edge/store_watcher.py
+++ b/packages/entry/hornbeamstand_entry/edge/store_watcher.py
@@ -2,6 +2,7 @@
 
 import gevent
 from hornbeamstand_core.discovery import (
+    KeyRemoved,
     StoreAvailable,
     StoreChanges,
     StoreSnapshot,
@@ -9,6 +10,8 @@
 )
 from hornbeamstand_core.edge_node_messages import WATCH_ALL, WATCH_NOTHING
 
+from .dialect import StorePage
+
 # Maximum time for which the store may hold a watch that has no changes.
 WATCH_WAIT_MS = 28_000.0
 # The same limit for the watch after a read that may be stale. That watch only returns
@@ -173,27 +176,24 @@
         result = self.store.read_all(prefix, self._may_read_stale)
         if result.is_err():
             return result
-        pages = [result.ok_value]
+        page = result.ok_value
         if self._may_read_stale:
-            changes = self.store.watch(
-                prefix, pages[0].revision, CATCH_UP_WATCH_WAIT_MS
-            )
+            changes = self.store.watch(prefix, page.revision, CATCH_UP_WATCH_WAIT_MS)
             if changes.is_err():
                 self._may_read_stale = False
                 return changes
-            pages.append(changes.ok_value)
+            page = apply_changes(page, changes.ok_value)
         self._may_read_stale = True
-        self._post_read(pages)
+        self._post_read(page)
         return result
 
-    def _post_read(self, pages):
-        self._revision = max(page.revision for page in pages)
-        if self._scope == WATCH_ALL:
+    def _post_read(self, page):
+        self._revision = page.revision
+        has_targets = self._scope == WATCH_ALL
+        if has_targets:
             self._targets_revision = self._revision
         self.control_task.post(StoreAvailable())
-        self.control_task.post(StoreSnapshot(pages[0].records, pages[0].revision))
-        for page in pages[1:]:
-            self.control_task.post(StoreChanges(page.records, page.revision))
+        self.control_task.post(StoreSnapshot(page.records, page.revision, has_targets))
 
     def _watch(self):
         wait_ms = RETRY_WATCH_WAIT_MS if self._is_retrying else self._wait_ms
@@ -226,6 +226,21 @@
         self.control_task.post(StoreUnavailable(str(error)))
 
 
+def apply_changes(page, changes):
+    """Return the StorePage of a read with the later changes applied.
+
+    The controllers never see the older state: a request that waits for targets would be
+    sent to one that has left since.
+    """
+    by_key = {record.key: record for record in page.records}
+    for record in changes.records:
+        by_key.pop(record.key, None)
+        if type(record) is not KeyRemoved:
+            by_key[record.key] = record
+    revision = max(page.revision, changes.revision)
+    return StorePage(list(by_key.values()), revision)
+
+
 class Registration:
     """Keeps this VM's entry in the store while it watches all keys.
 
--- a/packages/entry/tests/test_edge_store_watcher.py
+++ b/packages/entry/tests/test_edge_store_watcher.py
@@ -5,10 +5,11 @@
 import gevent
 import pytest
 from hornbeamstand_core.discovery import (
+    KeyRemoved,
     StoreAvailable,
-    StoreChanges,
     StoreSnapshot,
     StoreUnavailable,
+    VmEntry,
 )
 from hornbeamstand_core.edge_node_messages import (
     WATCH_ALL,
@@ -35,10 +36,11 @@
         self.codec = StoreCodec(*[None] * 9, operator_prefix="op/")
         self.calls = []
         self.answers = []
+        self.records = []
 
     def read_all(self, prefix, may_be_stale=False):
         self.calls.append(("stale read" if may_be_stale else "read", prefix))
-        return Ok(StorePage([], 5))
+        return Ok(StorePage(list(self.records), 5))
 
     def watch(self, prefix, revision, wait_ms):
         self.calls.append(("watch", prefix, revision, wait_ms))
@@ -88,15 +90,28 @@
 def test_stale_first_read_is_caught_up_before_it_is_posted(parts):
     """A hundred VMs may start at once, and each read of the store is billed."""
     store, control_task, _, begin = parts
-    store.answers = [Ok(StorePage(["news"], 9))]
+    gone, moved, kept = (VmEntry(f"vm/{i}", f"vm-{i}", "ip") for i in range(3))
+    back = VmEntry("vm/1", "vm-1", "new ip")
+    store.records = [gone, moved, kept]
+    store.answers = [Ok(StorePage([KeyRemoved("vm/0"), KeyRemoved("vm/1"), back], 9))]
     begin()
     assert store.calls == [
         ("stale read", ""),
         ("watch", "", 5, store_watcher.CATCH_UP_WATCH_WAIT_MS),
     ]
     kinds = [type(message) for message in control_task.posted]
-    assert kinds == [StoreAvailable, StoreSnapshot, StoreChanges]
-    assert control_task.posted[-1].revision == 9
+    assert kinds == [StoreAvailable, StoreSnapshot]
+    assert control_task.posted[-1] == StoreSnapshot([kept, back], 9)
+
+
+def test_a_read_of_the_operators_keys_is_marked_as_without_targets(parts):
+    store, control_task, task, begin = parts
+    begin()
+    store.answers = [failed(410)]
+    set_watch(task, WATCH_OPERATOR_KEYS)
+    gevent.sleep(0.1)
+    snapshots = [m for m in control_task.posted if type(m) is StoreSnapshot]
+    assert [snapshot.has_targets for snapshot in snapshots] == [True, False]
 
 
 def test_lost_changes_since_a_stale_read_cause_a_fresh_read(parts):
