Decode whatever others write as a value or an error; run fuzz tests

Cause: JSON and MessagePack that is nested too deeply raises RecursionError, which none of the decoders caught: one such entry in the store, one answer or one datagram ended a task. Load figures that are negative, infinite or no number made a target's costs so, for good. Times could be negative or infinite. Pages of the store that don't advance were read without end.

--- a/packages/ctl/hornbeamstand_ctl/log_lines.py
+++ b/packages/ctl/hornbeamstand_ctl/log_lines.py
@@ -4,9 +4,9 @@
 collector added, is ignored.
 """
 
-import msgspec
 from hornbeamstand_core.errors import ConfigError
 from hornbeamstand_core.records import Record
+from hornbeamstand_wire.json_text import decode_json
 from result import Err, Ok
 
 MS_PER_S = 1000.0
@@ -79,8 +79,8 @@
     if start < 0:
         return None
     try:
-        raw = msgspec.json.decode(text[start:].strip())
-    except msgspec.DecodeError:
+        raw = decode_json(text[start:].strip())
+    except ValueError:
         return None
     if not isinstance(raw, dict) or not COMMON_FIELDS <= raw.keys():
         return None
--- a/packages/entry/hornbeamstand_entry/edge/heartbeats.py
+++ b/packages/entry/hornbeamstand_entry/edge/heartbeats.py
@@ -15,7 +15,9 @@
 IP_BYTES = 4
 # Fields on the wire, in order. The receiver takes the sender's address from the socket.
 HEARTBEAT_FIELDS = tuple(name for name in EdgeHeartbeat.__slots__ if name != "ip")
-HEARTBEAT_FIELD_TYPES = (str, int, bool, bool, bool, bool, bool, int, int, int, int)
+HEARTBEAT_DECODER = msgspec.msgpack.Decoder(
+    tuple[str, int, bool, bool, bool, bool, bool, int, int, int, int]
+)
 
 
 def encode_heartbeat(heartbeat):
@@ -28,15 +30,9 @@
 def decode_heartbeat(raw, ip):
     """Return the EdgeHeartbeat that ``ip`` sent, or None if the bytes are invalid."""
     try:
-        fields = msgspec.msgpack.decode(raw)
+        return EdgeHeartbeat(ip, *HEARTBEAT_DECODER.decode(raw))
     except msgspec.DecodeError:
         return None
-    if not isinstance(fields, list) or len(fields) != len(HEARTBEAT_FIELDS):
-        return None
-    for value, kind in zip(fields, HEARTBEAT_FIELD_TYPES, strict=True):
-        if type(value) is not kind:
-            return None
-    return EdgeHeartbeat(ip, *fields)
 
 
 def encode_contacts(contacts):
--- a/packages/entry/hornbeamstand_entry/edge/store_client.py
+++ b/packages/entry/hornbeamstand_entry/edge/store_client.py
@@ -100,6 +100,9 @@
             if answer.is_err():
                 return answer
             page = answer.ok_value
+            if page.has_more and page.last_key <= after_key:
+                detail = f"a page ends at {page.last_key!r}, not after {after_key!r}"
+                return Err(StoreError("store.range", self.address, detail))
             records += page.records
             revision = min(revision, page.revision)
             after_key = page.last_key
--- a/packages/entry/hornbeamstand_entry/peer_codec.py
+++ b/packages/entry/hornbeamstand_entry/peer_codec.py
@@ -28,6 +28,32 @@
     raise TypeError(f"cannot encode {type(value)}: not a Record")
 
 
+# The slots of the messages, in order, as types for the decoder.
+CAPACITY_REPORT_FIELDS = tuple[str, str, int, int, float]
+HAND_OVER_FIELDS = tuple[
+    str, str, int, int, int, dict[str, int], str, float, float | None, str
+]
+HEARTBEAT_FIELDS = tuple[
+    str,
+    str,
+    int,
+    int,
+    float,
+    float | None,
+    float | None,
+    dict[str, float],
+    list[str],
+    list[HAND_OVER_FIELDS],
+    dict[str, int],
+    list[CAPACITY_REPORT_FIELDS],
+]
+ORDER_FIELDS = tuple[str, str, str, list | None, float, str]
+DATAGRAM_DECODER = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
+HEARTBEAT_DECODER = msgspec.msgpack.Decoder(HEARTBEAT_FIELDS)
+CAPACITY_REPORT_DECODER = msgspec.msgpack.Decoder(CAPACITY_REPORT_FIELDS)
+ORDERS_DECODER = msgspec.msgpack.Decoder(tuple[str, list[ORDER_FIELDS], int, bool])
+# Errors of decoding bytes that are no valid message.
+DECODE_ERRORS = (msgspec.DecodeError, RecursionError, TypeError, ValueError)
 ENCODER = msgspec.msgpack.Encoder(enc_hook=encode_hook)
 
 
@@ -40,15 +66,15 @@
 def decode_datagram(raw):
     """Return the Heartbeat or CapacityReport of a datagram; None if it is malformed."""
     try:
-        tag, fields = msgspec.msgpack.decode(raw)
+        tag, fields = DATAGRAM_DECODER.decode(raw)
         if tag == CAPACITY_REPORT:
-            return CapacityReport(*fields)
-        heartbeat = Heartbeat(*fields)
+            return CapacityReport(*CAPACITY_REPORT_DECODER.decode(fields))
+        heartbeat = Heartbeat(*HEARTBEAT_DECODER.decode(fields))
         heartbeat.records = [HandOverRecord(*r) for r in heartbeat.records]
         heartbeat.capacity_reports = [
             CapacityReport(*r) for r in heartbeat.capacity_reports
         ]
-    except (msgspec.DecodeError, TypeError, ValueError):
+    except DECODE_ERRORS:
         return None
     return heartbeat
 
@@ -68,12 +94,12 @@
 def decode_orders(raw):
     """Return the OrdersReceived of a body, or None if the body is malformed."""
     try:
-        sender_id, orders, transfer_version, is_lost = msgspec.msgpack.decode(raw)
-        stored = []
-        for fields in orders:
-            fields[3] = unpack_outcome(fields[3])
-            stored.append(StoredOrder(*fields))
-    except (msgspec.DecodeError, TypeError, ValueError, LookupError):
+        sender_id, orders, transfer_version, is_lost = ORDERS_DECODER.decode(raw)
+        stored = [
+            StoredOrder(name, key, state, unpack_outcome(outcome), age_ms, runner_id)
+            for name, key, state, outcome, age_ms, runner_id in orders
+        ]
+    except (*DECODE_ERRORS, LookupError):
         return None
     return OrdersReceived(sender_id, stored, transfer_version, is_lost)
 
--- a/packages/entry/hornbeamstand_entry/settings.py
+++ b/packages/entry/hornbeamstand_entry/settings.py
@@ -3,10 +3,10 @@
 from pathlib import Path
 from typing import Annotated
 
-import msgspec
 from hornbeamstand_core.config import ADDRESS_PATTERN, Bounds
 from hornbeamstand_core.errors import ConfigError
 from hornbeamstand_core.records import Record
+from hornbeamstand_wire.json_text import decode_json
 from hornbeamstand_wire.schema import build
 from result import Err
 
@@ -134,10 +134,10 @@
     The error names the file, and the field if one is at fault.
     """
     try:
-        raw = msgspec.json.decode(Path(file).read_bytes())
+        raw = decode_json(Path(file).read_bytes())
     except OSError as error:
         detail = f"cannot be read: {error.strerror}"
         return Err(ConfigError("settings", str(file), detail))
-    except msgspec.DecodeError as error:
+    except ValueError as error:
         return Err(ConfigError("settings", str(file), f"is not valid JSON: {error}"))
     return build(Settings, raw, str(file))
--- a/packages/entry/tests/test_response_fuzz.py
+++ b/packages/entry/tests/test_response_fuzz.py
@@ -1,6 +1,7 @@
 """Property tests of reading a target's responses: any bytes, in any pieces."""
 
 import msgspec
+import pytest
 from gevent.queue import SimpleQueue
 from hornbeamstand_entry.edge.heartbeats import decode_contacts, decode_heartbeat
 from hornbeamstand_entry.peer_codec import decode_orders
@@ -166,3 +167,11 @@
     decode_heartbeat(raw, "10.0.0.1")
     decode_contacts(raw)
     decode_orders(raw)
+
+
+@pytest.mark.parametrize("opening", [b"\x91", b"\x81\x01", b"\x9b\xa1s\x91"])
+def test_a_datagram_that_is_nested_too_deeply_is_none(opening):
+    raw = opening * 700 if len(opening) < 4 else opening + b"\x91" * 2000
+    assert decode_heartbeat(raw, "10.0.0.1") is None
+    assert decode_contacts(raw) is None
+    assert decode_orders(raw) is None
--- a/packages/wire/hornbeamstand_wire/folder.py
+++ b/packages/wire/hornbeamstand_wire/folder.py
@@ -8,6 +8,7 @@
 from hornbeamstand_core.errors import ConfigError
 from result import Err, Ok
 
+from .json_text import decode_json
 from .schema import build
 
 # Maximum size of one file. The platform stores values of up to 1 MB, and a file takes
@@ -145,8 +146,8 @@
 def decode_object(name, text):
     """Decode one file; returns Ok of its top-level object, or Err."""
     try:
-        raw = msgspec.json.decode(text)
-    except msgspec.DecodeError as error:
+        raw = decode_json(text)
+    except ValueError as error:
         return Err(ConfigError("decode", name, f"is not valid JSON: {error}"))
     if not isinstance(raw, dict):
         return Err(ConfigError("decode", name, "field (top): expected an object"))
--- a/packages/wire/hornbeamstand_wire/platform.py
+++ b/packages/wire/hornbeamstand_wire/platform.py
@@ -13,6 +13,8 @@
 from hornbeamstand_core.records import Record
 from result import Err, Ok
 
+from .json_text import decode_json
+
 # Maximum number of open connections of one client.
 N_CONNECTIONS_MAX = 4
 # Maximum number of times that a write of unknown outcome is read back.
@@ -79,8 +81,8 @@
             detail = f"status {status}, expected 200"
             return Err(PlatformError(step, self.address, detail))
         try:
-            return Ok(msgspec.json.decode(raw))
-        except msgspec.DecodeError as error:
+            return Ok(decode_json(raw))
+        except ValueError as error:
             detail = f"answer is not valid JSON: {error}"
             return Err(PlatformError(step, self.address, detail))
 
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -111,7 +111,9 @@
     assert times.read_ms(text) == expected
 
 
-@pytest.mark.parametrize("text", ["12", "ms", 12, None, "3h", True])
+@pytest.mark.parametrize(
+    "text", ["12", "ms", 12, None, "3h", True, "nanms", "infs", "-1ms"]
+)
 def test_malformed_times_are_errors(text):
     with pytest.raises(ValueError):
         times.read_ms(text)
@@ -153,6 +155,9 @@
         {"Status": {"State": "ready", "WarmupLeft": 3}},
         {"Status": []},
         {"born": "then"},
+        {"Status": {"State": "ready", "WarmupLeft": "nanms"}},
+        {"Status": {"State": "ready", "WarmupLeft": "infs"}},
+        {"Status": {"State": "ready", "WarmupLeft": "-5ms"}},
     ],
 )
 def test_malformed_server_entry_is_invalid(changes):
@@ -160,6 +165,27 @@
     assert isinstance(found, InvalidEntry)
 
 
+@pytest.mark.parametrize("key", ["servers/i-1", "op/config", "hornbeamstand/vm/x"])
+def test_an_entry_that_is_nested_too_deeply_is_invalid(key):
+    assert isinstance(records.decode_record(key, b"[" * 5000), InvalidEntry)
+
+
+@pytest.mark.parametrize(
+    "decode", [store.decode_page, store.decode_events, store.decode_lease]
+)
+def test_a_store_answer_that_is_nested_too_deeply_is_a_value_error(decode):
+    with pytest.raises(ValueError):
+        decode(b'{"items":' + b"[" * 5000)
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["1,0,3,nan", "1,0,3,inf", "1,0,3,-5", "1,0,3,0", "-1,0,3", "1,-1,3,100", "1,0,-3"],
+)
+def test_load_figures_out_of_range_are_no_report(text):
+    assert dialect.decode_load(text) is None
+
+
 @given(st.binary(max_size=200))
 def test_no_bytes_under_a_server_key_are_an_error(value):
     found = records.decode_record("servers/i-1", value)
