Probe few targets for each waiting request, and know one's own delays

A probe that came late lost its connection as well, and the prober dropped answers that waited in its mailbox behind the timeout.

Change: at most three probes for each waiting request within 50 ms, oldest figures first; a wait for probes that ended late because this VM was late says nothing about the targets; late probes go on; the prober reads its mailbox before it cancels.

Measured: test_few_targets_are_probed_for_each_request_that_waits had 100 probes instead of 3 before.

--- a/packages/core/hornbeamstand_core/controllers/load_probing.py
+++ b/packages/core/hornbeamstand_core/controllers/load_probing.py
@@ -5,6 +5,8 @@
 before a send.
 """
 
+from heapq import nsmallest
+
 from ..balancer_messages import DeferredReply, SendProbe
 from ..edge_messages import ProbesNeeded
 from .placing import FAST, UNKNOWN, speed_class
@@ -54,19 +56,38 @@
     """Return load probes of the targets that could serve a waiting request.
 
     They show when a target's slow phase is over. A target without a free slot is not
-    probed.
+    probed. There are at most ``N_PROBED_MAX`` probes for each waiting request within
+    an interval: probes of all targets at once would take the time of this VM that the
+    requests need. Targets whose figures are oldest come first.
     """
-    out = []
+    n_left = N_PROBED_MAX * len(service.waiting)
+    due = []
     for target in service.usable_targets(now_ms):
-        if not target.may_report:
-            continue
-        if len(target.started_at_ms) >= target.n_usable_slots:
-            continue
-        known_at_ms = max(target.slowdown_at_ms, target.probed_at_ms)
-        if now_ms - known_at_ms < PROBE_INTERVAL_MS:
-            continue
+        if now_ms - target.probed_at_ms < PROBE_INTERVAL_MS:
+            n_left -= 1
+        elif is_probe_due(target, now_ms):
+            due.append(target)
+    if n_left <= 0 or not due:
+        return []
+    to_probe = nsmallest(n_left, due, key=known_at_ms)
+    for target in to_probe:
         target.probed_at_ms = now_ms
-        entry = target.entry
-        path = health_path(service)
-        out.append(SendProbe(service.name, entry.target_id, entry.address, path))
-    return out
+    path = health_path(service)
+    return [
+        SendProbe(service.name, target.entry.target_id, target.entry.address, path)
+        for target in to_probe
+    ]
+
+
+def is_probe_due(target, now_ms):
+    """Return whether a target has a free slot and its slowdown figure is too old."""
+    if not target.may_report:
+        return False
+    if len(target.started_at_ms) >= target.n_usable_slots:
+        return False
+    return now_ms - target.slowdown_at_ms >= PROBE_INTERVAL_MS
+
+
+def known_at_ms(target):
+    """Return when a target last reported its slowdown or was last probed for it."""
+    return max(target.slowdown_at_ms, target.probed_at_ms)
--- a/packages/core/tests/test_capacity.py
+++ b/packages/core/tests/test_capacity.py
@@ -303,6 +303,40 @@
     assert harness.acquire(n_probe_rounds=1).target_id == "t2"
 
 
+def test_few_targets_are_probed_for_each_request_that_waits():
+    """Plays the first second after a start: many targets, none known to be fast.
+
+    A VM that probes all of them opens a connection to each, and is too busy then to
+    notice their answers in time.
+    """
+    harness = ServiceHarness([make_entry(f"t{i}") for i in range(1, 101)])
+    for i in range(1, 101):
+        harness.report_load(f"t{i}", slowdown=4.0)
+
+    def n_probes_at(now_ms):
+        harness.now_ms = now_ms
+        messages = harness.service.drain(now_ms)
+        return sum(isinstance(message, SendProbe) for message in messages)
+
+    assert harness.acquire(objective_ms=5000.0, deadline_ms=9000.0) is None
+    assert [n_probes_at(now_ms) for now_ms in (60.0, 70.0, 120.0)] == [3, 0, 3]
+    assert harness.acquire(objective_ms=5000.0, deadline_ms=9000.0) is None
+    assert n_probes_at(180.0) <= 6
+
+
+def test_waiting_requests_find_the_targets_that_become_fast():
+    harness = ServiceHarness([make_entry(f"t{i}") for i in range(1, 21)])
+    for i in range(1, 21):
+        harness.report_load(f"t{i}", slowdown=4.0)
+    assert harness.acquire(objective_ms=5000.0, deadline_ms=9000.0) is None
+    probed = set()
+    for now_ms in range(60, 460, 10):
+        harness.now_ms = float(now_ms)
+        messages = harness.service.drain(harness.now_ms)
+        probed |= {m.target_id for m in messages if isinstance(m, SendProbe)}
+    assert len(probed) == 20
+
+
 def test_a_target_that_reports_no_slowdown_is_not_probed_again():
     harness = ServiceHarness([make_entry("t1")])
     assert needs_probes(harness.acquire(n_probe_rounds=0))
--- a/packages/entry/hornbeamstand_entry/edge/load_probes.py
+++ b/packages/entry/hornbeamstand_entry/edge/load_probes.py
@@ -65,12 +65,17 @@
 
     def _run(self):
         while True:
-            message = self.task.mailbox.get()
+            self._handle(self.task.mailbox.get())
+            # An answer that waits in the mailbox has come in time.
+            while not self.task.mailbox.empty():
+                self._handle(self.task.mailbox.get())
             self._cancel_timed_out()
-            if type(message) is SendProbe:
-                self._send(message)
-            elif type(message) is ExchangeResult:
-                self._handle_result(message)
+
+    def _handle(self, message):
+        if type(message) is SendProbe:
+            self._send(message)
+        elif type(message) is ExchangeResult:
+            self._handle_result(message)
 
     def _send(self, probe):
         until_ms = self.clock.now_ms() + LOAD_PROBE_TIMEOUT_MS
--- a/packages/entry/hornbeamstand_entry/edge/performers.py
+++ b/packages/entry/hornbeamstand_entry/edge/performers.py
@@ -37,6 +37,9 @@
 ANSWER_MAX_BYTES = 64 << 20
 # Maximum time that a request waits for the answers to its load probes.
 LOAD_PROBE_WAIT_MS = 15.0
+# Maximum time by which this VM may notice the end of that wait too late, so that a
+# probe without an answer says something about its target.
+OWN_DELAY_MAX_MS = 3.0
 
 
 def make_performers(
@@ -136,26 +139,26 @@
     def probe_loads(effect, context):
         needed = effect.needed
         until_ms = clock.now_ms() + LOAD_PROBE_WAIT_MS
+        outstanding = set()
         for target_id, address in needed.targets:
             key = SendProbe(needed.service_name, target_id, address, needed.path)
             exchange = start_load_probe(key, target_pools, until_ms, context.mailbox)
             context.key_by_exchange[exchange] = key
-        n_outstanding = len(needed.targets)
-        while n_outstanding:
+            outstanding.add(exchange)
+        while outstanding:
             message = receive(context.mailbox, until_ms - clock.now_ms())
             if message is None:
-                cancel_load_probes(context)
-                return False
+                give_up_waiting(outstanding, until_ms, context)
+                return
             key = None
             if type(message) is ExchangeResult:
                 key = context.key_by_exchange.get(message.exchange)
             if type(key) is not SendProbe:
                 context.pending.append(message)
                 continue
-            n_outstanding -= 1
+            outstanding.discard(message.exchange)
             if note_load_probe(message, context):
-                return True
-        return True
+                return
 
     def note_load_probe(message, context):
         """Report a load probe's result; return whether its target is not slowed down.
@@ -174,12 +177,13 @@
             and report.slowdown <= 1.0
         )
 
-    def cancel_load_probes(context):
-        for exchange, key in list(context.key_by_exchange.items()):
-            if type(key) is SendProbe:
-                del context.key_by_exchange[exchange]
-                exchange.cancel()
-                control_task.post(unanswered_result(key))
+    def give_up_waiting(exchanges, until_ms, context):
+        # The probes go on: an answer that comes later still tells the target's load. If
+        # this VM itself was late, the answers may be there and not be read yet.
+        if clock.now_ms() - until_ms > OWN_DELAY_MAX_MS:
+            return
+        for exchange in exchanges:
+            control_task.post(unanswered_result(context.key_by_exchange[exchange]))
 
     def await_event(effect, context):
         while True:
