Let a slow target that was never used keep no request waiting

Cause: while some target was never sent a request, the first of them was selected whatever its speed, and if it was slow the request waited.

Change: an unused target is preferred only if it isn't known to be slow.

Measured: test_a_slow_target_that_was_never_used_keeps_no_request_waiting failed before; test_outdated_connections_are_closed_and_unused_pools_removed is new.

--- a/packages/core/hornbeamstand_core/controllers/capacity.py
+++ b/packages/core/hornbeamstand_core/controllers/capacity.py
@@ -233,12 +233,21 @@
         )
 
     def _find_unused(self, eligible, message, now_ms):
+        """Return a target that was never sent a request, or None.
+
+        A slow one is not returned: the request would wait for it while others are free.
+        """
         if message.kind != FIRST:
             return None
+        found = None
         for target in eligible:
             if target.n_sent == 0 and now_ms - target.sent_at_ms > UNUSED_MS:
-                return target
-        return None
+                current_class = speed_class(target, now_ms)
+                if current_class == FAST:
+                    return target
+                if current_class == UNKNOWN:
+                    found = found or target
+        return found
 
     def _is_within_cold_rate(self, target, now_ms):
         if not target.is_cold(now_ms):
--- a/packages/core/tests/test_capacity.py
+++ b/packages/core/tests/test_capacity.py
@@ -303,6 +303,16 @@
     assert harness.acquire(n_probe_rounds=1).target_id == "t2"
 
 
+def test_a_slow_target_that_was_never_used_keeps_no_request_waiting():
+    """Plays the first requests after a start, when no target has been used yet."""
+    harness = ServiceHarness([make_entry("t1"), make_entry("t2"), make_entry("t3")])
+    harness.now_ms = 2000.0
+    harness.report_load("t1", slowdown=4.0)
+    harness.report_load("t3", slowdown=1.0)
+    assert harness.acquire().target_id == "t3"
+    assert harness.acquire().target_id == "t2"
+
+
 def test_few_targets_are_probed_for_each_request_that_waits():
     """Plays the first second after a start: many targets, none known to be fast.
 
--- a/packages/entry/hornbeamstand_entry/edge/calls.py
+++ b/packages/entry/hornbeamstand_entry/edge/calls.py
@@ -3,7 +3,7 @@
 import gevent
 from gevent.queue import SimpleQueue
 
-from ..tasks.connections import Exchange
+from ..tasks.exchange import Exchange
 
 
 def call(pools, clock, address, method, request_bytes, timeout_ms, answer_max_bytes):
--- a/packages/entry/hornbeamstand_entry/edge/load_probes.py
+++ b/packages/entry/hornbeamstand_entry/edge/load_probes.py
@@ -10,7 +10,7 @@
 from hornbeamstand_core.messages import SendFailure
 
 from ..encoding import encode_request
-from ..tasks.connections import Exchange, ExchangeResult
+from ..tasks.exchange import Exchange, ExchangeResult
 from ..tasks.task import Task
 
 # Maximum size of a probe's answer.
--- a/packages/entry/hornbeamstand_entry/edge/performers.py
+++ b/packages/entry/hornbeamstand_entry/edge/performers.py
@@ -28,7 +28,7 @@
 
 from ..context import CALLER_GONE
 from ..encoding import split_request
-from ..tasks.connections import Exchange, ExchangeResult
+from ..tasks.exchange import Exchange, ExchangeResult
 from ..tasks.task import receive
 from .load_probes import read_load_probe, start_load_probe, unanswered_result
 from .messages import peer_items, peer_response, target_items, target_response
--- a/packages/entry/hornbeamstand_entry/performers.py
+++ b/packages/entry/hornbeamstand_entry/performers.py
@@ -23,7 +23,7 @@
 from . import headers
 from .context import CALLER_GONE
 from .encoding import decode_capacity, encode_request, peer_response, target_response
-from .tasks.connections import Exchange, ExchangeResult
+from .tasks.exchange import Exchange, ExchangeResult
 from .tasks.task import Ask
 
 # Maximum age of a permit at which its request may still be sent. After a longer delay
--- a/packages/entry/hornbeamstand_entry/tasks/connections.py
+++ b/packages/entry/hornbeamstand_entry/tasks/connections.py
@@ -1,8 +1,8 @@
-"""Connections to one address: a pool task, and a task for each connection.
+"""The task of one connection, which owns its socket.
 
-A connection task owns its socket. It sends one request at a time, reads the complete
-response, passes the result to the requester and reports to its pool. A connection whose
-exchange was cancelled is closed and never used again.
+It sends one request at a time, reads the complete response, passes the result to the
+requester and reports to its pool. A connection whose exchange was cancelled is closed
+and never used again.
 """
 
 import socket
@@ -18,8 +18,9 @@
 from hornbeamstand_core.records import Record
 
 from .byte_budget import ByteBudget
+from .exchange import ExchangeResult
 from .response_parser import ERROR_STATUS_MIN, ResponseParser, read_response
-from .task import Task, receive
+from .task import Task
 
 # Timeout for opening a connection.
 CONNECT_TIMEOUT_MS = 1000.0
@@ -29,8 +30,6 @@
 LAST_RESPONSE_MAX_AGE_MS = 1000.0
 # Maximum idle time after which a connection is still reused.
 IDLE_MAX_MS = 30_000.0
-# Maximum number of idle connections that a pool keeps.
-N_IDLE_MAX = 64
 # Maximum number of error responses on a connection. A connection with more is closed,
 # so that the ids of their requests take little memory.
 N_FAILED_IDS_MAX = 32
@@ -101,82 +100,6 @@
         self.answer_budget = answer_budget or ByteBudget()
 
 
-class Exchange:
-    """One request to send, and the mailbox that its result is put into.
-
-    ``not_after_ms`` is the time on the local clock from which the request is no longer
-    sent. ``needs_recent_response`` is set for a request that may run only once.
-    ``request_bytes`` is the whole request, or its head if it has a separate ``body``.
-    A response fails if its body is longer than ``answer_max_bytes`` before it is
-    complete. ``expected_id`` is the request id that the response echoes, or None.
-    ``is_sent`` is set as soon as any byte may have been sent. ``connection`` carries
-    the exchange, and is None until one is assigned.
-    """
-
-    __slots__ = (
-        "method",
-        "request_bytes",
-        "not_after_ms",
-        "needs_recent_response",
-        "answer_max_bytes",
-        "reply_to",
-        "expected_id",
-        "is_sent",
-        "is_cancelled",
-        "has_timed_out",
-        "connection",
-        "body",
-    )
-
-    def __init__(
-        self,
-        method,
-        request_bytes,
-        not_after_ms,
-        needs_recent_response,
-        answer_max_bytes,
-        reply_to,
-        expected_id=None,
-        body=b"",
-    ):
-        self.method = method
-        self.request_bytes = request_bytes
-        self.not_after_ms = not_after_ms
-        self.needs_recent_response = needs_recent_response
-        self.answer_max_bytes = answer_max_bytes
-        self.reply_to = reply_to
-        self.expected_id = expected_id
-        self.body = body
-        self.is_sent = False
-        self.is_cancelled = False
-        self.has_timed_out = False
-        self.connection = None
-
-    def receive_result(self, timeout_ms):
-        """Return the result of the exchange, or a message of another type.
-
-        Late results of earlier exchanges are dropped, so that a response is only
-        taken for its own request. The result is None after the timeout.
-        """
-        while True:
-            message = receive(self.reply_to, timeout_ms)
-            if type(message) is not ExchangeResult:
-                return message
-            if message.exchange is self:
-                return message.result
-
-    def cancel(self, has_timed_out=False):
-        """Cancel the exchange and close the connection that carries it, if any.
-
-        ``has_timed_out`` states that no response came in time.
-        """
-        self.is_cancelled = True
-        self.has_timed_out = has_timed_out
-        connection = self.connection
-        if connection is not None and connection.exchange is self:
-            connection.task.greenlet.kill(block=False)
-
-
 class Connection:
     """The task of one connection, its current exchange and its last response's time.
 
@@ -209,16 +132,6 @@
         self.failed_ids = set()
 
 
-class ExchangeResult(Record):
-    """The result of an exchange: a CompleteResponse or a SendFailure."""
-
-    __slots__ = ("exchange", "result")
-
-    def __init__(self, exchange, result):
-        self.exchange = exchange
-        self.result = result
-
-
 class ConnectionIdle(Record):
     """A connection has completed an exchange and can carry another one."""
 
@@ -241,127 +154,6 @@
         self.has_timed_out = has_timed_out
 
 
-class ConnectionPool:
-    """The task that assigns exchanges to the connections of one address.
-
-    After a reused connection did not respond in time, those that were opened earlier
-    may be broken too. They are closed when they become idle, or when a newer one does.
-
-    Parameters
-    ----------
-    address : str
-        IP address and port.
-    clock : Clock
-        The process's clock.
-    rules : ConnectionRules, optional
-        How connections are opened, read and kept.
-    """
-
-    __slots__ = (
-        "address",
-        "clock",
-        "rules",
-        "task",
-        "_idle",
-        "_connection_tasks",
-        "_timed_out_at_ms",
-    )
-
-    def __init__(self, address, clock, rules=None):
-        self.address = address
-        self.clock = clock
-        self.rules = rules or ConnectionRules()
-        self.task = Task(f"pool {address}")
-        self._idle = []
-        self._connection_tasks = set()
-        self._timed_out_at_ms = float("-inf")
-
-    def start(self, stack):
-        """Start the task; the exit stack ends it and closes its connections."""
-        self.task.start(self._run, stack)
-        stack.callback(self._close_all)
-
-    def _run(self):
-        while True:
-            message = self.task.mailbox.get()
-            if type(message) is Exchange:
-                self._assign(message)
-            elif type(message) is ConnectionIdle:
-                self._note_idle(message.connection)
-            else:
-                self._note_closed(message)
-
-    def _assign(self, exchange):
-        if exchange.is_cancelled:
-            return
-        connection = self._take_idle(exchange)
-        if connection is None:
-            connection = self._open()
-        exchange.connection = connection
-        connection.exchange = exchange
-        connection.task.post(exchange)
-
-    def _take_idle(self, exchange):
-        """Return an idle connection that may carry an exchange, or None.
-
-        A request is not sent again on a connection where it got an error response: a
-        late copy of that response would pass for the answer to the second send.
-        """
-        now_ms = self.clock.now_ms()
-        passed_over = []
-        taken = None
-        while self._idle and taken is None:
-            connection = self._idle.pop()
-            if exchange.expected_id in connection.failed_ids:
-                passed_over.append(connection)
-            elif self._is_recent_enough(connection, exchange, now_ms):
-                taken = connection
-            else:
-                connection.task.greenlet.kill(block=False)
-        self._idle += reversed(passed_over)
-        return taken
-
-    def _is_recent_enough(self, connection, exchange, now_ms):
-        age_ms = now_ms - connection.last_response_at_ms
-        limit_ms = connection.idle_max_ms
-        if exchange.needs_recent_response:
-            limit_ms = min(limit_ms, self.rules.last_response_max_age_ms)
-        return age_ms <= limit_ms
-
-    def _open(self):
-        connection = Connection(f"connection {self.address}", self.rules)
-        self._connection_tasks.add(connection.task)
-        connection.task.greenlet = gevent.spawn(
-            run_connection, connection, self.address, self.task, self.clock
-        )
-        return connection
-
-    def _note_idle(self, connection):
-        if connection.opened_at_ms < self._timed_out_at_ms:
-            connection.task.greenlet.kill(block=False)
-            return
-        if len(self._idle) >= N_IDLE_MAX:
-            connection.task.greenlet.kill(block=False)
-            return
-        self._idle.append(connection)
-        if self._timed_out_at_ms > float("-inf"):
-            self._close_older()
-
-    def _close_older(self):
-        older = [c for c in self._idle if c.opened_at_ms < self._timed_out_at_ms]
-        for connection in older:
-            self._idle.remove(connection)
-            connection.task.greenlet.kill(block=False)
-
-    def _note_closed(self, closed):
-        self._connection_tasks.discard(closed.connection.task)
-        if closed.has_timed_out:
-            self._timed_out_at_ms = self.clock.now_ms()
-
-    def _close_all(self):
-        gevent.killall([task.greenlet for task in self._connection_tasks], block=False)
-
-
 def run_connection(connection, address, pool_task, clock):
     """Perform exchanges over one socket until one of them ends the connection."""
     closed = ConnectionClosed(connection, False)
--- /dev/null
+++ b/packages/entry/hornbeamstand_entry/tasks/exchange.py
@@ -0,0 +1,91 @@
+"""One request to send over a connection, and its result: messages between tasks."""
+
+from hornbeamstand_core.records import Record
+
+from .task import receive
+
+
+class Exchange:
+    """One request to send, and the mailbox that its result is put into.
+
+    ``not_after_ms`` is the time on the local clock from which the request is no longer
+    sent. ``needs_recent_response`` is set for a request that may run only once.
+    ``request_bytes`` is the whole request, or its head if it has a separate ``body``.
+    A response fails if its body is longer than ``answer_max_bytes`` before it is
+    complete. ``expected_id`` is the request id that the response echoes, or None.
+    ``is_sent`` is set as soon as any byte may have been sent. ``connection`` carries
+    the exchange, and is None until one is assigned.
+    """
+
+    __slots__ = (
+        "method",
+        "request_bytes",
+        "not_after_ms",
+        "needs_recent_response",
+        "answer_max_bytes",
+        "reply_to",
+        "expected_id",
+        "is_sent",
+        "is_cancelled",
+        "has_timed_out",
+        "connection",
+        "body",
+    )
+
+    def __init__(
+        self,
+        method,
+        request_bytes,
+        not_after_ms,
+        needs_recent_response,
+        answer_max_bytes,
+        reply_to,
+        expected_id=None,
+        body=b"",
+    ):
+        self.method = method
+        self.request_bytes = request_bytes
+        self.not_after_ms = not_after_ms
+        self.needs_recent_response = needs_recent_response
+        self.answer_max_bytes = answer_max_bytes
+        self.reply_to = reply_to
+        self.expected_id = expected_id
+        self.body = body
+        self.is_sent = False
+        self.is_cancelled = False
+        self.has_timed_out = False
+        self.connection = None
+
+    def receive_result(self, timeout_ms):
+        """Return the result of the exchange, or a message of another type.
+
+        Late results of earlier exchanges are dropped, so that a response is only
+        taken for its own request. The result is None after the timeout.
+        """
+        while True:
+            message = receive(self.reply_to, timeout_ms)
+            if type(message) is not ExchangeResult:
+                return message
+            if message.exchange is self:
+                return message.result
+
+    def cancel(self, has_timed_out=False):
+        """Cancel the exchange and close the connection that carries it, if any.
+
+        ``has_timed_out`` states that no response came in time.
+        """
+        self.is_cancelled = True
+        self.has_timed_out = has_timed_out
+        connection = self.connection
+        if connection is not None and connection.exchange is self:
+            connection.task.greenlet.kill(block=False)
+
+
+class ExchangeResult(Record):
+    """The result of an exchange: a CompleteResponse or a SendFailure."""
+
+    __slots__ = ("exchange", "result")
+
+    def __init__(self, exchange, result):
+        self.exchange = exchange
+        self.result = result
--- a/packages/entry/hornbeamstand_entry/tasks/orders_task.py
+++ b/packages/entry/hornbeamstand_entry/tasks/orders_task.py
@@ -12,7 +12,7 @@
 from ..encoding import encode_request
 from ..peer_codec import KeptResponse, decode_orders, encode_orders
 from ..responses import respond_json
-from .connections import Exchange
+from .exchange import Exchange
 from .task import Ask, Task, receive, start_loop
 
 # Timeout for sending orders to a peer and receiving its acknowledgement.
--- a/packages/entry/hornbeamstand_entry/tasks/pools.py
+++ b/packages/entry/hornbeamstand_entry/tasks/pools.py
@@ -1,27 +1,226 @@
-"""Connection pools of a process, one for each address."""
+"""Connection pools of a process: one task for each address."""
 
-from .connections import ConnectionPool
+from contextlib import ExitStack
+
+import gevent
+from hornbeamstand_core.records import Record
+
+from .connections import (
+    Connection,
+    ConnectionIdle,
+    ConnectionRules,
+    run_connection,
+)
+from .exchange import Exchange
+from .task import Task
+
+# Maximum number of idle connections that a pool keeps.
+N_IDLE_MAX = 64
+# Interval at which the pools close connections that have been idle for too long, and at
+# which pools without connections are removed.
+SWEEP_INTERVAL_MS = 10_000.0
+MS_PER_S = 1000.0
+
+
+class CloseOutdated(Record):
+    """Close the connections that have been idle for too long to be used again."""
+
+    __slots__ = ()
+
+
+class ConnectionPool:
+    """The task that assigns exchanges to the connections of one address.
+
+    After a reused connection did not respond in time, those that were opened earlier
+    may be broken too. They are closed when they become idle, or when a newer one does.
+
+    Parameters
+    ----------
+    address : str
+        IP address and port.
+    clock : Clock
+        The process's clock.
+    rules : ConnectionRules, optional
+        How connections are opened, read and kept.
+    """
+
+    __slots__ = (
+        "address",
+        "clock",
+        "rules",
+        "task",
+        "_idle",
+        "_connection_tasks",
+        "_timed_out_at_ms",
+    )
+
+    def __init__(self, address, clock, rules=None):
+        self.address = address
+        self.clock = clock
+        self.rules = rules or ConnectionRules()
+        self.task = Task(f"pool {address}")
+        self._idle = []
+        self._connection_tasks = set()
+        self._timed_out_at_ms = float("-inf")
+
+    def start(self, stack):
+        """Start the task; the exit stack ends it and closes its connections."""
+        self.task.start(self._run, stack)
+        stack.callback(self._close_all)
+
+    def _run(self):
+        while True:
+            message = self.task.mailbox.get()
+            if type(message) is Exchange:
+                self._assign(message)
+            elif type(message) is ConnectionIdle:
+                self._note_idle(message.connection)
+            elif type(message) is CloseOutdated:
+                self._close_outdated()
+            else:
+                self._note_closed(message)
+
+    def _assign(self, exchange):
+        if exchange.is_cancelled:
+            return
+        connection = self._take_idle(exchange)
+        if connection is None:
+            connection = self._open()
+        exchange.connection = connection
+        connection.exchange = exchange
+        connection.task.post(exchange)
+
+    def _take_idle(self, exchange):
+        """Return an idle connection that may carry an exchange, or None.
+
+        A request is not sent again on a connection where it got an error response: a
+        late copy of that response would pass for the answer to the second send.
+        """
+        now_ms = self.clock.now_ms()
+        passed_over = []
+        taken = None
+        while self._idle and taken is None:
+            connection = self._idle.pop()
+            if exchange.expected_id in connection.failed_ids:
+                passed_over.append(connection)
+            elif self._is_recent_enough(connection, exchange, now_ms):
+                taken = connection
+            else:
+                connection.task.greenlet.kill(block=False)
+        self._idle += reversed(passed_over)
+        return taken
+
+    def _is_recent_enough(self, connection, exchange, now_ms):
+        age_ms = now_ms - connection.last_response_at_ms
+        limit_ms = connection.idle_max_ms
+        if exchange.needs_recent_response:
+            limit_ms = min(limit_ms, self.rules.last_response_max_age_ms)
+        return age_ms <= limit_ms
+
+    def _open(self):
+        connection = Connection(f"connection {self.address}", self.rules)
+        self._connection_tasks.add(connection.task)
+        connection.task.greenlet = gevent.spawn(
+            run_connection, connection, self.address, self.task, self.clock
+        )
+        return connection
+
+    def _note_idle(self, connection):
+        if connection.opened_at_ms < self._timed_out_at_ms:
+            connection.task.greenlet.kill(block=False)
+            return
+        if len(self._idle) >= N_IDLE_MAX:
+            connection.task.greenlet.kill(block=False)
+            return
+        self._idle.append(connection)
+        if self._timed_out_at_ms > float("-inf"):
+            self._close_older()
+
+    def _close_older(self):
+        older = [c for c in self._idle if c.opened_at_ms < self._timed_out_at_ms]
+        for connection in older:
+            self._idle.remove(connection)
+            connection.task.greenlet.kill(block=False)
+
+    def _close_outdated(self):
+        now_ms = self.clock.now_ms()
+        outdated = [
+            connection
+            for connection in self._idle
+            if now_ms - connection.last_response_at_ms > connection.idle_max_ms
+        ]
+        for connection in outdated:
+            self._idle.remove(connection)
+            connection.task.greenlet.kill(block=False)
+
+    @property
+    def is_unused(self):
+        """Return whether the pool has no connection and no message to handle."""
+        return not self._connection_tasks and self.task.mailbox.empty()
+
+    def _note_closed(self, closed):
+        self._connection_tasks.discard(closed.connection.task)
+        if closed.has_timed_out:
+            self._timed_out_at_ms = self.clock.now_ms()
+
+    def _close_all(self):
+        gevent.killall([task.greenlet for task in self._connection_tasks], block=False)
 
 
 class Pools:
     """Creates the pool of an address when the address is first used.
 
-    ``rules`` are the ConnectionRules of all pools, or None for the defaults.
+    A pool that has no connections any more is removed, so that targets that come and go
+    at new addresses leave nothing behind.
+
+    Parameters
+    ----------
+    clock : Clock
+        The process's clock.
+    stack : ExitStack
+        Ends the pools and closes their connections.
+    rules : ConnectionRules, optional
+        Rules of all pools.
     """
 
-    __slots__ = ("clock", "rules", "stack", "_pools")
+    __slots__ = ("clock", "rules", "_pools", "_stacks")
 
     def __init__(self, clock, stack, rules=None):
         self.clock = clock
         self.rules = rules
-        self.stack = stack
         self._pools = {}
+        # Maps an address to the exit stack of its pool.
+        self._stacks = {}
+        sweeper = gevent.spawn(self._sweep_loop)
+        stack.callback(sweeper.kill, block=False)
+        stack.callback(self._close_all)
 
     def post(self, address, exchange):
         """Pass an exchange to the pool of an address."""
-        pool = self._pools.get(address)
-        if pool is None:
-            pool = ConnectionPool(address, self.clock, self.rules)
-            pool.start(self.stack)
-            self._pools[address] = pool
+        pool = self._pools.get(address) or self._open(address)
         pool.task.post(exchange)
+
+    def _open(self, address):
+        pool = ConnectionPool(address, self.clock, self.rules)
+        self._pools[address] = pool
+        self._stacks[address] = ExitStack()
+        pool.start(self._stacks[address])
+        return pool
+
+    def _sweep_loop(self):
+        while True:
+            gevent.sleep(SWEEP_INTERVAL_MS / MS_PER_S)
+            self.sweep()
+
+    def sweep(self):
+        """Remove the pools without connections; let the others close outdated ones."""
+        for address, pool in list(self._pools.items()):
+            if pool.is_unused:
+                del self._pools[address]
+                self._stacks.pop(address).close()
+            else:
+                pool.task.post(CloseOutdated())
+
+    def _close_all(self):
+        for stack in self._stacks.values():
+            stack.close()
--- a/packages/entry/hornbeamstand_entry/tasks/prober.py
+++ b/packages/entry/hornbeamstand_entry/tasks/prober.py
@@ -4,7 +4,7 @@
 from hornbeamstand_core.balancer_messages import ProbeResult
 
 from ..encoding import encode_request, read_report
-from .connections import Exchange
+from .exchange import Exchange
 from .task import Task
 
 # Timeout of one probe, after which it counts as failed.
--- a/packages/entry/tests/test_connections.py
+++ b/packages/entry/tests/test_connections.py
@@ -8,7 +8,9 @@
 from gevent.server import StreamServer
 from hornbeamstand_core.messages import SendFailure
 from hornbeamstand_entry.clock import make_process_clock
-from hornbeamstand_entry.tasks.connections import ConnectionPool, Exchange
+from hornbeamstand_entry.tasks.connections import ConnectionRules
+from hornbeamstand_entry.tasks.exchange import Exchange
+from hornbeamstand_entry.tasks.pools import ConnectionPool, Pools
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -19,6 +21,7 @@
 
     def __init__(self, stack):
         self.n_connections = 0
+        self.n_open = 0
         self.behave = lambda connection, n_request: "answer"
         self.stream_server = StreamServer(("127.0.0.1", 0), self.serve)
         self.stream_server.start()
@@ -27,7 +30,13 @@
 
     def serve(self, sock, _):
         self.n_connections += 1
-        number = self.n_connections
+        self.n_open += 1
+        try:
+            self.serve_requests(sock, self.n_connections)
+        finally:
+            self.n_open -= 1
+
+    def serve_requests(self, sock, number):
         n_request = 0
         while sock.recv(65536):
             n_request += 1
@@ -176,3 +185,23 @@
     result = exchange.receive_result(1000.0)
     assert isinstance(result, SendFailure)
     assert not result.may_have_run
+
+
+def test_outdated_connections_are_closed_and_unused_pools_removed(stack):
+    """Targets come and go at new addresses for as long as a VM runs."""
+    server = ScriptedServer(stack)
+    pools = Pools(make_process_clock(), stack, ConnectionRules(idle_max_ms=50.0))
+    mailbox = SimpleQueue()
+    not_after_ms = pools.clock.now_ms() + 1000.0
+    exchange = Exchange("GET", REQUEST, not_after_ms, False, 1000, mailbox)
+    pools.post(server.address, exchange)
+    assert body(exchange.receive_result(1000.0)) == b"01"
+    pools.sweep()
+    gevent.sleep(0.02)
+    assert server.n_open == 1
+    gevent.sleep(0.05)
+    pools.sweep()
+    gevent.sleep(0.02)
+    assert server.n_open == 0
+    pools.sweep()
+    assert pools._pools == {} and pools._stacks == {}
--- a/packages/entry/tests/test_edge_answers.py
+++ b/packages/entry/tests/test_edge_answers.py
@@ -18,11 +18,9 @@
     read_policy,
     target_response,
 )
-from hornbeamstand_entry.tasks.connections import (
-    ConnectionPool,
-    ConnectionRules,
-    Exchange,
-)
+from hornbeamstand_entry.tasks.connections import ConnectionRules
+from hornbeamstand_entry.tasks.exchange import Exchange
+from hornbeamstand_entry.tasks.pools import ConnectionPool
 from hornbeamstand_entry.tasks.response_parser import CompleteResponse
 
 NAMES = HeaderNames("Id", "Left", "Seal", "Not-Run", "Expect", "Load")
--- a/packages/entry/tests/test_performers.py
+++ b/packages/entry/tests/test_performers.py
@@ -20,7 +20,7 @@
 from hornbeamstand_entry.context import CALLER_GONE, RequestContext
 from hornbeamstand_entry.peer_codec import decode_orders, encode_orders
 from hornbeamstand_entry.performers import make_performers
-from hornbeamstand_entry.tasks.connections import ExchangeResult
+from hornbeamstand_entry.tasks.exchange import ExchangeResult
 
 
 def forward_request(end):
--- a/packages/entry/tests/test_repeated_answers.py
+++ b/packages/entry/tests/test_repeated_answers.py
@@ -13,11 +13,9 @@
 from hornbeamstand_entry.edge.messages import target_response
 from hornbeamstand_entry.encoding import target_response as product_target_response
 from hornbeamstand_entry.tasks.byte_budget import ByteBudget
-from hornbeamstand_entry.tasks.connections import (
-    ConnectionPool,
-    ConnectionRules,
-    Exchange,
-)
+from hornbeamstand_entry.tasks.connections import ConnectionRules
+from hornbeamstand_entry.tasks.exchange import Exchange
+from hornbeamstand_entry.tasks.pools import ConnectionPool
 
 NAMES = HeaderNames("Id", "Left", "Seal", "Not-Run", "Expect", "Load")
 DIALECT = Dialect(NAMES, None, "/l", "/r", lambda text: None, None, None, None)
--- a/packages/entry/tests/test_response_fuzz.py
+++ b/packages/entry/tests/test_response_fuzz.py
@@ -5,7 +5,8 @@
 from gevent.queue import SimpleQueue
 from hornbeamstand_entry.edge.heartbeats import decode_contacts, decode_heartbeat
 from hornbeamstand_entry.peer_codec import decode_orders
-from hornbeamstand_entry.tasks.connections import ConnectionRules, Exchange
+from hornbeamstand_entry.tasks.connections import ConnectionRules
+from hornbeamstand_entry.tasks.exchange import Exchange
 from hornbeamstand_entry.tasks.response_parser import (
     HEAD_MAX_BYTES,
     READ_BYTES,
