Move requests away from a VM whose processor does not keep up

Change: the controllers' ticks carry their delay. After four late ticks within 1.2 s a VM says in its heartbeats that it is overloaded, until no tick was late for 8 s. The owner is the first of the two preferred VMs that isn't overloaded, and lookups name others while there are any. No third VM takes over: it would have to read the targets first, and an overload would move on through the domain. On the wire the state is a lowered capacity, which VMs of earlier versions rank last.

--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -37,6 +37,7 @@
 from ..messages import Refusal, Release, Withdraw
 from ..records import Record
 from .capacity import ServiceCapacity
+from .overload import OverloadDetector
 from .peer_view import PeerView
 from .routing import Routing
 from .target_table import TargetTable
@@ -99,6 +100,7 @@
         "routing",
         "peers",
         "watch_scope",
+        "overload",
         "table",
         "services",
         "out_of_service_domains",
@@ -120,6 +122,7 @@
         # Without seeds, no peer announces the first configuration: each VM reads it.
         is_seed = not seed_ips or me.ip in seed_ips
         self.watch_scope = WatchScope(self.peers, is_seed)
+        self.overload = OverloadDetector()
         self.services = {}
         self.table = TargetTable(self.find_service)
         self.out_of_service_domains = {}
@@ -207,8 +210,9 @@
         """Return the addresses of the VMs that a lookup of a host names."""
         config = self.routing.config
         service_name = config.main_service(host) if config else None
-        ranked_ips = self.peers.ranked(service_name or host, now_ms, failure_domain)
-        return ranked_ips[: self.n_named]
+        return self.peers.named(
+            service_name or host, self.n_named, now_ms, failure_domain
+        )
 
     # The store.
 
@@ -356,7 +360,8 @@
     def _tick(self, message, now_ms):
         for service in self.services.values():
             service.note_owner(now_ms)
-        out = self._drain_all(now_ms)
+        out = self._note_delay(message.delay_ms, now_ms)
+        out += self._drain_all(now_ms)
         out += self.table.expire_suspects(now_ms)
         if now_ms >= self._next_round_ms:
             self._next_round_ms = now_ms + HEARTBEAT_ROUND_MS
@@ -366,6 +371,15 @@
         out += self.watch_scope.request_resync(self.revision, now_ms)
         return out
 
+    def _note_delay(self, delay_ms, now_ms):
+        """Note how late a tick was; tell the peers if this VM is overloaded now."""
+        if not self.overload.note_tick(delay_ms, now_ms):
+            return []
+        self.peers.set_overloaded(self.overload.is_overloaded)
+        self._next_round_ms = now_ms
+        event = "overloaded" if self.overload.is_overloaded else "keeps up"
+        return [StateChange("vm", event, self.me.ip, f"delay_ms={delay_ms:.0f}")]
+
     def _update_watch_scope(self, now_ms):
         """Watch what this VM needs, and drop the targets that it no longer needs."""
         if self.table.is_filled and not self.watch_scope.needs_targets(now_ms):
--- a/packages/core/hornbeamstand_core/controllers/peer_view.py
+++ b/packages/core/hornbeamstand_core/controllers/peer_view.py
@@ -11,6 +11,7 @@
 registered in the store, and they send it the addresses of others.
 """
 
+from itertools import islice
 from math import inf
 
 from ..edge_messages import StateChange
@@ -119,6 +120,7 @@
         "is_stopping",
         "is_preferred",
         "is_watching",
+        "is_overloaded",
         "revision",
         "config_version",
         "_ranks",
@@ -135,6 +137,7 @@
         self.is_stopping = False
         self.is_preferred = False
         self.is_watching = False
+        self.is_overloaded = False
         self.revision = 0
         self.config_version = 0
         self._ranks = {}
@@ -154,6 +157,7 @@
             now_ms - self.me.started_at_ms >= SETTLED_MS,
             self.is_preferred,
             self.is_watching,
+            self.is_overloaded,
             self.me.capacity,
             len(self.peers),
             self.config_version,
@@ -259,8 +263,16 @@
             for name in service_names
         )
         if self.is_preferred != was_preferred:
-            for peer in self.peers.values():
-                peer.sent_at_ms = -inf
+            self._expedite_all()
+
+    def set_overloaded(self, is_overloaded):
+        """Set whether this VM is overloaded; the next round tells all peers."""
+        self.is_overloaded = is_overloaded
+        self._expedite_all()
+
+    def _expedite_all(self):
+        for peer in self.peers.values():
+            peer.sent_at_ms = -inf
 
     def _interval_ms(self, sender, other_domain, is_other_preferred):
         """Return the interval of heartbeats from one VM to another.
@@ -375,12 +387,31 @@
     def owner(self, service_name, now_ms, failure_domain):
         """Return the address of a service's owner in a failure domain.
 
-        The owner counts the requests to the service's targets there. The result is
-        None if no VM is known to serve.
+        The owner counts the requests to the service's targets there. It is the first of
+        the preferred VMs that is not overloaded; others would have to read the targets
+        first. The result is None if no VM is known to serve.
         """
         order = self.ranked(service_name, now_ms, failure_domain)
+        for ip in order[:N_PREFERRED]:
+            if not self._is_overloaded(ip):
+                return ip
         return order[0] if order else None
 
+    def named(self, service_name, n_named, now_ms, failure_domain):
+        """Return the addresses that a lookup of a service names, at most ``n_named``.
+
+        An overloaded VM is named only if no other one can be.
+        """
+        order = self.ranked(service_name, now_ms, failure_domain)
+        able = (ip for ip in order if not self._is_overloaded(ip))
+        return list(islice(able, n_named)) or order[:n_named]
+
+    def _is_overloaded(self, ip):
+        if ip == self.me.ip:
+            return self.is_overloaded
+        peer = self.peers.get(ip)
+        return peer is not None and peer.heartbeat.is_overloaded
+
 
 def is_useful_contact(receiver, heartbeat):
     """Return whether ``receiver`` needs the address of another VM.
--- a/packages/core/hornbeamstand_core/edge_node_messages.py
+++ b/packages/core/hornbeamstand_core/edge_node_messages.py
@@ -17,7 +17,8 @@
     has begun; ``is_settled`` if it has been up long enough to become an owner;
     ``is_preferred`` if it is among the first VMs of a service's ranking and sends
     heartbeats at the short interval; ``is_watching`` if it watches at least the
-    operators' keys and the store is available to it. ``capacity`` is its size class,
+    operators' keys and the store is available to it; ``is_overloaded`` if its processor
+    does not keep up with its work. ``capacity`` is its size class,
     greater for larger VMs; ``n_peers`` is the number of peers that it receives
     heartbeats from. ``config_version`` is the version of its configuration, and
     ``revision`` the latest revision of the store that it has seen.
@@ -32,6 +33,7 @@
         "is_settled",
         "is_preferred",
         "is_watching",
+        "is_overloaded",
         "capacity",
         "n_peers",
         "config_version",
@@ -48,6 +50,7 @@
         is_settled,
         is_preferred,
         is_watching,
+        is_overloaded,
         capacity,
         n_peers,
         config_version,
@@ -61,6 +64,7 @@
         self.is_settled = is_settled
         self.is_preferred = is_preferred
         self.is_watching = is_watching
+        self.is_overloaded = is_overloaded
         self.capacity = capacity
         self.n_peers = n_peers
         self.config_version = config_version
@@ -153,9 +157,12 @@
 
 
 class EdgeTick(Record):
-    """Run the periodic work of the controllers."""
+    """Run the periodic work of the controllers, ``delay_ms`` after its time."""
 
-    __slots__ = ()
+    __slots__ = ("delay_ms",)
+
+    def __init__(self, delay_ms=0.0):
+        self.delay_ms = delay_ms
 
 
 class StopEdge(Record):
--- a/packages/core/tests/test_edge_peers.py
+++ b/packages/core/tests/test_edge_peers.py
@@ -156,3 +156,44 @@
     out = node.handle(StopEdge(), 10.0)
     sent = [m for m in out if isinstance(m, SendEdgeHeartbeat)]
     assert [(m.ip, m.heartbeat.is_stopping) for m in sent] == [("10.0.0.2", True)]
+
+
+def overload(node, from_ms):
+    """Deliver ticks that are late; returns the time of the last one."""
+    for i in range(5):
+        node.handle(EdgeTick(80.0), from_ms + 150.0 * i)
+    return from_ms + 600.0
+
+
+def test_an_overloaded_owner_hands_over_to_the_next_preferred_vm():
+    """Plays a VM whose processor is slowed down while its heartbeats still arrive."""
+    node = make_serving_node(capacity=3)
+    node.handle(make_heartbeat("10.0.0.2", capacity=2), 0.0)
+    node.handle(make_heartbeat("10.0.0.3", capacity=1), 0.0)
+    assert node.peers.owner("shop", 1.0, "a") == "10.0.0.1"
+    now_ms = overload(node, 10.0)
+    assert node.peers.owner("shop", now_ms, "a") == "10.0.0.2"
+    assert node.named_ips("h", "a", now_ms) == ["10.0.0.2", "10.0.0.3"]
+    node.handle(make_heartbeat("10.0.0.2", capacity=2, is_overloaded=True), now_ms)
+    assert node.peers.owner("shop", now_ms, "a") == "10.0.0.1"
+    assert node.named_ips("h", "a", now_ms) == ["10.0.0.3"]
+
+
+def test_an_overloaded_vm_tells_its_peers_at_once_and_again_once_it_keeps_up():
+    node = make_serving_node()
+    node.handle(make_heartbeat("10.0.0.2"), 0.0)
+    now_ms = overload(node, 10.0)
+    assert node.peers.own_heartbeat(now_ms).is_overloaded
+    node.handle(make_heartbeat("10.0.0.2"), 8590.0)
+    out = node.handle(EdgeTick(), 8609.0)
+    assert node.peers.is_overloaded
+    out = node.handle(EdgeTick(), 8611.0)
+    sent = [m.heartbeat.is_overloaded for m in out if isinstance(m, SendEdgeHeartbeat)]
+    assert sent == [False]
+
+
+def test_one_long_pause_is_no_overload():
+    node = make_serving_node()
+    node.handle(EdgeTick(5000.0), 5000.0)
+    node.handle(EdgeTick(60.0), 5100.0)
+    assert not node.peers.is_overloaded
--- a/packages/entry/hornbeamstand_entry/edge/control_task.py
+++ b/packages/entry/hornbeamstand_entry/edge/control_task.py
@@ -25,7 +25,15 @@
         Logs decisions and state changes.
     """
 
-    __slots__ = ("node", "clock", "log", "task", "_reply_mailboxes", "_recipients")
+    __slots__ = (
+        "node",
+        "clock",
+        "log",
+        "task",
+        "_reply_mailboxes",
+        "_recipients",
+        "_due_at_ms",
+    )
 
     def __init__(self, node, clock, log):
         self.node = node
@@ -33,6 +41,8 @@
         self.log = log
         self.task = Task("control-task")
         self._reply_mailboxes = {}
+        # When the next tick is due.
+        self._due_at_ms = clock.now_ms()
         self._recipients = {
             DeferredReply: self._reply,
             Decision: log.decision,
@@ -72,9 +82,13 @@
         self._deliver(self.node.handle(message, self.clock.now_ms()))
 
     def _tick(self):
-        self._deliver(self.node.handle(EdgeTick(), self.clock.now_ms()))
+        now_ms = self.clock.now_ms()
+        delay_ms = max(0.0, now_ms - self._due_at_ms)
+        self._deliver(self.node.handle(EdgeTick(delay_ms), now_ms))
         is_busy = any(service.waiting for service in self.node.services.values())
-        return BUSY_TICK_MS if is_busy else IDLE_TICK_MS
+        interval_ms = BUSY_TICK_MS if is_busy else IDLE_TICK_MS
+        self._due_at_ms = now_ms + interval_ms
+        return interval_ms
 
     def _deliver(self, messages):
         for message in messages:
--- a/packages/entry/hornbeamstand_entry/edge/heartbeats.py
+++ b/packages/entry/hornbeamstand_entry/edge/heartbeats.py
@@ -14,7 +14,13 @@
 # Size of an IPv4 address in a datagram.
 IP_BYTES = 4
 # Fields on the wire, in order. The receiver takes the sender's address from the socket.
-HEARTBEAT_FIELDS = tuple(name for name in EdgeHeartbeat.__slots__ if name != "ip")
+HEARTBEAT_FIELDS = tuple(
+    name for name in EdgeHeartbeat.__slots__ if name not in ("ip", "is_overloaded")
+)
+CAPACITY_INDEX = HEARTBEAT_FIELDS.index("capacity")
+# An overloaded VM sends its capacity lowered by this. VMs of versions that know no
+# overload rank it last then.
+OVERLOADED_CAPACITY = 1000
 HEARTBEAT_DECODER = msgspec.msgpack.Decoder(
     tuple[str, int, bool, bool, bool, bool, bool, int, int, int, int]
 )
@@ -22,17 +28,23 @@
 
 def encode_heartbeat(heartbeat):
     """Return a heartbeat as MessagePack."""
-    return msgspec.msgpack.encode(
-        [getattr(heartbeat, name) for name in HEARTBEAT_FIELDS]
-    )
+    fields = [getattr(heartbeat, name) for name in HEARTBEAT_FIELDS]
+    if heartbeat.is_overloaded:
+        fields[CAPACITY_INDEX] -= OVERLOADED_CAPACITY
+    return msgspec.msgpack.encode(fields)
 
 
 def decode_heartbeat(raw, ip):
     """Return the EdgeHeartbeat that ``ip`` sent, or None if the bytes are invalid."""
     try:
-        return EdgeHeartbeat(ip, *HEARTBEAT_DECODER.decode(raw))
+        values = HEARTBEAT_DECODER.decode(raw)
     except msgspec.DecodeError:
         return None
+    fields = dict(zip(HEARTBEAT_FIELDS, values, strict=True))
+    is_overloaded = fields["capacity"] < -OVERLOADED_CAPACITY / 2
+    if is_overloaded:
+        fields["capacity"] += OVERLOADED_CAPACITY
+    return EdgeHeartbeat(ip, is_overloaded=is_overloaded, **fields)
 
 
 def encode_contacts(contacts):
--- a/packages/entry/tests/test_response_fuzz.py
+++ b/packages/entry/tests/test_response_fuzz.py
@@ -3,7 +3,12 @@
 import msgspec
 import pytest
 from gevent.queue import SimpleQueue
-from hornbeamstand_entry.edge.heartbeats import decode_contacts, decode_heartbeat
+from hornbeamstand_core.edge_node_messages import EdgeHeartbeat
+from hornbeamstand_entry.edge.heartbeats import (
+    decode_contacts,
+    decode_heartbeat,
+    encode_heartbeat,
+)
 from hornbeamstand_entry.peer_codec import decode_orders
 from hornbeamstand_entry.tasks.connections import ConnectionRules
 from hornbeamstand_entry.tasks.exchange import Exchange
@@ -170,3 +175,11 @@
     assert decode_heartbeat(raw, "10.0.0.1") is None
     assert decode_contacts(raw) is None
     assert decode_orders(raw) is None
+
+
+@pytest.mark.parametrize("is_overloaded", [True, False])
+def test_heartbeats_are_decoded_as_they_were_encoded(is_overloaded):
+    sent = EdgeHeartbeat(
+        "10.0.0.1", "a", 7, True, False, True, True, True, is_overloaded, -2, 8, 3, 12
+    )
+    assert decode_heartbeat(encode_heartbeat(sent), "10.0.0.1") == sent
--- a/tests/edge_nodes.py
+++ b/tests/edge_nodes.py
@@ -51,6 +51,7 @@
         "is_settled": True,
         "is_preferred": True,
         "is_watching": True,
+        "is_overloaded": False,
         "capacity": 0,
         "n_peers": 8,
         "config_version": 0,
