--- a/packages/core/hornbeamstand_core/filters/attempts.py
+++ b/packages/core/hornbeamstand_core/filters/attempts.py
@@ -105,6 +105,12 @@
     return call.request.arrived_at_ms + HEDGE_DELAY_SHARE * policy.objective_ms
 
 
+def earliest_hedge_at_ms(call):
+    """Return the time before which no VM hedges a call."""
+    delay_ms = SLOW_HEDGE_DELAY_SHARE * call.policy.objective_ms
+    return call.request.arrived_at_ms + delay_ms
+
+
 def hedge_at_ms(call, permit):
     """Return when to hedge the send under a permit, or infinity if never."""
     share = {FAST: FAST_HEDGE_DELAY_SHARE, SLOW: SLOW_HEDGE_DELAY_SHARE}.get(
--- a/packages/core/hornbeamstand_core/filters/relay.py
+++ b/packages/core/hornbeamstand_core/filters/relay.py
@@ -21,7 +21,7 @@
     Refusal,
     SendFailure,
 )
-from .attempts import default_hedge_at_ms
+from .attempts import default_hedge_at_ms, earliest_hedge_at_ms
 
 # Interval at which a VM checks, while a relayed request is pending, whether the peer is
 # still alive.
@@ -75,10 +75,12 @@
     """Count the peer's sends as attempts; return None if another attempt is left.
 
     The result is otherwise an Err with the call's refusal. The peer may have sent the
-    request to one target. From the default time of a hedge on, it may have used up all
-    attempts.
+    request to one target, and to a second one from the earliest time of a hedge on.
+    From the default time of a hedge on, it may have used up all attempts.
     """
     call.n_may_have_run = 1
+    if now_ms >= earliest_hedge_at_ms(call):
+        call.n_may_have_run = 2
     if now_ms >= default_hedge_at_ms(call):
         call.n_may_have_run = call.policy.n_attempts_max
     if call.n_may_have_run < call.policy.n_attempts_max:
--- a/packages/entry/tests/test_connections.py
+++ b/packages/entry/tests/test_connections.py
@@ -9,7 +9,7 @@
 from hornbeamstand_core.messages import SendFailure
 from hornbeamstand_entry.clock import make_process_clock
 from hornbeamstand_entry.tasks.connections import ConnectionRules
-from hornbeamstand_entry.tasks.exchange import Exchange
+from hornbeamstand_entry.tasks.exchange import Exchange, ExchangeResult
 from hornbeamstand_entry.tasks.pools import ConnectionPool, Pools
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
@@ -205,3 +205,13 @@
     assert server.n_open == 0
     pools.sweep()
     assert pools._pools == {} and pools._stacks == {}
+
+
+def test_a_late_result_of_an_earlier_exchange_is_dropped():
+    mailbox = SimpleQueue()
+    earlier, current = (
+        Exchange("GET", REQUEST, 1000.0, False, 1000, mailbox) for _ in range(2)
+    )
+    mailbox.put(ExchangeResult(earlier, "earlier"))
+    mailbox.put(ExchangeResult(current, "current"))
+    assert current.receive_result(100.0) == "current"
