Let small VMs start from their peers instead of the store

Cause: each VM read the whole store at its start, a read and a watch of the changes since, though all but two VMs for each service and failure domain drop the targets 3 s later, and nearly all get the configuration from a peer at the same moment.

Change: a VM of a small size class that is no seed waits up to 1.5 s for a peer of its domain that watches the store, and serves with that peer's copy of the configuration: it relays to the owners, as it does later anyway. It reads the targets if it becomes preferred, and all keys if no peer is heard.

--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -32,6 +32,7 @@
     FetchConfig,
     RetryLimits,
     SendEdgeHeartbeat,
+    SetWatch,
     StopEdge,
 )
 from ..messages import Refusal, Release, Withdraw
@@ -246,11 +247,27 @@
         self.peers.revision = self.revision
         self.peers.config_version = self.routing.version
         self.watch_scope.note_update()
-        is_ready = self.routing.config is not None and self.table.is_filled
-        if is_ready and not self.peers.is_serving:
-            self.peers.is_serving = True
-            self.watch_scope.note_serving(now_ms)
-        return self._drain_all(now_ms)
+        return self._begin_serving(now_ms) + self._drain_all(now_ms)
+
+    def _begin_serving(self, now_ms):
+        """Serve from now on if this VM has what it needs for that.
+
+        A VM that serves without having read the targets says that it watches nothing,
+        so that its first read of the store does not take place.
+        """
+        if self.peers.is_serving or self.routing.config is None:
+            return []
+        has_targets = self.table.is_filled
+        if not has_targets and not self.watch_scope.may_serve_without_targets(now_ms):
+            return []
+        self.peers.is_serving = True
+        self.watch_scope.note_serving(now_ms)
+        if has_targets:
+            return []
+        return [
+            SetWatch(WATCH_NOTHING, has_targets=False),
+            StateChange("store", "following", WATCH_NOTHING, "started from peers"),
+        ]
 
     def _drain_all(self, now_ms):
         out = []
@@ -361,6 +378,7 @@
         for service in self.services.values():
             service.note_owner(now_ms)
         out = self._note_delay(message.delay_ms, now_ms)
+        out += self._begin_serving(now_ms)
         out += self._drain_all(now_ms)
         out += self.table.expire_suspects(now_ms)
         if now_ms >= self._next_round_ms:
--- a/packages/core/hornbeamstand_core/controllers/watch_scope.py
+++ b/packages/core/hornbeamstand_core/controllers/watch_scope.py
@@ -33,6 +33,11 @@
 # Time that a VM other than a seed waits for its peers to announce the first
 # configuration, before it watches the operators' keys itself.
 FIRST_CONFIG_WAIT_MS = 2500.0
+# Size class up to which a VM first waits for its peers to start without the store. Such
+# VMs are owners only in a domain without larger ones.
+SMALL_CAPACITY_MAX = -2
+# Time that such a VM waits before it reads the store like the others.
+FIRST_READ_WAIT_MS = 1500.0
 # Maximum time that this VM stays behind a peer's revision or version. Only then does it
 # turn to the store: the update may still arrive by itself.
 BEHIND_MAX_MS = 900.0
@@ -81,6 +86,24 @@
             self._serving_since_ms = now_ms
             self._informed_at_ms = now_ms
 
+    @property
+    def first_read_delay_ms(self):
+        """Time from the start of this VM until it reads the store.
+
+        Most VMs of a large fleet are small and need no targets: they relay requests to
+        the owners. They start with a peer's copy of the configuration and save the
+        store two calls each.
+        """
+        is_small = self.peers.me.capacity <= SMALL_CAPACITY_MAX
+        return FIRST_READ_WAIT_MS if is_small and not self.is_seed else 0.0
+
+    def may_serve_without_targets(self, now_ms):
+        """Return whether this VM may serve although it never read the targets."""
+        return (
+            self.first_read_delay_ms > 0.0
+            and self.peers.n_local_watching(now_ms) >= N_INFORMED_PEERS_MIN
+        )
+
     def note_update(self):
         """Record that the store or a peer delivered an update."""
         self._behind_since_ms = None
--- a/packages/core/tests/test_edge_watch_scope.py
+++ b/packages/core/tests/test_edge_watch_scope.py
@@ -3,11 +3,13 @@
 from tests.edge_nodes import (
     deferred_replies,
     deliver_heartbeats,
+    find_route,
     make_config,
     make_heartbeat,
     make_node,
     make_serving_node,
     make_snapshot,
+    messages_of_kind,
     resyncs_at,
     run_with_peers,
     watch_scopes,
@@ -196,3 +198,49 @@
     node.handle(StoreChanges([], 9), 4030.0)
     replies = deferred_replies(node.handle(EdgeTick(), 4300.0))
     assert [reply.target_id for reply in replies] == ["t1"]
+
+
+def make_starting_node(capacity, **peer):
+    """Return a VM that has just started, a peer's heartbeat and its configuration."""
+    node = make_node(capacity=capacity, started_at_ms=0.0)
+    node.handle(make_heartbeat("10.0.0.2", capacity=1, config_version=1, **peer), 10.0)
+    copy = StoreChanges([ConfigEntry("op/config", make_config())], 0)
+    return node, node.handle(copy, 20.0)
+
+
+def test_a_small_vm_starts_with_a_peers_copy_and_relays():
+    """With hundreds of VMs, a read of the store by each of them costs most calls."""
+    node, out = make_starting_node(capacity=-2)
+    assert node.watch_scope.first_read_delay_ms > 0.0
+    assert [(m.scope, m.has_targets) for m in messages_of_kind(out, SetWatch)] == [
+        (WATCH_NOTHING, False)
+    ]
+    assert node.peers.is_serving
+    assert find_route(node, now_ms=20.0).relay_to == "10.0.0.2"
+    assert run_with_peers(node, 4000.0, 30.0, n_peers=3) == []
+
+
+def test_a_small_vm_without_a_peer_that_watches_the_store_reads_it():
+    node, out = make_starting_node(capacity=-2, is_watching=False)
+    assert not node.peers.is_serving
+    assert not watch_scopes(out)
+    node.handle(make_heartbeat("10.0.0.2", capacity=1, config_version=1), 30.0)
+    node.handle(EdgeTick(), 40.0)
+    assert node.peers.is_serving
+
+
+def test_a_larger_vm_and_a_seed_read_the_store_at_once():
+    node, _ = make_starting_node(capacity=-1)
+    assert node.watch_scope.first_read_delay_ms == 0.0
+    assert not node.peers.is_serving
+    seed = make_node(capacity=-2, seeds=("10.0.0.1",))
+    assert seed.watch_scope.first_read_delay_ms == 0.0
+
+
+def test_a_small_vm_that_becomes_preferred_reads_the_targets():
+    node, _ = make_starting_node(capacity=-2)
+    out = []
+    for now_ms in range(100, 3000, 100):
+        out += node.handle(EdgeTick(), float(now_ms))
+    watches = messages_of_kind(out, SetWatch)
+    assert (watches[-1].scope, watches[-1].has_targets) == (WATCH_ALL, False)
--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -129,7 +129,12 @@
         self.store = StoreClient(
             settings.store_address, dialect.store, pools, self.clock, STORE_TIMEOUT_MS
         )
-        self.store_watcher = StoreWatcher(self.store, self.control_task, self.log)
+        self.store_watcher = StoreWatcher(
+            self.store,
+            self.control_task,
+            self.log,
+            self.node.watch_scope.first_read_delay_ms,
+        )
         key, value = dialect.vm_item(settings.vm_id, settings.ip)
         self.registration = Registration(self.store, key, value, self.log)
         heartbeats = HeartbeatTask(
--- a/packages/entry/hornbeamstand_entry/edge/store_watcher.py
+++ b/packages/entry/hornbeamstand_entry/edge/store_watcher.py
@@ -44,6 +44,8 @@
 class StoreWatcher:
     """Reads the whole store once, then watches the keys that SetWatch asks for.
 
+    A SetWatch that comes before the first read has begun takes its place.
+
     Parameters
     ----------
     store : StoreClient
@@ -52,28 +54,33 @@
         Receives snapshots and changes, and whether the store is available.
     log : EdgeLog
         Logs failed calls.
+    first_read_delay_ms : float
+        Time from the start until the first read.
     """
 
     __slots__ = (
         "store",
         "control_task",
         "log",
+        "first_read_delay_ms",
         "_scope",
         "_revision",
         "_targets_revision",
         "_wait_ms",
         "_is_retrying",
         "_may_read_stale",
+        "_is_first_read_due",
         "_has_first_read",
         "_pending_watch",
         "_backoff_ms",
         "_greenlet",
     )
 
-    def __init__(self, store, control_task, log):
+    def __init__(self, store, control_task, log, first_read_delay_ms=0.0):
         self.store = store
         self.control_task = control_task
         self.log = log
+        self.first_read_delay_ms = first_read_delay_ms
         # The first read covers all keys.
         self._scope = WATCH_ALL
         self._revision = None
@@ -84,6 +91,7 @@
         # Set after a failed call or a Resync, until a call succeeds.
         self._is_retrying = False
         self._may_read_stale = True
+        self._is_first_read_due = first_read_delay_ms <= 0.0
         self._has_first_read = False
         self._pending_watch = None
         self._backoff_ms = BACKOFF_MIN_MS
@@ -112,6 +120,8 @@
         While the controllers still hold the targets of the first read, all keys are
         watched from its revision on and not read a second time.
         """
+        if not self._is_first_read_due:
+            self._skip_first_read()
         if not self._has_first_read:
             self._pending_watch = message
             return
@@ -133,8 +143,16 @@
         self._greenlet.kill(block=False)
         self._greenlet = gevent.spawn(self._run)
 
+    def _skip_first_read(self):
+        self._greenlet.kill(block=False)
+        self._is_first_read_due = True
+        self._scope = WATCH_NOTHING
+        self._has_first_read = True
+
     def _run_first_read(self):
         """Read all keys; a SetWatch decides what is watched afterwards."""
+        gevent.sleep(self.first_read_delay_ms / MS_PER_S)
+        self._is_first_read_due = True
         self._retry_until_ok(self._read_all)
         self._scope = WATCH_NOTHING
         self._has_first_read = True
--- a/packages/entry/tests/test_edge_store_watcher.py
+++ b/packages/entry/tests/test_edge_store_watcher.py
@@ -218,3 +218,26 @@
     task.resync(Resync(5))
     gevent.sleep(0.01)
     assert store.calls[-1] == ("watch", "", 5, store_watcher.RETRY_WATCH_WAIT_MS)
+
+
+def test_a_vm_that_starts_from_its_peers_does_not_read_the_store():
+    store, control_task = Store(), ControlTask()
+    with ExitStack() as stack:
+        task = StoreWatcher(store, control_task, Log(), first_read_delay_ms=50.0)
+        start(task, stack)
+        task.set_watch(SetWatch(WATCH_NOTHING, has_targets=False))
+        gevent.sleep(0.1)
+        assert store.calls == []
+        task.set_watch(SetWatch(WATCH_ALL, has_targets=False))
+        gevent.sleep(0.01)
+        assert store.calls[0] == ("stale read", "")
+
+
+def test_a_vm_that_hears_of_no_peer_reads_the_store_after_the_delay():
+    store, control_task = Store(), ControlTask()
+    with ExitStack() as stack:
+        task = StoreWatcher(store, control_task, Log(), first_read_delay_ms=50.0)
+        start(task, stack)
+        assert store.calls == []
+        gevent.sleep(0.1)
+        assert store.calls[0] == ("stale read", "")
