Part the ranking of owners from the view of peers

Change: controllers/ranking.py has the order of the VMs that may own a service, the owner and the VMs that lookups name; PeerView lists the candidates. No behaviour changes.

--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -178,7 +178,9 @@
         policy = self.routing.find(message.host, message.path)
         if isinstance(policy, Refusal):
             return [DeferredReply(message.request_id, policy)]
-        owner = self.peers.owner(policy.service_name, now_ms, self.me.failure_domain)
+        owner = self.peers.ranking.owner(
+            policy.service_name, now_ms, self.me.failure_domain
+        )
         serves_here = owner is None or owner == self.me.ip
         routed = Routed(policy, None if serves_here else owner)
         return [DeferredReply(message.request_id, routed)]
@@ -190,7 +192,9 @@
         return service.acquire(message, now_ms)
 
     def _owns(self, service_name, failure_domain, now_ms):
-        return self.peers.owner(service_name, now_ms, failure_domain) == self.me.ip
+        return (
+            self.peers.ranking.owner(service_name, now_ms, failure_domain) == self.me.ip
+        )
 
     def _note_load(self, message, now_ms):
         service = self.find_service(message.service_name)
@@ -211,7 +215,7 @@
         """Return the addresses of the VMs that a lookup of a host names."""
         config = self.routing.config
         service_name = config.main_service(host) if config else None
-        return self.peers.named(
+        return self.peers.ranking.named(
             service_name or host, self.n_named, now_ms, failure_domain
         )
 
--- a/packages/core/hornbeamstand_core/controllers/peer_view.py
+++ b/packages/core/hornbeamstand_core/controllers/peer_view.py
@@ -1,9 +1,4 @@
-"""Which entry VMs are alive, and which of them owns a service.
-
-The owner of a service in a failure domain counts the requests to the service's
-targets there. Ownership is a preference, not an exclusive right: it keeps one count
-exact in normal operation. A VM that can't reach the owner serves the request itself,
-from its own counts and the targets' load reports.
+"""Which entry VMs are alive, and which of them may own a service.
 
 Traffic between failure domains is billed by the byte. VMs of one domain exchange
 heartbeats often; across domains, only preferred VMs do: those at the head of a
@@ -11,7 +6,6 @@
 registered in the store, and they send it the addresses of others.
 """
 
-from itertools import islice
 from math import inf
 
 from ..edge_messages import StateChange
@@ -21,7 +15,7 @@
     SendContacts,
     SendEdgeHeartbeat,
 )
-from ..hashing import score
+from .ranking import N_PREFERRED, Ranking
 
 # Intervals of heartbeats to peers of the same failure domain. Preferred VMs use the
 # short one: callers depend on them, so their loss must be noticed soon.
@@ -44,14 +38,6 @@
 CONTACTS_INTERVAL_MS = 400.0
 # Maximum number of addresses in one message with contacts.
 N_CONTACTS_MAX = 300
-# Number of VMs at the head of a service's ranking that are preferred: they send
-# heartbeats at the short intervals and watch the targets.
-N_PREFERRED = 2
-# Maximum number of candidates in a failure domain for which one VM owns all services.
-# With more of them, each service has its own ranking and owner.
-N_ONE_OWNER_MAX = 12
-# Maximum age of the cached list of candidates.
-CANDIDATES_MAX_AGE_MS = 40.0
 # Minimum uptime of an owner. It does not apply while no candidate has been up for this
 # long.
 SETTLED_MS = 2500.0
@@ -100,8 +86,9 @@
 class PeerView:
     """The peers that this VM receives heartbeats from.
 
-    ``peers`` and ``contacts`` map an IP address to its Peer and Contact. The slots from
-    ``is_serving`` to ``config_version`` are this VM's own, as in its heartbeats.
+    ``peers`` and ``contacts`` map an IP address to its Peer and Contact, and
+    ``ranking`` orders the VMs that may own a service. The slots from ``is_serving`` to
+    ``config_version`` are this VM's own, as in its heartbeats.
 
     Parameters
     ----------
@@ -123,9 +110,7 @@
         "is_overloaded",
         "revision",
         "config_version",
-        "_ranks",
-        "_candidates",
-        "_candidates_expire_at_ms",
+        "ranking",
     )
 
     def __init__(self, me, seed_ips):
@@ -140,9 +125,7 @@
         self.is_overloaded = False
         self.revision = 0
         self.config_version = 0
-        self._ranks = {}
-        self._candidates = ()
-        self._candidates_expire_at_ms = -inf
+        self.ranking = Ranking(self.candidates, self._is_overloaded)
 
     # Heartbeats.
 
@@ -241,7 +224,7 @@
 
         The preferred VMs are not counted.
         """
-        ranked = self.ranked("", now_ms, self.me.failure_domain)
+        ranked = self.ranking.ranked("", now_ms, self.me.failure_domain)
         rank = ranked.index(self.me.ip) if self.me.ip in ranked else 0
         return max(0, rank - N_PREFERRED)
 
@@ -259,7 +242,7 @@
         was_preferred = self.is_preferred
         self.is_preferred = any(
             self.me.ip
-            in self.ranked(name, now_ms, self.me.failure_domain)[:N_PREFERRED]
+            in self.ranking.ranked(name, now_ms, self.me.failure_domain)[:N_PREFERRED]
             for name in service_names
         )
         if self.is_preferred != was_preferred:
@@ -342,70 +325,6 @@
         settled = [heartbeat for heartbeat in heartbeats if heartbeat.is_settled]
         return settled or heartbeats
 
-    def _refresh_candidates(self, now_ms):
-        if now_ms < self._candidates_expire_at_ms:
-            return
-        self._candidates_expire_at_ms = now_ms + CANDIDATES_MAX_AGE_MS
-        candidates = tuple(
-            sorted(
-                (heartbeat.ip, heartbeat.failure_domain, heartbeat.capacity)
-                for heartbeat in self.candidates(now_ms)
-            )
-        )
-        if candidates != self._candidates:
-            self._candidates = candidates
-            self._ranks = {}
-
-    def ranked(self, service_name, now_ms, failure_domain):
-        """Return the candidates' addresses in order of preference for a service.
-
-        Candidates of ``failure_domain`` come before all others; within each group,
-        larger VMs come before smaller ones. In a small domain, the order is the same
-        for all services.
-        """
-        self._refresh_candidates(now_ms)
-        order = self._ranks.get((service_name, failure_domain))
-        if order is None:
-            order = self._rank(service_name, failure_domain)
-            self._ranks[(service_name, failure_domain)] = order
-        return order
-
-    def _rank(self, service_name, failure_domain):
-        local = [item for item in self._candidates if item[1] == failure_domain]
-        remote = [item for item in self._candidates if item[1] != failure_domain]
-        hash_key = service_name if len(local) > N_ONE_OWNER_MAX else ""
-
-        def sort_key(item):
-            ip, _, capacity = item
-            return (-capacity, -score(ip, hash_key), ip)
-
-        return [
-            item[0]
-            for item in sorted(local, key=sort_key) + sorted(remote, key=sort_key)
-        ]
-
-    def owner(self, service_name, now_ms, failure_domain):
-        """Return the address of a service's owner in a failure domain.
-
-        The owner counts the requests to the service's targets there. It is the first of
-        the preferred VMs that is not overloaded; others would have to read the targets
-        first. The result is None if no VM is known to serve.
-        """
-        order = self.ranked(service_name, now_ms, failure_domain)
-        for ip in order[:N_PREFERRED]:
-            if not self._is_overloaded(ip):
-                return ip
-        return order[0] if order else None
-
-    def named(self, service_name, n_named, now_ms, failure_domain):
-        """Return the addresses that a lookup of a service names, at most ``n_named``.
-
-        An overloaded VM is named only if no other one can be.
-        """
-        order = self.ranked(service_name, now_ms, failure_domain)
-        able = (ip for ip in order if not self._is_overloaded(ip))
-        return list(islice(able, n_named)) or order[:n_named]
-
     def _is_overloaded(self, ip):
         if ip == self.me.ip:
             return self.is_overloaded
--- a/packages/core/tests/test_edge_peers.py
+++ b/packages/core/tests/test_edge_peers.py
@@ -28,7 +28,7 @@
         node = make_serving_node(ip=ip)
         for other in ips:
             node.handle(make_heartbeat(other), 0.0)
-        owners.add(node.peers.owner("shop", 50.0, "a"))
+        owners.add(node.peers.ranking.owner("shop", 50.0, "a"))
     assert len(owners) == 1
 
 
@@ -59,7 +59,7 @@
 def test_a_larger_vm_becomes_the_owner():
     node = make_serving_node()
     node.handle(make_heartbeat("10.0.0.2", capacity=2), 0.0)
-    assert node.peers.owner("shop", 50.0, "a") == "10.0.0.2"
+    assert node.peers.ranking.owner("shop", 50.0, "a") == "10.0.0.2"
 
 
 def test_lookups_do_not_return_a_vm_that_does_not_serve_yet():
@@ -170,12 +170,12 @@
     node = make_serving_node(capacity=3)
     node.handle(make_heartbeat("10.0.0.2", capacity=2), 0.0)
     node.handle(make_heartbeat("10.0.0.3", capacity=1), 0.0)
-    assert node.peers.owner("shop", 1.0, "a") == "10.0.0.1"
+    assert node.peers.ranking.owner("shop", 1.0, "a") == "10.0.0.1"
     now_ms = overload(node, 10.0)
-    assert node.peers.owner("shop", now_ms, "a") == "10.0.0.2"
+    assert node.peers.ranking.owner("shop", now_ms, "a") == "10.0.0.2"
     assert node.named_ips("h", "a", now_ms) == ["10.0.0.2", "10.0.0.3"]
     node.handle(make_heartbeat("10.0.0.2", capacity=2, is_overloaded=True), now_ms)
-    assert node.peers.owner("shop", now_ms, "a") == "10.0.0.1"
+    assert node.peers.ranking.owner("shop", now_ms, "a") == "10.0.0.1"
     assert node.named_ips("h", "a", now_ms) == ["10.0.0.3"]
 
 
