Probe an unused target before it gets its first request

Change: an unused target is probed before the send; it gets the request if it is fast or reports no load.

Measured: test_an_unused_target_is_probed_and_gets_the_request_if_it_is_fast failed before.

--- a/packages/core/hornbeamstand_core/controllers/capacity.py
+++ b/packages/core/hornbeamstand_core/controllers/capacity.py
@@ -32,8 +32,6 @@
 # Time that must be left to run a request after its wait, as a multiple of the mean
 # latency.
 LATENCY_RESERVE_FACTOR = 1.3
-# Time after which a new target that was never sent a request gets the next one.
-UNUSED_MS = 1500.0
 # Share of a target's cold start rate that a VM uses if it is not the owner of the
 # service.
 NON_OWNER_COLD_SHARE = 0.15
@@ -235,19 +233,16 @@
     def _find_unused(self, eligible, message, now_ms):
         """Return a target that was never sent a request, or None.
 
-        A slow one is not returned: the request would wait for it while others are free.
+        It is known to be fast, or can't report its load: a request should not wait for
+        a slow target, or be late there, while others are free.
         """
         if message.kind != FIRST:
             return None
-        found = None
         for target in eligible:
-            if target.n_sent == 0 and now_ms - target.sent_at_ms > UNUSED_MS:
-                current_class = speed_class(target, now_ms)
-                if current_class == FAST:
+            if target.is_unused(now_ms):
+                if speed_class(target, now_ms) == FAST or not target.may_report:
                     return target
-                if current_class == UNKNOWN:
-                    found = found or target
-        return found
+        return None
 
     def _is_within_cold_rate(self, target, now_ms):
         if not target.is_cold(now_ms):
--- a/packages/core/hornbeamstand_core/controllers/discovered_target.py
+++ b/packages/core/hornbeamstand_core/controllers/discovered_target.py
@@ -30,6 +30,8 @@
 # Time for which an aborted request still takes a slot, until its target has noticed
 # the abort.
 ABORT_LINGER_MS = 30.0
+# Time after which a new target that was never sent a request gets the next one.
+UNUSED_MS = 1500.0
 # Length of the window in which the sends to a target in cold start are counted.
 COLD_WINDOW_MS = 1000.0
 
@@ -141,6 +143,10 @@
             return 0.0
         return now_ms - next(iter(self.started_at_ms.values()))
 
+    def is_unused(self, now_ms):
+        """Return whether the target has been known for a while and was never used."""
+        return self.n_sent == 0 and now_ms - self.sent_at_ms > UNUSED_MS
+
     # Cold start.
 
     def is_cold(self, now_ms):
--- a/packages/core/hornbeamstand_core/controllers/load_probing.py
+++ b/packages/core/hornbeamstand_core/controllers/load_probing.py
@@ -8,7 +8,7 @@
 from heapq import nsmallest
 
 from ..balancer_messages import DeferredReply, SendProbe
-from ..edge_messages import ProbesNeeded
+from ..edge_messages import FIRST, ProbesNeeded
 from .placing import FAST, UNKNOWN, speed_class
 
 # Maximum number of targets that are probed in one round for a send.
@@ -25,17 +25,20 @@
 def targets_to_probe(service, eligible, message, now_ms):
     """Return the targets to probe for their load before one of them is selected.
 
-    No probe is needed if one of the targets is known to be fast.
+    No probe is needed if one of the targets is known to be fast, unless another one was
+    never used: that one is probed, and gets the request if it is fast.
     """
     if message.n_probe_rounds >= N_PROBE_ROUNDS_MAX:
         return []
-    if any(speed_class(target, now_ms) == FAST for target in eligible):
-        return []
     to_probe = [
         target
         for target in eligible
         if target.may_report and speed_class(target, now_ms) == UNKNOWN
     ]
+    if any(speed_class(target, now_ms) == FAST for target in eligible):
+        if message.n_probe_rounds > 0 or message.kind != FIRST:
+            return []
+        return [target for target in to_probe if target.is_unused(now_ms)][:1]
     to_probe.sort(key=lambda target: service.cost(target, now_ms))
     return to_probe[:N_PROBED_MAX]
 
