Take only a whole number after r for a configuration's version

Cause, found by make fuzz: "r-1" was taken for version -1, and "r1_0" and "r 1" for numbers too.

Change: digits alone.

--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -232,8 +232,9 @@
     assert config.limits.idle_ms == 15000.0
 
 
-def test_malformed_configuration_is_invalid():
-    found = records.decode_record("op/config", encoded(CONFIG, Version=7))
+@pytest.mark.parametrize("version", [7, "7", "r", "r-1", "r1_0", "r 1", "r1.5"])
+def test_a_configuration_with_a_malformed_version_is_invalid(version):
+    found = records.decode_record("op/config", encoded(CONFIG, Version=version))
     assert isinstance(found, InvalidEntry)
 
 
