Divide what VMs that are no owners may use of a limit by their number

Cause: each VM that doesn't own a service may use a hundredth of the slack of retries, and 0.15 of a cold target's rate. That holds over a dozen VMs, not over hundreds: 400 VMs that serve three requests each sent 1,768 retries where 670 are allowed, and with a rate of 10 a second a hundred VMs sent a cold target 100 requests in a second.

Change: all of them together use at most 0.13 of the slack and half of the rate. A VM takes the number of VMs from those of its domain that it has ever heard, times the number of domains.

Measured: both tests failed before, with the figures above. The rate of the users' sites (2 to 3 a second) left such a VM nothing before, so nothing changes there.

--- a/packages/core/hornbeamstand_core/controllers/capacity.py
+++ b/packages/core/hornbeamstand_core/controllers/capacity.py
@@ -33,8 +33,9 @@
 # latency.
 LATENCY_RESERVE_FACTOR = 1.3
 # Share of a target's cold start rate that a VM uses if it is not the owner of the
-# service.
+# service, and that all such VMs use together.
 NON_OWNER_COLD_SHARE = 0.15
+NON_OWNERS_COLD_SHARE = 0.5
 # Share of the usable slots in flight at which no more hedges are sent, because a hedge
 # would take its slot from other requests.
 HEDGE_LOAD_MAX = 0.75
@@ -84,6 +85,8 @@
         Takes a service's name, a failure domain and the local time, and returns
         whether this VM is the owner that counts the requests to the service's
         targets in that domain.
+    count_vms : callable
+        Returns the number of entry VMs over all failure domains.
 
     ``rules`` are the service's ServiceRules, or None if the configuration lacks the
     service. ``targets`` maps target ids to DiscoveredTargets, and ``waiting`` holds the
@@ -108,9 +111,10 @@
         "is_awaiting_targets",
         "_rng",
         "_owns",
+        "_count_vms",
     )
 
-    def __init__(self, name, local_domain, rng, retry_limits, owns):
+    def __init__(self, name, local_domain, rng, retry_limits, owns, count_vms):
         self.name = name
         self.local_domain = local_domain
         self.rules = None
@@ -126,6 +130,7 @@
         self.is_awaiting_targets = False
         self._rng = rng
         self._owns = owns
+        self._count_vms = count_vms
 
     def adopt_retry_limits(self, retry_limits):
         """Replace the limits of retries; the sends counted so far still count."""
@@ -158,7 +163,8 @@
         return self._grant(message, target, now_ms)
 
     def _acquire_retry(self, message, now_ms):
-        if self.retry_window.n_left(self.retry_limits.n_owners, now_ms) < 1.0:
+        n_owners = self.retry_limits.n_owners
+        if self.retry_window.n_left(n_owners, self._count_vms(), now_ms) < 1.0:
             return self._refuse(message, "retry budget spent", now_ms)
         if message.kind == HEDGE and self._is_busy(now_ms):
             return self._refuse(message, "no capacity for a second send", now_ms)
@@ -249,7 +255,8 @@
             return True
         rate = self.rules.cold_rate_per_s if self.rules else 1.0
         if not self._owns(self.name, target.entry.failure_domain, now_ms):
-            rate *= NON_OWNER_COLD_SHARE
+            all_share = NON_OWNERS_COLD_SHARE / self._count_vms()
+            rate *= min(NON_OWNER_COLD_SHARE, all_share)
         return target.n_cold_sent(now_ms) + 1 <= rate
 
     # Load probes.
--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -164,7 +164,12 @@
         service = self.services.get(name)
         if service is None:
             service = ServiceCapacity(
-                name, self.me.failure_domain, self._rng, self.retry_limits, self._owns
+                name,
+                self.me.failure_domain,
+                self._rng,
+                self.retry_limits,
+                self._owns,
+                self._count_vms,
             )
             if self.routing.config is not None:
                 service.rules = self.routing.config.services.get(name)
@@ -196,6 +201,10 @@
             self.peers.ranking.owner(service_name, now_ms, failure_domain) == self.me.ip
         )
 
+    def _count_vms(self):
+        """Return the number of VMs if all failure domains have as many as this one."""
+        return self.retry_limits.n_owners * (1 + self.peers.n_local_contacts)
+
     def _note_load(self, message, now_ms):
         service = self.find_service(message.service_name)
         return service.note_load(message, now_ms)
--- a/packages/core/hornbeamstand_core/controllers/peer_view.py
+++ b/packages/core/hornbeamstand_core/controllers/peer_view.py
@@ -87,8 +87,9 @@
     """The peers that this VM receives heartbeats from.
 
     ``peers`` and ``contacts`` map an IP address to its Peer and Contact, and
-    ``ranking`` orders the VMs that may own a service. The slots from ``is_serving`` to
-    ``config_version`` are this VM's own, as in its heartbeats.
+    ``ranking`` orders the VMs that may own a service. ``n_local_contacts`` is the
+    number of other VMs of this failure domain that were ever heard. The slots from
+    ``is_serving`` to ``config_version`` are this VM's own, as in its heartbeats.
 
     Parameters
     ----------
@@ -102,6 +103,7 @@
         "me",
         "peers",
         "contacts",
+        "n_local_contacts",
         "_is_seed",
         "is_serving",
         "is_stopping",
@@ -117,6 +119,7 @@
         self.me = me
         self.peers = {}
         self.contacts = {ip: Contact() for ip in seed_ips if ip != me.ip}
+        self.n_local_contacts = 0
         self._is_seed = me.ip in seed_ips
         self.is_serving = False
         self.is_stopping = False
@@ -157,7 +160,7 @@
         if heartbeat.ip == self.me.ip:
             return []
         self.note_contact(heartbeat.ip)
-        self.contacts[heartbeat.ip].failure_domain = heartbeat.failure_domain
+        self._note_domain(self.contacts[heartbeat.ip], heartbeat.failure_domain)
         known = self.peers.get(heartbeat.ip)
         if known is not None and known.heartbeat.start_id == heartbeat.start_id:
             known.heartbeat = heartbeat
@@ -171,6 +174,12 @@
             *self._send_contacts(peer, now_ms),
         ]
 
+    def _note_domain(self, contact, failure_domain):
+        if contact.failure_domain != failure_domain:
+            self.n_local_contacts += failure_domain == self.me.failure_domain
+            self.n_local_contacts -= contact.failure_domain == self.me.failure_domain
+            contact.failure_domain = failure_domain
+
     def _send_contacts(self, peer, now_ms):
         """Return a message with contacts if the peer has too few peers itself."""
         if not self._is_seed and not self.is_preferred:
--- a/packages/core/hornbeamstand_core/controllers/retry_window.py
+++ b/packages/core/hornbeamstand_core/controllers/retry_window.py
@@ -10,8 +10,10 @@
 OWNER_SLACK_SHARE = 0.4
 # Share of its slack that an owner may use as soon as it becomes one.
 INITIAL_SLACK_SHARE = 0.3
-# Share of the allowed slack that each VM other than an owner uses.
+# Share of the allowed slack that each VM other than an owner uses, and that all of them
+# use together.
 NON_OWNER_SLACK_SHARE = 0.01
+NON_OWNERS_SLACK_SHARE = 0.13
 
 
 class RetryWindow:
@@ -70,19 +72,19 @@
         elif self._owner_since_ms is None:
             self._owner_since_ms = now_ms
 
-    def _slack_share(self, n_owners, now_ms):
+    def _slack_share(self, n_owners, n_vms, now_ms):
         """Return this VM's share of the slack.
 
         The share of a new owner grows to its full size over one window, because the
         previous owner may have used all of its own within the same window.
         """
         if self._owner_since_ms is None:
-            return NON_OWNER_SLACK_SHARE
+            return min(NON_OWNER_SLACK_SHARE, NON_OWNERS_SLACK_SHARE / n_vms)
         age = (now_ms - self._owner_since_ms) / self.window_ms
         grown = min(1.0, INITIAL_SLACK_SHARE + (1.0 - INITIAL_SLACK_SHARE) * age)
         return OWNER_SLACK_SHARE / n_owners * grown
 
-    def n_left(self, n_owners, now_ms):
+    def n_left(self, n_owners, n_vms, now_ms):
         """Return the number of retries that may be sent now.
 
         It need not be whole: a retry may be sent if it is at least 1. It is negative if
@@ -92,11 +94,13 @@
         ----------
         n_owners : int
             The number of the service's owners over all failure domains.
+        n_vms : int
+            The number of entry VMs over all failure domains.
         now_ms : float
             The local time.
         """
         self._remove_expired(self._first_at_ms, now_ms)
         self._remove_expired(self._retry_at_ms, now_ms)
         allowed = RATIO_SHARE * self.ratio * len(self._first_at_ms)
-        allowed += self._slack_share(n_owners, now_ms) * self.slack
+        allowed += self._slack_share(n_owners, n_vms, now_ms) * self.slack
         return allowed - len(self._retry_at_ms)
--- a/packages/core/tests/test_capacity.py
+++ b/packages/core/tests/test_capacity.py
@@ -221,7 +221,7 @@
         now_ms = tick * 10.0
         window.note_first(now_ms)
         n_first += 1
-        if window.n_left(1, now_ms) >= 1.0:
+        if window.n_left(1, 1, now_ms) >= 1.0:
             window.note_retry(now_ms)
             n_retries += 1
     assert n_retries <= 0.2 * n_first + 56.0
@@ -234,12 +234,39 @@
         window = RetryWindow(0.2, 56.0, 10_000.0)
         window.note_owner(True, took_over_at_ms)
         for now_ms in (0.0, 4900.0):
-            while window.n_left(1, now_ms) >= 1.0:
+            while window.n_left(1, 1, now_ms) >= 1.0:
                 window.note_retry(now_ms)
                 n_retries += 1
     assert n_retries <= 56
 
 
+def test_retries_stay_within_ratio_and_slack_over_hundreds_of_vms():
+    """Each VM serves a few requests itself, as when the owners are cut off."""
+    windows = [RetryWindow(0.2, 430.0, 10_000.0) for _ in range(400)]
+    windows[0].note_owner(True, -20_000.0)
+    n_first = n_retries = 0
+    for window in windows:
+        for _ in range(3):
+            window.note_first(0.0)
+            n_first += 1
+        while window.n_left(1, len(windows), 0.0) >= 1.0:
+            window.note_retry(0.0)
+            n_retries += 1
+    assert n_retries <= 0.2 * n_first + 430.0
+
+
+def test_the_cold_rate_of_a_target_holds_over_all_vms_that_are_no_owners():
+    """With a high rate, the share of each VM would allow one request a second."""
+    n_sent = 0
+    for _ in range(100):
+        entry = make_entry("t1", n_slots=50, cold_remaining_ms=5000.0)
+        harness = ServiceHarness([entry], is_owner=False)
+        harness.service.rules.cold_rate_per_s = 10.0
+        harness.n_vms = 100
+        n_sent += is_permit(harness.acquire(objective_ms=10.0, deadline_ms=10.0))
+    assert n_sent <= 10
+
+
 # Failures.
 
 
--- a/packages/core/tests/test_edge_node.py
+++ b/packages/core/tests/test_edge_node.py
@@ -198,4 +198,4 @@
     service.retry_window.note_retry(0.0)
     node.handle(RetryLimits(0.0, 0.0, 5000.0, 3), 10.0)
     assert service.retry_limits.window_ms == 5000.0
-    assert service.retry_window.n_left(3, 10.0) == -1.0
+    assert service.retry_window.n_left(3, 1, 10.0) == -1.0
--- a/packages/core/tests/test_edge_peers.py
+++ b/packages/core/tests/test_edge_peers.py
@@ -214,3 +214,14 @@
     assert not node.peers.is_overloaded
     node.handle(EdgeTick(30.0), 7130.0)
     assert not node.peers.is_overloaded
+
+
+def test_the_number_of_vms_follows_from_those_of_this_domain():
+    """It divides what all VMs that are no owners may use of a limit."""
+    node = make_serving_node()
+    for i in range(2, 12):
+        node.handle(make_heartbeat(f"10.0.0.{i}"), 0.0)
+        node.handle(make_heartbeat(f"10.0.1.{i}", domain="b"), 0.0)
+    node.handle(make_heartbeat("10.0.0.2", start_id=2), 10.0)
+    node.handle(EdgeTick(), 60_000.0)
+    assert node.find_service("shop")._count_vms() == 3 * 11
--- a/tests/edge_parts.py
+++ b/tests/edge_parts.py
@@ -50,8 +50,14 @@
         self.now_ms = 0.0
         self.n_requests = 0
         self.is_owner = is_owner
+        self.n_vms = 1
         self.service = ServiceCapacity(
-            "shop", "a", Random(1), retry_limits, lambda *_: self.is_owner
+            "shop",
+            "a",
+            Random(1),
+            retry_limits,
+            lambda *_: self.is_owner,
+            lambda: self.n_vms,
         )
         self.service.rules = ServiceRules("shop", "/health", 100, 3000.0, 3.0)
         self.table = TargetTable(lambda name: self.service)
