Refuse a configuration whose health path or route name is no text

Cause, found by make fuzz: such a value was taken as it is, and a load probe of that path would have raised in a task, which ends the process.

--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -232,6 +232,18 @@
     assert config.limits.idle_ms == 15000.0
 
 
+@pytest.mark.parametrize("value", [-1, None, "", ["/health"]])
+def test_a_configuration_with_a_name_that_is_no_text_is_invalid(value):
+    service = {**CONFIG["Services"][0], "HealthPath": value}
+    found = records.decode_record("op/config", encoded(CONFIG, Services=[service]))
+    assert isinstance(found, InvalidEntry)
+    vhost = CONFIG["Vhosts"][0]
+    path = {**vhost["Paths"][0], "Name": value}
+    vhosts = [{**vhost, "Paths": [path]}]
+    found = records.decode_record("op/config", encoded(CONFIG, Vhosts=vhosts))
+    assert isinstance(found, InvalidEntry)
+
+
 @pytest.mark.parametrize("version", [7, "7", "r", "r-1", "r1_0", "r 1", "r1.5"])
 def test_a_configuration_with_a_malformed_version_is_invalid(version):
     found = records.decode_record("op/config", encoded(CONFIG, Version=version))
