Part the identity of a VM and the tests of load probes; log refusals in one place

Cause: controllers/edge.py and core/tests/test_capacity.py held a second subject each, and two log methods built the same line.

Change: identity.py, test_load_probing.py, EdgeLog._refused. No behaviour changes.

Measured: 326 tests of core and entry pass.

--- a/packages/entry/hornbeamstand_entry/edge/logs.py
+++ b/packages/entry/hornbeamstand_entry/edge/logs.py
@@ -229,26 +229,20 @@
                 **fields,
             )
             return
-        refusal = outcome.err_value
-        self.warning(
-            "answer: refused",
-            status=refusal.status,
-            certainty=refusal.certainty,
-            reason=refusal.reason,
-            step=refusal.step,
-            at=refusal.peer,
-            **fields,
-        )
+        self._refused(outcome.err_value, at=outcome.err_value.peer, **fields)
 
     def body_refused(self, request, refusal):
         """Log a request that was refused because of its body."""
+        self._refused(refusal, request=request.request_id)
+
+    def _refused(self, refusal, **fields):
         self.warning(
             "answer: refused",
-            request=request.request_id,
             status=refusal.status,
             certainty=refusal.certainty,
             reason=refusal.reason,
             step=refusal.step,
+            **fields,
         )
 
     def start(self, stack):
--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -8,7 +8,7 @@
 import gevent
 from gevent.event import Event
 from hornbeamstand_core.balancer_messages import SendProbe
-from hornbeamstand_core.controllers.edge import EdgeIdentity, EdgeNode
+from hornbeamstand_core.controllers.edge import EdgeNode
 from hornbeamstand_core.edge_node_messages import (
     FetchConfig,
     Resync,
@@ -19,6 +19,7 @@
     StopEdge,
 )
 from hornbeamstand_core.filters.edge_chain import build_edge_chain
+from hornbeamstand_core.identity import EdgeIdentity
 from hornbeamstand_core.routes import CallerLimits
 
 from ..clock import make_process_clock
--- a/tests/edge_nodes.py
+++ b/tests/edge_nodes.py
@@ -1,7 +1,7 @@
 """Test helpers: edge controllers on a virtual clock, and heartbeats of their peers."""
 
 from hornbeamstand_core.balancer_messages import DeferredReply
-from hornbeamstand_core.controllers.edge import EdgeIdentity, EdgeNode
+from hornbeamstand_core.controllers.edge import EdgeNode
 from hornbeamstand_core.discovery import (
     ConfigEntry,
     StoreSnapshot,
@@ -14,6 +14,7 @@
     RetryLimits,
     SetWatch,
 )
+from hornbeamstand_core.identity import EdgeIdentity
 from hornbeamstand_core.routes import (
     CallerLimits,
     HostRoute,
