List targets of unknown speed only where a probe may follow

Cause: read again, targets_to_probe built the list of all targets of unknown speed for each request, though it is dropped while a target is known to be fast.

Change: the list is built only if none is fast. No decision changes.

--- a/packages/core/hornbeamstand_core/controllers/load_probing.py
+++ b/packages/core/hornbeamstand_core/controllers/load_probing.py
@@ -30,19 +30,23 @@
     """
     if message.n_probe_rounds >= N_PROBE_ROUNDS_MAX:
         return []
-    to_probe = [
-        target
-        for target in eligible
-        if target.may_report and speed_class(target, now_ms) == UNKNOWN
-    ]
     if any(speed_class(target, now_ms) == FAST for target in eligible):
         if message.n_probe_rounds > 0 or message.kind != FIRST:
             return []
-        return [target for target in to_probe if target.is_unused(now_ms)][:1]
+        for target in eligible:
+            if target.is_unused(now_ms) and is_speed_unknown(target, now_ms):
+                return [target]
+        return []
+    to_probe = [target for target in eligible if is_speed_unknown(target, now_ms)]
     to_probe.sort(key=lambda target: service.cost(target, now_ms))
     return to_probe[:N_PROBED_MAX]
 
 
+def is_speed_unknown(target, now_ms):
+    """Return whether a probe could tell a target's speed class, which is unknown."""
+    return target.may_report and speed_class(target, now_ms) == UNKNOWN
+
+
 def health_path(service):
     """Return the path of the targets' health endpoint, which reports their load."""
     return service.rules.health_path if service.rules else HEALTH_PATH_DEFAULT
