--- a/review/cell.py
+++ b/review/cell.py
@@ -408,6 +408,8 @@
         self.name, self.service, self.zone = name, service, zone
         self.n_slots, self.work_ms = n_slots, work_ms
         self.n_queue_max = 2 * n_slots
+        self.cold_until_s = 0.0
+        self.n_told_cold = 0
         self.state = "ready"
         self.seq = 0
         self.born = int(time.time() * 1000)
@@ -436,7 +438,11 @@
                 "Zone": self.zone,
                 "Concurrency": self.n_slots,
             },
-            "Status": {"State": self.state, "Seq": self.seq, "WarmupLeft": "0ms"},
+            "Status": {
+                "State": self.state,
+                "Seq": self.seq,
+                "WarmupLeft": f"{self.cold_ms()}ms",
+            },
             "born": self.born,
         }
 
@@ -446,6 +452,15 @@
             self.store.put(f"servers/{self.name}", self.entry())
             await asyncio.sleep(BEAT_S * self.rng.uniform(0.95, 1.05))
 
+    def become_cold(self, for_s):
+        """Become cold. The health path tells at once, the entry with its next beat."""
+        self.cold_until_s = self.record.now() + for_s
+        self.record.write("cold", server=self.name, for_s=for_s)
+
+    def cold_ms(self):
+        """Return for how long the server stays cold, in whole milliseconds."""
+        return max(0, round((self.cold_until_s - self.record.now()) * 1000.0))
+
     def leave(self):
         """Remove the entry, as a server that never reports draining does."""
         self.beating.cancel()
@@ -483,7 +498,8 @@
         method, path, _ = line.split(" ")
         items = [("Server-Load", self.load()), ("Keep-Alive", f"timeout={10}")]
         if path == "/health":
-            items += [("Instance-Id", self.name), ("Warmup-Ms", "0")]
+            self.n_told_cold += self.cold_ms() > 0
+            items += [("Instance-Id", self.name), ("Warmup-Ms", str(self.cold_ms()))]
             return encode_response(200 if self.state == "ready" else 503, items, b"")
         attempt_id = headers.get("attempt-id")
         if attempt_id is None:
@@ -503,7 +519,8 @@
         self.runs.append((self.record.now(), attempt_id, path))
         self.record.write("runs", server=self.name, id=attempt_id, path=path)
         try:
-            await asyncio.sleep(self.work_ms / 1000.0 * self.rng.uniform(0.7, 1.3))
+            factor = self.rng.uniform(0.7, 1.3) * (2.0 if self.cold_ms() else 1.0)
+            await asyncio.sleep(self.work_ms / 1000.0 * factor)
         finally:
             self.n_running -= 1
             self.slots.release()
@@ -593,7 +610,7 @@
         self.servers[name] = server
         return server
 
-    def set_config(self, number, paths, services):
+    def set_config(self, number, paths, services, cold_per_s=3.1):
         """Write the operator's configuration; ``paths`` are the routes of one host."""
         rows = [
             {
@@ -603,7 +620,7 @@
                 "Protocol": "h1",
                 "Tls": False,
                 "Warmup": "3s",
-                "WarmupPerS": 3.1,
+                "WarmupPerS": cold_per_s,
             }
             for name in services
         ]
