--- a/review/cell.py
+++ b/review/cell.py
@@ -732,8 +732,11 @@
         """Return the machine with a front address."""
         return next(m for m in self.machines if m.address("front") == address)
 
-    async def send(self, address, method, path, deadline_ms, body=b""):
-        """Send one request on a new connection; returns its Answer."""
+    async def send(self, address, method, path, deadline_ms, body=b"", size_bytes=0):
+        """Send one request on a new connection; returns its Answer.
+
+        A cookie fills the request line and the headers up to ``size_bytes``.
+        """
         self.n_sent += 1
         attempt_id = f"{self.n_sent:016x}"
         machine = self.machine_at(address)
@@ -750,6 +753,9 @@
         ]
         if method == "POST":
             lines.append(f"Content-Length: {len(body)}")
+        n_missing = size_bytes - len("\r\n".join(lines)) - len("\r\nCookie: \r\n\r\n")
+        if n_missing > 0:
+            lines.append("Cookie: " + "c" * n_missing)
         data = ("\r\n".join(lines) + "\r\n\r\n").encode() + body
         writer = None
         try:
@@ -784,7 +790,7 @@
         job.add_done_callback(self.jobs.discard)
         return job
 
-    async def traffic(self, zone, method, path, per_s, deadline_ms, body=b""):
+    async def traffic(self, zone, method, path, per_s, deadline_ms, body=b"", size=0):
         """Send requests of one kind from a zone until the task is cancelled."""
         addresses, known_until_s = [], 0.0
         while True:
@@ -795,7 +801,9 @@
                 address = self.rng.choice(addresses)
                 number = self.n_sent
                 self.spawn(
-                    self.send(address, method, f"{path}{number}", deadline_ms, body)
+                    self.send(
+                        address, method, f"{path}{number}", deadline_ms, body, size
+                    )
                 )
             await asyncio.sleep(self.rng.expovariate(per_s))
 
