Bound what entries of other writers may state; count usable slots directly

Cause: usable_slots tried every number up to the stated one in the control task, and the decoder took any integer. OverflowError and RecursionError, from numbers beyond a float and from the text of an error about a deep field, were not caught. Addresses with ports out of range, ids that no header can hold, VM entries whose address is no IP (a name to look up, which blocks the loop) and endless cold starts were accepted too.

Change: the number of usable slots is computed from the knee. Each field has a range (counts up to 2**53 - 1, slots up to a million, ports, durations up to a year, IPv4 addresses, ids of visible ASCII), also in the operators' configuration, in the store's own answers and in load headers. Any exception of decoding makes the entry invalid, with a log line of bounded length.

--- a/packages/core/hornbeamstand_core/controllers/placing.py
+++ b/packages/core/hornbeamstand_core/controllers/placing.py
@@ -42,13 +42,11 @@
     """Return the number of concurrent requests at which throughput is highest.
 
     Above the knee all requests of a target slow down, so that more of them at once
-    can complete at a lower rate.
+    can complete at a lower rate. The highest rate is therefore that of the last number
+    below the knee or that of all slots.
     """
-
-    def rate(n_in_flight):
-        return n_in_flight / (KNEE_FACTOR if n_in_flight > KNEE_SHARE * n_slots else 1)
-
-    return max(range(1, n_slots + 1), key=rate)
+    n_below_knee = int(KNEE_SHARE * n_slots)
+    return n_below_knee if n_below_knee >= n_slots / KNEE_FACTOR else n_slots
 
 
 def speed_class(target, now_ms):
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -158,6 +158,18 @@
         {"Status": {"State": "ready", "WarmupLeft": "nanms"}},
         {"Status": {"State": "ready", "WarmupLeft": "infs"}},
         {"Status": {"State": "ready", "WarmupLeft": "-5ms"}},
+        {"Status": {"State": "ready", "WarmupLeft": "1e300s"}},
+        {"Info": {"Backend": "shop", "Zone": "a", "Concurrency": 2**31 - 1}},
+        {"Info": {"Backend": "shop", "Zone": "a", "Concurrency": 10**401}},
+        {"born": 10**401},
+        {"born": -1},
+        {"Address": "10.128.0.9:99999"},
+        {"Address": "10.128.0.9:0"},
+        {"Address": "10.128.0.9:\u00b2"},
+        {"Address": "10.128.0.9:" + "9" * 5000},
+        {"Address": "10.128.0:80"},
+        {"Address": "host:80"},
+        {"Address": "10.128.0.9\0:80"},
     ],
 )
 def test_malformed_server_entry_is_invalid(changes):
@@ -180,12 +192,67 @@
 
 @pytest.mark.parametrize(
     "text",
-    ["1,0,3,nan", "1,0,3,inf", "1,0,3,-5", "1,0,3,0", "-1,0,3", "1,-1,3,100", "1,0,-3"],
+    [
+        *["1,0,3,nan", "1,0,3,inf", "1,0,3,-5", "1,0,3,0", "1,0,3,1e300"],
+        *["-1,0,3", "1,-1,3,100", "1,0,-3", "1e300,0,3", "1,0," + "9" * 400],
+    ],
 )
 def test_load_figures_out_of_range_are_no_report(text):
     assert dialect.decode_load(text) is None
 
 
+@pytest.mark.parametrize("server_id", ["a b", "a\r\nX: y", "\u4e00", ""])
+def test_an_entry_whose_id_no_header_can_hold_is_invalid(server_id):
+    found = records.decode_record(f"servers/{server_id}", encoded(SERVER))
+    assert isinstance(found, InvalidEntry)
+
+
+@pytest.mark.parametrize("ip", ["x", "x" * 300, "1.2.3", "::1", "\0", "10.0.0.256"])
+def test_a_vm_entry_without_an_ip_address_is_invalid(ip):
+    value = msgspec.json.encode({"ip": ip})
+    assert isinstance(records.decode_record("hornbeamstand/vm/x", value), InvalidEntry)
+
+
+@pytest.mark.parametrize("depth", range(850, 1000, 10))
+def test_an_entry_with_a_deep_field_is_invalid_and_its_error_is_short(depth):
+    """The text of the error may be nested more deeply than Python can print."""
+    raw = encoded(SERVER).replace(b'"a"', b"[" * depth + b"]" * depth)
+    found = records.decode_record("servers/i-1", raw)
+    assert isinstance(found, InvalidEntry)
+    assert len(found.detail) < 400
+
+
+NUMBERS = [10**401, 2**64, -1, 1e300, True, "1", None, [1]]
+
+
+@pytest.mark.parametrize("value", NUMBERS)
+def test_a_configuration_with_a_number_out_of_range_is_invalid(value):
+    vhost, service = CONFIG["Vhosts"][0], CONFIG["Services"][0]
+    split = {"Backend": "shop", "Weight": value}
+    changes = [
+        {"Vhosts": [{**vhost, "Paths": [{**vhost["Paths"][0], **change}]}]}
+        for change in ({"Attempts": value}, {"Priority": value})
+    ]
+    changes.append(
+        {
+            "Vhosts": [
+                {**vhost, "Paths": [{**vhost["Paths"][0], "TrafficSplit": [split]}]}
+            ]
+        }
+    )
+    changes += [
+        {"Services": [{**service, "MaxConns": value}]},
+        {"Services": [{**service, "WarmupPerS": value}]},
+        {"Limits": {**CONFIG["Limits"], "MaxHeaderBytes": value}},
+        {"Version": f"r{value}"},
+    ]
+    for change in changes:
+        if change == {"Version": "r1"}:
+            continue
+        found = records.decode_record("op/config", encoded(CONFIG, **change))
+        assert isinstance(found, InvalidEntry), change
+
+
 @given(st.binary(max_size=200))
 def test_no_bytes_under_a_server_key_are_an_error(value):
     found = records.decode_record("servers/i-1", value)
@@ -393,6 +460,8 @@
         b'{"AsOf": 5, "items": [3], "events": [null]}',
         b'{"AsOf": 5, "items": [{"Key": 1}], "events": [{"Key": []}]}',
         b'{"AsOf": true, "items": [], "events": []}',
+        b'{"AsOf": -1, "items": [], "events": []}',
+        b'{"AsOf": 1' + b"0" * 400 + b', "items": [], "events": []}',
     ],
 )
 def test_store_responses_without_items_or_keys_are_errors(raw):
@@ -402,7 +471,9 @@
         store.decode_events(raw)
 
 
-@pytest.mark.parametrize("raw", [b"{}", b'{"Lease": null}', b'{"Lease": "5"}', b"[]"])
+@pytest.mark.parametrize(
+    "raw", [b"{}", b'{"Lease": null}', b'{"Lease": "5"}', b"[]", b'{"Lease": -1}']
+)
 def test_lease_responses_without_an_id_are_errors(raw):
     with pytest.raises(ValueError):
         store.decode_lease(raw)
