Answer an exchange whose address or Keep-Alive is odd

Callers would see: a request sent to an address such as a:99999 waits for its deadline; an answer with 'Keep-Alive: timeout=' and a digit that is no ASCII one, or hundreds of digits, is lost although it came whole.

Cause: connect caught OSError only, and int() and float() of header text raise ValueError and OverflowError. The connection's task ended before it passed a result on, so that the request was only answered at its deadline.

Change: such an address fails like one that nobody listens at. Header numbers are read in one module, header_numbers, with a bound on their digits.

--- a/packages/entry/hornbeamstand_entry/edge/front.py
+++ b/packages/entry/hornbeamstand_entry/edge/front.py
@@ -5,7 +5,8 @@
 from result import Err
 
 from .. import headers
-from ..http_server import BodyError, read_body, read_number, watch_caller
+from ..header_numbers import read_number
+from ..http_server import BodyError, read_body, watch_caller
 from ..performers import drive
 from ..responses import status_line
 from .config_copies import COPY_PATH, compress_copy
--- a/packages/entry/hornbeamstand_entry/edge/messages.py
+++ b/packages/entry/hornbeamstand_entry/edge/messages.py
@@ -10,7 +10,7 @@
 )
 
 from .. import headers
-from ..http_server import read_number
+from ..header_numbers import read_number
 
 # Between entry VMs: the policy of a relayed request, and the time in milliseconds after
 # which the caller of a refused one may retry. Callers get the latter in the header of
--- a/packages/entry/hornbeamstand_entry/encoding.py
+++ b/packages/entry/hornbeamstand_entry/encoding.py
@@ -1,9 +1,12 @@
 """Encodes HTTP requests to targets and peers, and decodes their responses."""
 
+from math import isfinite
+
 from hornbeamstand_core.balancer_messages import CapacityReport
 from hornbeamstand_core.messages import Refusal, TargetReport, UpstreamResponse
 
 from . import headers
+from .header_numbers import read_count
 
 # Maximum size of a body that is sent with the head by one system call. A larger one is
 # not copied.
@@ -45,11 +48,11 @@
     state = response.get(headers.STATE)
     if state is None:
         return None
-    n_in_flight = response.get(headers.IN_FLIGHT, "0")
+    n_in_flight = read_count(response.get(headers.IN_FLIGHT, "0"))
     return TargetReport(
         response.get(headers.START_ID, ""),
         state,
-        int(n_in_flight) if n_in_flight.isdigit() else 0,
+        n_in_flight or 0,
     )
 
 
@@ -95,4 +98,6 @@
         n_free, n_waiting, wait_ms = int(parts[0]), int(parts[1]), float(parts[2])
     except (ValueError, IndexError):
         return None
+    if not isfinite(wait_ms):
+        return None
     return CapacityReport(service_name, member_id, n_free, n_waiting, wait_ms)
--- a/packages/entry/hornbeamstand_entry/front.py
+++ b/packages/entry/hornbeamstand_entry/front.py
@@ -9,7 +9,8 @@
 from . import headers
 from .context import RequestContext
 from .encoding import encode_capacity
-from .http_server import BodyError, read_body, read_number, watch_caller
+from .header_numbers import read_number
+from .http_server import BodyError, read_body, watch_caller
 from .lookup import answer_lookup
 from .performers import drive
 from .responses import respond_outcome, respond_refusal
--- a/packages/entry/hornbeamstand_entry/http_server.py
+++ b/packages/entry/hornbeamstand_entry/http_server.py
@@ -1,7 +1,6 @@
 """Shared code of a VM's HTTP servers: sockets, bodies and disconnecting callers."""
 
 import socket
-from math import isfinite
 
 import gevent
 from gevent.pywsgi import WSGIHandler, WSGIServer
@@ -120,15 +119,6 @@
         self.refusal = refusal
 
 
-def read_number(text):
-    """Return the number in a header value; None if absent, malformed or not finite."""
-    try:
-        number = float(text) if text is not None else None
-    except ValueError:
-        return None
-    return number if number is not None and isfinite(number) else None
-
-
 def read_body(environ, body_max_bytes, hold, timeout_ms=None):
     """Return the whole request body.
 
--- a/packages/entry/hornbeamstand_entry/tasks/connections.py
+++ b/packages/entry/hornbeamstand_entry/tasks/connections.py
@@ -17,6 +17,7 @@
 )
 from hornbeamstand_core.records import Record
 
+from ..header_numbers import read_count
 from .byte_budget import ByteBudget
 from .exchange import ExchangeResult
 from .response_parser import ERROR_STATUS_MIN, ResponseParser, read_response
@@ -257,8 +258,9 @@
     stated = response.get("Keep-Alive", "")
     for part in stated.split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
-            idle_ms = max(0.0, (int(value) - 1) * MS_PER_S)
+        timeout_s = read_count(value) if name.lower() == "timeout" else None
+        if timeout_s is not None:
+            idle_ms = max(0.0, (timeout_s - 1) * MS_PER_S)
             connection.idle_max_ms = min(connection.rules.idle_max_ms, idle_ms)
 
 
@@ -281,14 +283,18 @@
 
 
 def connect(connection, address, clock):
-    """Open the connection; returns whether it was opened."""
+    """Open the connection; returns whether it was opened.
+
+    An address that can't be one, such as one whose port is out of range, fails like one
+    that nobody listens at.
+    """
     host, _, port = address.rpartition(":")
     try:
         connection.sock = gevent_socket.create_connection(
             (host, int(port)),
             timeout=connection.rules.connect_timeout_ms / MS_PER_S,
         )
-    except OSError:
+    except (OSError, OverflowError, ValueError):
         return False
     connection.sock.settimeout(None)
     set_options(connection.sock, connection.rules)
--- a/packages/entry/tests/test_connections.py
+++ b/packages/entry/tests/test_connections.py
@@ -215,3 +215,32 @@
     mailbox.put(ExchangeResult(earlier, "earlier"))
     mailbox.put(ExchangeResult(current, "current"))
     assert current.receive_result(100.0) == "current"
+
+
+@pytest.mark.parametrize("port", ["99999", "0", "-1", "9" * 5000, "\u00b2", "x", ""])
+def test_an_address_that_cannot_be_one_fails_at_once(stack, port):
+    """Guards against requests that wait for their deadline at an odd address."""
+    pool = ConnectionPool(f"127.0.0.1:{port}", make_process_clock())
+    pool.start(stack)
+    result = send(pool, timeout_ms=1000.0)
+    assert isinstance(result, SendFailure)
+    assert not result.may_have_run
+
+
+KEEP_ALIVES = ["\u00b2", "9" * 400, "9" * 5000, "-1", "", "x", "1.5"]
+
+
+@pytest.mark.parametrize("timeout", KEEP_ALIVES)
+def test_an_odd_keep_alive_timeout_does_not_lose_its_answer(stack, timeout):
+    """Guards against a connection that ends before it passes the answer on."""
+    server, pool = start(stack)
+    keep_alive = f"Keep-Alive: timeout={timeout}".encode("latin-1")
+    answer = ANSWER.replace(b"Content", keep_alive + b"\r\nContent") + b"01"
+
+    def serve_requests(sock, number):
+        while sock.recv(65536):
+            sock.sendall(answer)
+
+    server.serve_requests = serve_requests
+    assert body(send(pool)) == b"01"
+    assert body(send(pool)) == b"01"
