Believe removals after a single connection to the store failed

Cause: any failed call counted as an outage of the store, also a time-out or a reset of one connection, and for 2 s after an outage a removed entry is kept as suspect. So the removals that the next call delivered were not believed. Besides, an owner noticed the silence up to 3.3 s after it began: a delay of 500 ms after changes, a watch of 2 s and 800 ms for the answer.

Ruled out: the history of the store (the watch after the failure delivered the removals at once) and the heartbeats of other VMs (each domain's owner watches for itself).

Change: after one failure without an answer the call is repeated at once, on a connection that has answered within the last second or a new one; the store counts as unavailable if that fails too, or if it answers 503 or 429. The watch of an owner is held for 1.8 s, and the delay before it counts towards that, so that silence is noticed after 2.6 s.

One existing test of the watcher expected an outage after one failure; it now has two failures and checks one more wait.

Unit tests of the watcher cover both kinds of failure.

--- a/packages/entry/hornbeamstand_entry/edge/store_client.py
+++ b/packages/entry/hornbeamstand_entry/edge/store_client.py
@@ -69,6 +69,7 @@
             request_bytes,
             timeout_ms,
             ANSWER_MAX_BYTES,
+            needs_recent_response=True,
         )
         if answer is None:
             detail = f"no answer within {timeout_ms:.0f} ms"
--- a/packages/entry/hornbeamstand_entry/edge/store_watcher.py
+++ b/packages/entry/hornbeamstand_entry/edge/store_watcher.py
@@ -17,9 +17,10 @@
 # The same limit for the watch after a read that may be stale. That watch only returns
 # the changes that the read lacks, so it need not wait for new ones.
 CATCH_UP_WATCH_WAIT_MS = 1.0
-# The same limit for the first VM of a failure domain. It is short because the store may
-# accept a watch and never answer it.
-SHORT_WATCH_WAIT_MS = 2000.0
+# The same limit for a VM that owns a service. It is short because a connection may go
+# silent, and the VM must have noticed that, and read the changes since, within 3 s. A
+# delay before the watch, in which the connection is not used, counts towards it.
+SHORT_WATCH_WAIT_MS = 1800.0
 # The same limit after a failed call or a Resync, short for the same reason.
 RETRY_WATCH_WAIT_MS = 300.0
 # Delay before the next watch after one that returned changes, so that changes in quick
@@ -67,6 +68,7 @@
         "_revision",
         "_targets_revision",
         "_wait_ms",
+        "_delayed_ms",
         "_is_retrying",
         "_may_read_stale",
         "_is_first_read_due",
@@ -88,6 +90,8 @@
         # them.
         self._targets_revision = None
         self._wait_ms = WATCH_WAIT_MS
+        # Time since the last answer in which the connection was deliberately not used.
+        self._delayed_ms = 0.0
         # Set after a failed call or a Resync, until a call succeeds.
         self._is_retrying = False
         self._may_read_stale = True
@@ -170,11 +174,18 @@
             result = call()
             if result.is_ok():
                 break
-            self._note_error(result.err_value)
             if result.err_value.status == STATUS_HISTORY_GONE:
                 # The store is available, so the keys are read again without a delay.
+                self._forget_history(result.err_value)
                 call = self._read_all
                 continue
+            if self._may_be_connection(result.err_value):
+                self._log_failure(result.err_value, "retrying on another connection")
+                self._is_retrying = True
+                continue
+            follows = f"retrying in {self._backoff_ms:.0f} ms"
+            self._log_failure(result.err_value, follows)
+            self.control_task.post(StoreUnavailable(str(result.err_value)))
             gevent.sleep(self._backoff_ms / MS_PER_S)
             self._backoff_ms = min(BACKOFF_MAX_MS, 2.0 * self._backoff_ms)
             self._is_retrying = True
@@ -214,7 +225,10 @@
         self.control_task.post(StoreSnapshot(page.records, page.revision, has_targets))
 
     def _watch(self):
-        wait_ms = RETRY_WATCH_WAIT_MS if self._is_retrying else self._wait_ms
+        wait_ms = max(RETRY_WATCH_WAIT_MS, self._wait_ms - self._delayed_ms)
+        if self._is_retrying:
+            wait_ms = RETRY_WATCH_WAIT_MS
+        self._delayed_ms = 0.0
         result = self.store.watch(self._prefix(), self._revision, wait_ms)
         if result.is_err():
             return result
@@ -226,22 +240,26 @@
         self.control_task.post(StoreChanges(page.records, page.revision))
         if page.records:
             gevent.sleep(BATCH_DELAY_MS / MS_PER_S)
+            self._delayed_ms = BATCH_DELAY_MS
         return result
 
-    def _note_error(self, error):
-        is_history_gone = error.status == STATUS_HISTORY_GONE
-        follows = (
-            "reading all keys again"
-            if is_history_gone
-            else f"retrying in {self._backoff_ms:.0f} ms"
-        )
+    def _may_be_connection(self, error):
+        """Return whether a failure may concern only the connection that was used.
+
+        A single connection that is silent or reset doesn't show that the store is away:
+        entries that are removed meanwhile were removed by their targets. The next call
+        uses a connection that has answered within the last second, or a new one.
+        """
+        return error.status == 0 and not self._is_retrying
+
+    def _forget_history(self, error):
+        self._log_failure(error, "reading all keys again")
+        self._may_read_stale = False
+        self._revision = None
+        self._targets_revision = None
+
+    def _log_failure(self, error, follows):
         self.log.info("store: call failed", error=f"{error}; {follows}")
-        if is_history_gone:
-            self._may_read_stale = False
-            self._revision = None
-            self._targets_revision = None
-            return
-        self.control_task.post(StoreUnavailable(str(error)))
 
 
 def apply_changes(page, changes):
--- a/packages/entry/tests/test_edge_store_client.py
+++ b/packages/entry/tests/test_edge_store_client.py
@@ -22,7 +22,7 @@
         return pages.pop(0)
 
     answer = SimpleNamespace(status_code=200, body=b"")
-    monkeypatch.setattr(store_client, "call", lambda *args: answer)
+    monkeypatch.setattr(store_client, "call", lambda *args, **options: answer)
     codec = StoreCodec(
         request_page, *[None] * 4, decode_page, *[None] * 3, operator_prefix="op/"
     )
--- a/packages/entry/tests/test_edge_store_watcher.py
+++ b/packages/entry/tests/test_edge_store_watcher.py
@@ -7,6 +7,7 @@
 from hornbeamstand_core.discovery import (
     KeyRemoved,
     StoreAvailable,
+    StoreChanges,
     StoreSnapshot,
     StoreUnavailable,
     VmEntry,
@@ -144,13 +145,14 @@
     """A watch that the store accepts and never answers hides changes until it ends."""
     store, control_task, task, begin = parts
     begin()
-    store.answers = [failed(), Ok(StorePage([], 5))]
+    store.answers = [failed(), failed(), Ok(StorePage([], 5))]
     set_watch(task, WATCH_OPERATOR_KEYS)
     gevent.sleep(0.2)
     waits = [call[3] for call in store.calls[2:]]
     assert waits == [
         store_watcher.WATCH_WAIT_MS,
         store_watcher.RETRY_WATCH_WAIT_MS,
+        store_watcher.RETRY_WATCH_WAIT_MS,
         store_watcher.WATCH_WAIT_MS,
     ]
     kinds = [type(message) for message in control_task.posted]
@@ -159,6 +161,40 @@
     )
 
 
+def test_a_single_failed_connection_does_not_show_that_the_store_is_away(parts):
+    """Guards against targets that stay in use after their removal (review case 2)."""
+    store, control_task, task, begin = parts
+    begin()
+    removed = StorePage([KeyRemoved("servers/i-1")], 6)
+    store.answers = [failed(), Ok(removed)]
+    set_watch(task, WATCH_ALL, True)
+    gevent.sleep(0.01)
+    assert StoreUnavailable not in {type(message) for message in control_task.posted}
+    assert control_task.posted[-1] == StoreChanges(removed.records, 6)
+
+
+@pytest.mark.parametrize("status", [503, 429])
+def test_a_store_that_turns_this_vm_away_is_unavailable_at_once(parts, status):
+    store, control_task, task, begin = parts
+    begin()
+    store.answers = [failed(status)]
+    set_watch(task, WATCH_ALL, True)
+    gevent.sleep(0.01)
+    assert type(control_task.posted[-1]) is StoreUnavailable
+
+
+def test_the_delay_after_changes_counts_towards_the_wait_of_a_watch(parts):
+    """A connection that went silent in the delay must be noticed as early."""
+    store, _, task, begin = parts
+    begin()
+    store.answers = [Ok(StorePage([KeyRemoved("servers/i-1")], 6))]
+    set_watch(task, WATCH_ALL, True)
+    gevent.sleep(store_watcher.BATCH_DELAY_MS / 1000.0 + 0.05)
+    short_ms = store_watcher.SHORT_WATCH_WAIT_MS
+    waits = [call[3] for call in store.calls[2:]]
+    assert waits == [short_ms, short_ms - store_watcher.BATCH_DELAY_MS]
+
+
 def test_first_vm_of_a_failure_domain_uses_the_short_watch(parts):
     store, _, task, begin = parts
     begin()
--- a/standins/store.py
+++ b/standins/store.py
@@ -46,7 +46,8 @@
     ``mode`` is the current fault, or ``ok``: ``busy`` returns 503, ``many`` returns
     429, ``silent`` never responds, and ``lost`` carries out writes without responding.
     Calls from ``refused_ips`` get 503. ``leases`` maps a lease id to (time to live in
-    ms, end in s); ``oldest_revision`` is where the history starts.
+    ms, end in s); ``oldest_revision`` is where the history starts. ``silent_peers`` are
+    the addresses of the connections that are never answered any more.
     """
 
     __slots__ = (
@@ -57,10 +58,12 @@
         "oldest_revision",
         "mode",
         "refused_ips",
+        "silent_peers",
         "n_calls",
         "address",
         "_changed",
         "_n_leases",
+        "_seen_peers",
     )
 
     def __init__(self):
@@ -71,6 +74,8 @@
         self.oldest_revision = 1
         self.mode = "ok"
         self.refused_ips = set()
+        self.silent_peers = set()
+        self._seen_peers = set()
         self.n_calls = 0
         self.address = ""
         self._changed = Event()
@@ -110,6 +115,10 @@
         self.oldest_revision = self.revision
         self._notify_watches()
 
+    def silence_connections(self):
+        """Never answer again on the connections that have carried a call until now."""
+        self.silent_peers |= self._seen_peers
+
     def _append_event(self, event):
         self.events.append(event)
         self._notify_watches()
@@ -136,6 +145,8 @@
     def serve(self, environ, start_response):
         """Serve one call (a WSGI application)."""
         self.n_calls += 1
+        peer = (environ["REMOTE_ADDR"], environ["REMOTE_PORT"])
+        self._seen_peers.add(peer)
         refusal_status = self._refusal_status(environ)
         if refusal_status is not None:
             return respond(start_response, refusal_status, {})
@@ -144,7 +155,8 @@
         raw = environ["wsgi.input"].read()
         body = msgspec.json.decode(raw) if raw else {}
         status, response_body = self._dispatch(path, query, body)
-        if self.mode == "lost" and environ["REQUEST_METHOD"] == "POST":
+        is_lost = self.mode == "lost" and environ["REQUEST_METHOD"] == "POST"
+        if is_lost or peer in self.silent_peers:
             gevent.sleep(3600)
         return respond(start_response, status, response_body)
 
--- a/tests/test_platform_restarts.py
+++ b/tests/test_platform_restarts.py
@@ -1,6 +1,7 @@
 """What a VM knew before a restart or a freeze is not used afterwards."""
 
 import signal
+from time import monotonic
 
 import gevent
 import pytest
@@ -11,6 +12,11 @@
 NEW_ROUTES = {"/tools/": ("tools", "idempotent"), "/new/": ("tools", "idempotent")}
 # Maximum time after a fault until a VM reaches the store again and has caught up.
 RECOVERY_S = 3.0
+# Time after the start until each VM has registered and keeps one connection to the
+# store.
+SETTLE_S = 4.0
+# Time after which a VM whose connections went silent must act on what it then missed.
+CONTACT_S = 3.0
 
 
 @pytest.fixture
@@ -102,3 +108,28 @@
     gevent.joinall(waiting, timeout=6.0)
     assert {job.value.status for job in waiting} <= {503, 504, 0}
     assert sum(sum(server.runs.values()) for server in cell.servers) == before
+
+
+def test_a_server_that_leaves_while_connections_to_the_store_are_silent_is_not_used(
+    cell,
+):
+    """Guards against orders to servers that are gone (review case 2).
+
+    The silence of a connection is no outage of the store: what is removed has left. It
+    begins right after a change, when a VM is latest to notice it.
+    """
+    gone = cell.servers[0]
+    gevent.sleep(SETTLE_S)
+    cell.write_entry(cell.servers[1])
+    gevent.sleep(0.1)
+    silent_at_s = monotonic()
+    cell.store.silence_connections()
+    cell.store.delete(f"servers/{gone.server_id}")
+    while monotonic() < silent_at_s + CONTACT_S:
+        gevent.sleep(0.05)
+    n_before = len(gone.arrivals)
+    while monotonic() < silent_at_s + CONTACT_S + 2.0:
+        for vm in cell.vms:
+            assert cell.send(vm, "/tools/x").status == 200
+            assert cell.send(vm, "/old/x", "POST").status == 200
+    assert len(gone.arrivals) == n_before
