Hold requests to the operators' limits of headers only, and only once

Cause: the WSGI server refuses lines of 8,192 bytes, the standard library 100 headers, both before the operators' limit counts. The owner held a relayed request to the callers' limit although the relaying VM had added a header, and also to its own configuration, which may be older; the same for bodies. The owner's bare 431 has none of a refusal's headers and passed for a target's answer.

Change: CallerHandler reads the request line and headers itself, within the operators' limit alone. The port for relayed requests has a wide limit of headers and none of bodies but the memory budget. A peer's answer that names neither a target nor a refusal is a failed exchange. On the way back, a relayed response may be larger than a target's by what a VM adds, and counts in the same memory budget.

The stand-in server had the library's limits too and has none now.

--- a/packages/entry/hornbeamstand_entry/edge/front.py
+++ b/packages/entry/hornbeamstand_entry/edge/front.py
@@ -133,7 +133,7 @@
         context = self._read_context(environ)
         request = self._read_request(environ, context, arrived_at_ms)
         try:
-            context.body = self._read_body(environ, request, hold)
+            context.body = self._read_body(environ, request, hold, policy is not None)
         except BodyError as error:
             self.log.body_refused(request, error.refusal)
             return respond_outcome(start_response, Err(error.refusal), context)
@@ -141,14 +141,18 @@
         outcome = self._run(environ, context, call)
         return respond_outcome(start_response, outcome, context)
 
-    def _read_body(self, environ, request, hold):
-        """Return the body of a request, which must arrive within its deadline."""
+    def _read_body(self, environ, request, hold, is_relayed):
+        """Return the body of a request, which must arrive within its deadline.
+
+        The VM that relayed a request has held its body to the limit.
+        """
         config = self.node.routing.config
         limits = config.limits if config else CallerLimits()
+        max_bytes = float("inf") if is_relayed else limits.body_max_bytes
         timeout_ms = BODY_TIMEOUT_MS
         if request.deadline_ms is not None:
             timeout_ms = min(timeout_ms, request.deadline_ms)
-        return read_body(environ, limits.body_max_bytes, hold, timeout_ms)
+        return read_body(environ, max_bytes, hold, timeout_ms)
 
     def _read_context(self, environ):
         header_items = environ["hornbeamstand.header_items"]
--- a/packages/entry/hornbeamstand_entry/edge/messages.py
+++ b/packages/entry/hornbeamstand_entry/edge/messages.py
@@ -114,7 +114,9 @@
 def peer_response(response, peer_id):
     """Return the UpstreamResponse of a peer's response, with its refusal if any.
 
-    A refusal that does not state that the request did not run leaves its outcome
+    The result is None if the response names neither a target nor the reason of a
+    refusal: the peer's HTTP server wrote it, and it is no answer of a target. A refusal
+    that does not state that the request did not run leaves its outcome
     unknown, whatever its status.
     """
     refusal = None
@@ -130,9 +132,11 @@
             peer_id,
             read_number(response.get(RETRY_AFTER_HEADER)),
         )
-    target_id = response.get(headers.TARGET, peer_id)
+    target_id = response.get(headers.TARGET)
+    if refusal is None and target_id is None:
+        return None
     return UpstreamResponse(
-        response.status_code, response, refusal=refusal, target_id=target_id
+        response.status_code, response, refusal=refusal, target_id=target_id or peer_id
     )
 
 
--- a/packages/entry/hornbeamstand_entry/edge/performers.py
+++ b/packages/entry/hornbeamstand_entry/edge/performers.py
@@ -214,10 +214,13 @@
         if type(result) is SendFailure:
             return result
         if type(key) is Relay:
-            return peer_response(result, key.peer_id)
-        response = target_response(result, context, dialect)
+            response = peer_response(result, key.peer_id)
+            sender = key.peer_id
+        else:
+            response = target_response(result, context, dialect)
+            sender = key.target_id
         if response is None:
-            return SendFailure(BROKEN_RESPONSE, True, key.target_id)
+            return SendFailure(BROKEN_RESPONSE, True, sender)
         return response
 
     def abort(effect, context):
--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -27,6 +27,7 @@
 from ..tasks.byte_budget import ByteBudget
 from ..tasks.connections import ConnectionRules
 from ..tasks.pools import Pools
+from ..tasks.response_parser import HEAD_MAX_BYTES
 from .config_copies import ConfigCopies
 from .control_task import EdgeControlTask
 from .front import EdgeFront, respond
@@ -48,6 +49,9 @@
 TARGET_CONNECT_MS = 250.0
 PEER_CONNECT_MS = 150.0
 STORE_CONNECT_MS = 500.0
+# Maximum size of the head of a response that another VM relays: it has added headers to
+# that of a target.
+RELAYED_HEAD_MAX_BYTES = 2 * HEAD_MAX_BYTES
 # Maximum wait for the store's answer, in addition to the time that a watch may be held.
 STORE_TIMEOUT_MS = 800.0
 # Maximum time for which sent bytes may stay unacknowledged.
@@ -79,11 +83,14 @@
 # Time for which callers' connections may be idle beyond the limit that callers are
 # told, so that no connection is closed while a request is on its way.
 IDLE_MARGIN_MS = 2000.0
+# Least limit of the headers of a request that another VM relays.
+RELAYED_HEADER_MIN_BYTES = 1 << 20
 
 
 class EdgeProcess:
     """The tasks of one edge process.
 
+    ``body_budget`` limits the bytes of all bodies of requests and responses.
     ``peer_pools`` holds the connections to other entry VMs. ``caller_servers`` are the
     HTTP servers for callers' requests, which a planned stop closes first.
     """
@@ -100,6 +107,7 @@
         "store",
         "store_watcher",
         "registration",
+        "body_budget",
         "peer_pools",
         "caller_servers",
     )
@@ -116,7 +124,13 @@
         self.metrics = EdgeMetrics()
         self.node = make_node(settings, self.clock)
         self.control_task = EdgeControlTask(self.node, self.clock, self.log)
-        rules = ConnectionRules(PEER_CONNECT_MS, TCP_USER_TIMEOUT_MS)
+        self.body_budget = ByteBudget(settings.body_memory_bytes)
+        rules = ConnectionRules(
+            PEER_CONNECT_MS,
+            TCP_USER_TIMEOUT_MS,
+            answer_budget=self.body_budget,
+            head_max_bytes=RELAYED_HEAD_MAX_BYTES,
+        )
         self.peer_pools = Pools(self.clock, stack, rules)
         self._build_store(stack)
         self._build_front(stack)
@@ -167,7 +181,7 @@
 
     def _build_front(self, stack):
         """Build the load prober, the performers, the front end and the gauges."""
-        body_budget = ByteBudget(self.settings.body_memory_bytes)
+        body_budget = self.body_budget
         target_pools = Pools(
             self.clock,
             stack,
@@ -226,11 +240,11 @@
         settings, front = self.settings, self.front
         peer_address = f"{settings.ip}:{settings.peer_port}"
 
-        def listen_at(address, app):
-            return start_server(address, app, stack, self.idle_ms, self.caller_limits)
+        def listen_at(address, app, limits=self.caller_limits):
+            return start_server(address, app, stack, self.idle_ms, limits)
 
         self.caller_servers = [listen_at(settings.front_address, front.serve_caller)]
-        listen_at(peer_address, front.serve_peer)
+        listen_at(peer_address, front.serve_peer, self.peer_limits)
         listen_at(settings.ready_address, front.serve_ready)
         listen_at(settings.lookup_address, front.serve_lookup)
         listen_at(settings.admin_address, self.serve_admin)
@@ -240,6 +254,21 @@
         config = self.node.routing.config
         return config.limits if config else CallerLimits()
 
+    def peer_limits(self):
+        """Return the CallerLimits of requests that other VMs relay.
+
+        The VM that took the request from its caller has held it to the callers' limits,
+        and has added headers since. It may know a newer configuration.
+        """
+        limits = self.caller_limits()
+        header_max_bytes = max(RELAYED_HEADER_MIN_BYTES, 2 * limits.header_max_bytes)
+        return CallerLimits(
+            header_max_bytes,
+            limits.body_max_bytes,
+            limits.header_ms,
+            limits.idle_ms,
+        )
+
     def idle_ms(self):
         """Return the maximum idle time of a connection in milliseconds."""
         return self.caller_limits().idle_ms + IDLE_MARGIN_MS
--- a/packages/entry/hornbeamstand_entry/http_server.py
+++ b/packages/entry/hornbeamstand_entry/http_server.py
@@ -1,9 +1,10 @@
 """Shared code of a VM's HTTP servers: sockets, bodies and disconnecting callers."""
 
 import socket
+from email.parser import Parser
 
 import gevent
-from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.pywsgi import OldMessage, WSGIHandler, WSGIServer
 from hornbeamstand_core.messages import NOT_RUN, Refusal
 from hornbeamstand_core.routes import CallerLimits
 
@@ -12,6 +13,7 @@
     HeaderTimeout,
     LimitedLines,
     RefusedBody,
+    RequestError,
     check_headers,
     error_response,
 )
@@ -27,10 +29,13 @@
     """Serves the requests of one caller's connection.
 
     ``header_timer`` limits the time from the first byte of a request to the end of its
-    headers.
+    headers, and ``head_lines`` their size. The limits of the libraries, which are lower
+    and fixed, don't apply. ``whole_requestline`` is the line as it was sent.
     """
 
     header_timer = None
+    head_lines = None
+    whole_requestline = ""
 
     def handle(self):
         """Set the options of the socket, then serve its requests."""
@@ -39,10 +44,10 @@
         super().handle()
 
     def handle_one_request(self):
-        """Serve one request; its headers must arrive in time."""
+        """Serve one request, whose headers must arrive within their limits."""
         try:
             return super().handle_one_request()
-        except HeaderTimeout as error:
+        except RequestError as error:
             return error_response(error)
         finally:
             self._stop_header_timer()
@@ -52,26 +57,33 @@
         self.rfile.peek(1)
 
     def read_requestline(self):
-        """Return the request line, or an empty one at the end of the connection."""
+        """Read the request line; return its first character, or "" if there is none.
+
+        The library refuses a line that is longer than a limit of its own. It gets the
+        whole line in ``read_request``, where it has no such limit.
+        """
         self.wait_for_request()
-        timeout_s = self.server.limits().header_ms / MS_PER_S
+        limits = self.server.limits()
         self.header_timer = gevent.Timeout.start_new(
-            timeout_s, HeaderTimeout("headers did not arrive in time")
+            limits.header_ms / MS_PER_S,
+            HeaderTimeout("headers did not arrive in time"),
         )
-        return super().read_requestline()
+        self.head_lines = LimitedLines(self.rfile, limits.header_max_bytes)
+        line = self.head_lines.read_request_line()
+        self.whole_requestline = line.decode("latin-1")
+        return self.whole_requestline[:1]
 
     def read_request(self, raw_requestline):
         """Read the headers; raises RequestError if they are invalid."""
-        is_read = super().read_request(raw_requestline)
+        is_read = super().read_request(self.whole_requestline)
         self._stop_header_timer()
         check_headers(self.headers)
         return is_read
 
     def MessageClass(self, file, seekable):
         """Return the headers of the request, within their size limit."""
-        limit_bytes = self.server.limits().header_max_bytes
-        limit_bytes -= len(self.requestline)
-        return super().MessageClass(LimitedLines(file, limit_bytes), seekable)
+        text = self.head_lines.read_headers().decode("latin-1")
+        return Parser(_class=OldMessage).parsestr(text)
 
     def _handle_client_error(self, ex):
         return error_response(ex)
--- a/packages/entry/hornbeamstand_entry/request_limits.py
+++ b/packages/entry/hornbeamstand_entry/request_limits.py
@@ -3,8 +3,6 @@
 The errors of this module end a connection with the response in ``error_response``.
 """
 
-from http.client import HTTPException
-
 import gevent
 
 from .responses import status_line
@@ -14,6 +12,7 @@
 DISCARD_MAX_BYTES = 1 << 20
 DISCARD_MAX_MS = 500.0
 DISCARD_READ_BYTES = 16_384
+LINE_END = b"\r\n"
 MS_PER_S = 1000.0
 
 
@@ -29,6 +28,12 @@
     status = 431
 
 
+class RequestLineTooLong(RequestError):
+    """The request line alone has more bytes than it may have with the headers."""
+
+    status = 414
+
+
 class HeaderTimeout(RequestError):
     """The request line and headers did not arrive in time."""
 
@@ -36,7 +41,10 @@
 
 
 class LimitedLines:
-    """Reads the lines of a request's headers, up to a number of bytes in total."""
+    """Reads a request line and the headers, up to a number of bytes in total.
+
+    The end of the request line doesn't count.
+    """
 
     __slots__ = ("file", "n_left_bytes")
 
@@ -44,17 +52,35 @@
         self.file = file
         self.n_left_bytes = max_bytes
 
-    def readline(self, size):
-        """Return the next line; raises HeaderTooLarge beyond the limit.
+    def read_request_line(self):
+        """Return the request line, or no bytes at the end of the connection.
 
-        Raises RequestError if the connection ends within the headers: those that are
-        missing may state that the request has a body.
+        Raises RequestLineTooLong beyond the limit.
         """
-        line = self.file.readline(min(size, self.n_left_bytes + 1))
+        line = self.file.readline(self.n_left_bytes + len(LINE_END) + 1)
+        self.n_left_bytes -= len(line.rstrip(LINE_END))
+        if self.n_left_bytes < 0:
+            raise RequestLineTooLong("request line is larger than the limit")
+        return line
+
+    def read_headers(self):
+        """Return the bytes of all headers, up to the empty line.
+
+        Raises HeaderTooLarge beyond the limit, and RequestError if the connection ends
+        within the headers: those that are missing may state that the request has a
+        body.
+        """
+        lines = [self._read_line()]
+        while lines[-1].rstrip(LINE_END):
+            lines.append(self._read_line())
+        return b"".join(lines)
+
+    def _read_line(self):
+        line = self.file.readline(self.n_left_bytes + 1)
         self.n_left_bytes -= len(line)
         if self.n_left_bytes < 0:
             raise HeaderTooLarge("headers are larger than the limit")
-        if len(line) < size and not line.endswith(b"\n"):
+        if not line.endswith(b"\n"):
             raise RequestError("headers broke off")
         return line
 
@@ -98,12 +124,7 @@
 
 def error_response(error):
     """Return the status and the bytes of the response to a request with an error."""
-    status = 400
-    if isinstance(error, RequestError):
-        status = error.status
-    elif isinstance(error, HTTPException):
-        # The standard library reads at most 100 header lines.
-        status = HeaderTooLarge.status
+    status = error.status if isinstance(error, RequestError) else 400
     line = status_line(status)
     head = f"HTTP/1.1 {line}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
     return line, head.encode()
--- a/packages/entry/hornbeamstand_entry/tasks/connections.py
+++ b/packages/entry/hornbeamstand_entry/tasks/connections.py
@@ -20,7 +20,12 @@
 from ..header_numbers import read_count
 from .byte_budget import ByteBudget
 from .exchange import ExchangeResult
-from .response_parser import ERROR_STATUS_MIN, ResponseParser, read_response
+from .response_parser import (
+    ERROR_STATUS_MIN,
+    HEAD_MAX_BYTES,
+    ResponseParser,
+    read_response,
+)
 from .task import Task
 
 # Timeout for opening a connection.
@@ -64,6 +69,8 @@
         Maximum idle time after which a connection is still reused.
     answer_budget : ByteBudget, optional
         Limits the bytes of all responses that are being read.
+    head_max_bytes : int
+        Maximum number of bytes outside of bodies that are read for one exchange.
     """
 
     __slots__ = (
@@ -76,6 +83,7 @@
         "last_response_max_age_ms",
         "idle_max_ms",
         "answer_budget",
+        "head_max_bytes",
     )
 
     def __init__(
@@ -89,6 +97,7 @@
         last_response_max_age_ms=LAST_RESPONSE_MAX_AGE_MS,
         idle_max_ms=IDLE_MAX_MS,
         answer_budget=None,
+        head_max_bytes=HEAD_MAX_BYTES,
     ):
         self.connect_timeout_ms = connect_timeout_ms
         self.tcp_user_timeout_ms = tcp_user_timeout_ms
@@ -99,6 +108,7 @@
         self.last_response_max_age_ms = last_response_max_age_ms
         self.idle_max_ms = idle_max_ms
         self.answer_budget = answer_budget or ByteBudget()
+        self.head_max_bytes = head_max_bytes
 
 
 class Connection:
--- a/packages/entry/hornbeamstand_entry/tasks/response_parser.py
+++ b/packages/entry/hornbeamstand_entry/tasks/response_parser.py
@@ -18,8 +18,9 @@
 FINAL_STATUS_MIN = 200
 # Lowest status of an error response.
 ERROR_STATUS_MIN = 400
-# Maximum number of bytes outside of bodies that are read for one exchange: status
-# lines, headers, trailers, chunk sizes and interim responses.
+# Maximum number of bytes outside of bodies that are read for one exchange, unless the
+# connection's rules state another one: status lines, headers, trailers, chunk sizes and
+# interim responses.
 HEAD_MAX_BYTES = 65536
 # Number of bytes of chunk sizes that are read in addition for each byte of a body: a
 # chunk of one byte has five.
@@ -148,12 +149,12 @@
                 is_unsure |= echoed_id is None
                 if n_dropped > N_DROPPED_MAX:
                     raise ResponseError(f"more than {N_DROPPED_MAX} other responses")
-            receive_bytes(sock, parser, exchange, hold)
+            receive_bytes(sock, parser, exchange, hold, rules.head_max_bytes)
     finally:
         hold.release()
 
 
-def receive_bytes(sock, parser, exchange, hold):
+def receive_bytes(sock, parser, exchange, hold, head_max_bytes):
     """Read from the connection once and parse what came.
 
     Raises ResponseError if nothing more comes or if a limit is exceeded.
@@ -166,13 +167,13 @@
             "connection closed before the response was complete, after"
             f" {parser.n_body_bytes} bytes of its body"
         )
-    check_size(parser, exchange, hold)
+    check_size(parser, exchange, hold, head_max_bytes)
     if len(data) == READ_BYTES:
         # More bytes may be there already, and then the next read would not wait.
         gevent.sleep(0)
 
 
-def check_size(parser, exchange, hold):
+def check_size(parser, exchange, hold, head_max_bytes):
     """Raise ResponseError if more was read for an exchange than its limits allow."""
     n_body_bytes = parser.n_body_bytes
     if n_body_bytes > exchange.answer_max_bytes:
@@ -180,9 +181,9 @@
             f"response body is longer than {exchange.answer_max_bytes} bytes"
         )
     n_head_bytes = parser.n_received_bytes - n_body_bytes
-    if n_head_bytes > HEAD_MAX_BYTES + CHUNK_OVERHEAD_FACTOR * n_body_bytes:
+    if n_head_bytes > head_max_bytes + CHUNK_OVERHEAD_FACTOR * n_body_bytes:
         raise ResponseError(
-            f"response has more than {HEAD_MAX_BYTES} bytes outside its body"
+            f"response has more than {head_max_bytes} bytes outside its body"
         )
     if not hold.grow_to(n_body_bytes):
         raise ResponseError("no memory for the response body")
--- a/packages/entry/tests/test_caller_limits.py
+++ b/packages/entry/tests/test_caller_limits.py
@@ -5,6 +5,7 @@
 
 import gevent
 import pytest
+from hornbeamstand_core.routes import CallerLimits
 from hornbeamstand_entry.edge.servers import (
     close_idle_connections,
     has_requests,
@@ -64,6 +65,47 @@
     assert front.budget.n_used_bytes == 0
 
 
+def padded(n_bytes, head, line):
+    """Return a request whose request line and headers have ``n_bytes`` in total."""
+    end = b"Connection: close\r\n\r\n"
+    # The end of the request line doesn't count.
+    n_left_bytes = n_bytes - len(head) - len(end) + 2
+    n_lines, n_rest_bytes = divmod(n_left_bytes, len(line))
+    rest = b"B: " + b"b" * (n_rest_bytes + len(line) - 5) + b"\r\n"
+    return head + line * (n_lines - 1) + rest + end
+
+
+GET = b"GET /x HTTP/1.1\r\nHost: h\r\n"
+LONG_QUERY = b"GET /?" + b"q" * 10_000 + b" HTTP/1.1\r\nHost: h\r\n"
+WIDE_LIMITS = CallerLimits(header_max_bytes=16_384)
+PROPER = {
+    "long query": padded(16_384, LONG_QUERY, b"A: " + b"a" * 500 + b"\r\n"),
+    "large cookie": padded(16_384, GET, b"Cookie: " + b"c" * 7000 + b"\r\n"),
+    "many headers": padded(16_384, GET, b"A: b\r\n"),
+}
+
+
+@pytest.mark.parametrize("kind", sorted(PROPER))
+def test_a_request_within_the_limit_is_served(stack, kind):
+    """Guards against limits of the library that are lower than the operators' one."""
+    front = Front(stack, limits=WIDE_LIMITS)
+    assert exchange(stack, front, PROPER[kind]).startswith(b"HTTP/1.1 200")
+
+
+@pytest.mark.parametrize("kind", sorted(PROPER))
+def test_a_request_one_byte_beyond_the_limit_is_refused(stack, kind):
+    front = Front(stack, limits=WIDE_LIMITS)
+    request = PROPER[kind].replace(b"B: ", b"B: b")
+    assert exchange(stack, front, request).startswith(b"HTTP/1.1 431")
+    assert front.n_requests == 0
+
+
+def test_a_request_line_beyond_the_limit_is_answered_with_414(stack):
+    front = Front(stack)
+    request = b"GET /" + b"x" * LIMITS.header_max_bytes + b" HTTP/1.1\r\n\r\n"
+    assert exchange(stack, front, request).startswith(b"HTTP/1.1 414")
+
+
 @pytest.mark.parametrize("part", ["one header", "headers"])
 def test_too_large_headers_are_answered_with_431(stack, part):
     start, more = ENDLESS[part]
--- a/standins/server.py
+++ b/standins/server.py
@@ -2,16 +2,39 @@
 
 import socket
 from collections import Counter
+from email.parser import Parser
 
 import gevent
-from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.pywsgi import OldMessage, WSGIHandler, WSGIServer
 
 # Time for which a server in mode "hang" holds a request: longer than any test.
 HANG_S = 3600.0
 
 
 class NoDelayHandler(WSGIHandler):
-    """Sends each write at once, and passes on the socket and the raw request."""
+    """Sends each write at once, and passes on the socket and the raw request.
+
+    It has no limits of its own for the request line and the headers.
+    """
+
+    def read_requestline(self):
+        """Read the request line; return its first character, or "" if there is none.
+
+        ``read_request`` takes the whole line, which the library would refuse here.
+        """
+        self.whole_requestline = self.rfile.readline().decode("latin-1")
+        return self.whole_requestline[:1]
+
+    def read_request(self, raw_requestline):
+        """Read the headers."""
+        return super().read_request(self.whole_requestline)
+
+    def MessageClass(self, file, seekable):
+        """Return the headers of the request."""
+        lines = [file.readline()]
+        while lines[-1].rstrip(b"\r\n"):
+            lines.append(file.readline())
+        return Parser(_class=OldMessage).parsestr(b"".join(lines).decode("latin-1"))
 
     def handle(self):
         """Set TCP_NODELAY before the first request."""
--- a/tests/caller_front.py
+++ b/tests/caller_front.py
@@ -16,18 +16,19 @@
 class Front:
     """A server whose application reads each body and returns its length."""
 
-    def __init__(self, stack, memory_bytes=float("inf")):
+    def __init__(self, stack, memory_bytes=float("inf"), limits=LIMITS):
+        self.limits = limits
         self.budget = ByteBudget(memory_bytes)
         self.n_requests = 0
         self.server = start_server(
-            "127.0.0.1:0", self.app, stack, lambda: LIMITS.idle_ms, lambda: LIMITS
+            "127.0.0.1:0", self.app, stack, lambda: limits.idle_ms, lambda: limits
         )
         self.address = ("127.0.0.1", self.server.server_port)
 
     def app(self, environ, start_response):
-        hold = self.budget.hold()
+        hold, limits = self.budget.hold(), self.limits
         try:
-            body = read_body(environ, LIMITS.body_max_bytes, hold, BODY_TIMEOUT_MS)
+            body = read_body(environ, limits.body_max_bytes, hold, BODY_TIMEOUT_MS)
             status, text = 200, str(len(body)).encode()
             self.n_requests += 1
         except BodyError as error:
