Count an answer's memory while it is there, and free what was read in vain

Reproduced here: with three servers whose bodies never end and 12 requests at a time, the processes took 256 to 592 MB in three runs; 256 MB is the memory that a VM's settings leave when they state none. Heads without end were cut off already (34 to 50 MB).

Cause: an exchange and its connection refer to each other, so that what a connection had read in vain stayed until a garbage collection of the oldest generation, though its share of the budget was released at once. The body was also kept in one buffer that grows and was copied at its end. Answers on their way to slow callers no longer counted: 20 answers of 16 MB took 391 MB. Chunks of one byte took the time of other requests, and trailers after a long body could be as long as five times the body.

Ruled out: heads, interim answers and chunk extensions (34 to 50 MB before), uploads without end (bounded before).

Change: a connection that ends drops its parser and its exchange. A body is kept as pieces, which are passed on unjoined. The budget counts an answer until the caller has got it, or gone. Headers with trailers, and chunk sizes, have limits of their own.

--- a/packages/entry/hornbeamstand_entry/edge/context.py
+++ b/packages/entry/hornbeamstand_entry/edge/context.py
@@ -13,7 +13,8 @@
     path and query, and ``header_items`` are the header lines to forward. ``pending``
     holds the events that arrived while a reply or the answer to a load probe was
     awaited.
-    ``key_by_exchange`` maps each exchange in flight to its Permit, Relay or SendProbe.
+    ``key_by_exchange`` maps each exchange in flight to its Permit, Relay or SendProbe,
+    and ``exchanges`` are all that have sent the request, whose responses take memory.
     """
 
     __slots__ = (
@@ -25,6 +26,7 @@
         "mailbox",
         "pending",
         "key_by_exchange",
+        "exchanges",
     )
 
     def __init__(self, caller_request_id, method, path, header_items, body):
@@ -36,3 +38,37 @@
         self.mailbox = SimpleQueue()
         self.pending = deque()
         self.key_by_exchange = {}
+        self.exchanges = []
+
+    def release_answers(self):
+        """Release the memory of all responses, once the caller has got its answer."""
+        for exchange in self.exchanges:
+            exchange.release_answer()
+
+
+class AnswerBody:
+    """The body of a WSGI response, which releases the answers' memory when it is sent.
+
+    Parameters
+    ----------
+    pieces : sequence of bytes
+        The body.
+    context : EdgeContext
+        Holds the answers.
+    """
+
+    __slots__ = ("pieces", "context")
+
+    def __init__(self, pieces, context):
+        self.pieces = pieces
+        self.context = context
+
+    def __iter__(self):
+        return iter(self.pieces)
+
+    def __len__(self):
+        return len(self.pieces)
+
+    def close(self):
+        """Release the answers; the WSGI server calls this in any case."""
+        self.context.release_answers()
--- a/packages/entry/hornbeamstand_entry/edge/front.py
+++ b/packages/entry/hornbeamstand_entry/edge/front.py
@@ -10,7 +10,7 @@
 from ..performers import drive
 from ..responses import status_line
 from .config_copies import COPY_PATH, compress_copy
-from .context import EdgeContext
+from .context import AnswerBody, EdgeContext
 from .messages import (
     RETRY_AFTER_HEADER,
     caller_status,
@@ -138,8 +138,13 @@
             self.log.body_refused(request, error.refusal)
             return respond_outcome(start_response, Err(error.refusal), context)
         call = EdgeCall(request, policy)
-        outcome = self._run(environ, context, call)
-        return respond_outcome(start_response, outcome, context)
+        try:
+            outcome = self._run(environ, context, call)
+            pieces = respond_outcome(start_response, outcome, context)
+        except BaseException:
+            context.release_answers()
+            raise
+        return AnswerBody(pieces, context)
 
     def _read_body(self, environ, request, hold, is_relayed):
         """Return the body of a request, which must arrive within its deadline.
@@ -269,9 +274,9 @@
     The response to a HEAD request has no body and keeps the target's Content-Length.
     """
     items = response_items(response)
-    length = str(len(response.body))
+    length = str(response.n_body_bytes)
     if response.method == "HEAD":
         length = response.get("Content-Length", "0")
     items.append(("Content-Length", length))
     start_response(status_line(response.status_code), [*items, *extra_items])
-    return [response.body] if response.body else []
+    return response.body_pieces
--- a/packages/entry/hornbeamstand_entry/edge/performers.py
+++ b/packages/entry/hornbeamstand_entry/edge/performers.py
@@ -101,7 +101,9 @@
             context.mailbox,
             context.caller_request_id,
             body,
+            keeps_answer_hold=True,
         )
+        context.exchanges.append(exchange)
         context.key_by_exchange[exchange] = key
         pools.post(address, exchange)
 
--- a/packages/entry/hornbeamstand_entry/tasks/connections.py
+++ b/packages/entry/hornbeamstand_entry/tasks/connections.py
@@ -181,6 +181,10 @@
     finally:
         if connection.sock is not None:
             connection.sock.close()
+        # The exchange refers to its connection. Without this, what was read of a
+        # response would stay in memory until the next garbage collection.
+        connection.exchange = None
+        connection.parser = None
         pool_task.post(closed)
 
 
--- a/packages/entry/hornbeamstand_entry/tasks/exchange.py
+++ b/packages/entry/hornbeamstand_entry/tasks/exchange.py
@@ -14,7 +14,9 @@
     A response fails if its body is longer than ``answer_max_bytes`` before it is
     complete. ``expected_id`` is the request id that the response echoes, or None.
     ``is_sent`` is set as soon as any byte may have been sent. ``connection`` carries
-    the exchange, and is None until one is assigned.
+    the exchange, and is None until one is assigned. If ``keeps_answer_hold`` is set,
+    the memory of the response counts until the requester calls ``release_answer``;
+    otherwise only while it is read.
     """
 
     __slots__ = (
@@ -30,6 +32,8 @@
         "has_timed_out",
         "connection",
         "body",
+        "keeps_answer_hold",
+        "_answer_hold",
     )
 
     def __init__(
@@ -42,6 +46,7 @@
         reply_to,
         expected_id=None,
         body=b"",
+        keeps_answer_hold=False,
     ):
         self.method = method
         self.request_bytes = request_bytes
@@ -55,6 +60,21 @@
         self.is_cancelled = False
         self.has_timed_out = False
         self.connection = None
+        self.keeps_answer_hold = keeps_answer_hold
+        self._answer_hold = None
+
+    def take_answer_hold(self, hold):
+        """Take over the ByteHold of the complete response, or release it."""
+        if self.keeps_answer_hold and not self.is_cancelled:
+            self._answer_hold = hold
+        else:
+            hold.release()
+
+    def release_answer(self):
+        """Release the memory of the response, which is needed no more."""
+        if self._answer_hold is not None:
+            self._answer_hold.release()
+            self._answer_hold = None
 
     def receive_result(self, timeout_ms):
         """Return the result of the exchange, or a message of another type.
--- a/packages/entry/hornbeamstand_entry/tasks/response_parser.py
+++ b/packages/entry/hornbeamstand_entry/tasks/response_parser.py
@@ -22,9 +22,11 @@
 # connection's rules state another one: status lines, headers, trailers, chunk sizes and
 # interim responses.
 HEAD_MAX_BYTES = 65536
-# Number of bytes of chunk sizes that are read in addition for each byte of a body: a
-# chunk of one byte has five.
-CHUNK_OVERHEAD_FACTOR = 5
+# Number of bytes of chunk sizes that are read in addition for each byte of a body. Each
+# chunk costs time, so that one target could take all of this VM's time with tiny ones.
+CHUNK_OVERHEAD_SHARE = 0.25
+# Size at which the bytes of a body begin a new piece.
+PIECE_BYTES = 65536
 # Maximum number of responses to other requests that are dropped during one exchange.
 N_DROPPED_MAX = 16
 NO_BODY_STATUSES = frozenset([204, 304])
@@ -37,27 +39,41 @@
 class CompleteResponse(Record):
     """One complete response to a request with ``method``.
 
-    ``closes_connection`` is set if the connection must not carry another exchange, and
-    ``is_followed`` if further bytes, which belong to no request, came behind it.
+    ``body_pieces`` are the parts of its body in order, which are not joined because a
+    long body would then be in memory twice. ``closes_connection`` is set if the
+    connection must not carry another exchange, and ``is_followed`` if further bytes,
+    which belong to no request, came behind it.
     """
 
     __slots__ = (
         "status_code",
         "header_items",
-        "body",
+        "body_pieces",
         "method",
         "closes_connection",
         "is_followed",
     )
 
-    def __init__(self, status_code, header_items, body, method, closes_connection):
+    def __init__(
+        self, status_code, header_items, body_pieces, method, closes_connection
+    ):
         self.status_code = status_code
         self.header_items = header_items
-        self.body = body
+        self.body_pieces = body_pieces
         self.method = method
         self.closes_connection = closes_connection
         self.is_followed = False
 
+    @property
+    def body(self):
+        """The whole body as bytes."""
+        return b"".join(self.body_pieces)
+
+    @property
+    def n_body_bytes(self):
+        """The size of the body."""
+        return sum(map(len, self.body_pieces))
+
     def get(self, name, default=None):
         """Return the first value of a header, or the default if it is absent."""
         lower_name = name.lower()
@@ -88,9 +104,9 @@
     """Parses the responses of one connection; ``complete`` holds those not yet read.
 
     ``n_responses`` counts the complete responses of the connection, and
-    ``has_echoed_ids`` is set once one of them echoed a request id. ``n_body_bytes`` and
-    ``n_received_bytes`` count the bytes of bodies, and all bytes, of the current
-    exchange.
+    ``has_echoed_ids`` is set once one of them echoed a request id. ``n_body_bytes``,
+    ``n_header_bytes`` and ``n_received_bytes`` count the bytes of bodies, of headers
+    with trailers, and all bytes of the current exchange.
     """
 
     def __init__(self):
@@ -98,35 +114,55 @@
         self.complete = deque()
         self.n_responses = 0
         self.has_echoed_ids = False
+        self._pieces = []
+        self._begin_counts()
+
+    def _begin_counts(self):
         self.n_body_bytes = 0
+        self.n_header_bytes = 0
         self.n_received_bytes = 0
 
     def begin_exchange(self, method):
         """Prepare for the response to a request with ``method``."""
         self.method = method
-        self.n_body_bytes = 0
-        self.n_received_bytes = 0
+        self._begin_counts()
+
+    def _on_header_field(self, string):
+        self.n_header_bytes += len(string)
+        super()._on_header_field(string)
+
+    def _on_header_value(self, string):
+        self.n_header_bytes += len(string)
+        super()._on_header_value(string)
 
     def _on_body(self, buf):
         super()._on_body(buf)
         self.n_body_bytes += len(buf)
+        if len(self._body_buffer) >= PIECE_BYTES:
+            self._end_piece()
+
+    def _end_piece(self):
+        if self._body_buffer:
+            self._pieces.append(bytes(self._body_buffer))
+            self._body_buffer = bytearray()
 
     def _on_message_complete(self):
         super()._on_message_complete()
+        self._end_piece()
         if self.status_code >= FINAL_STATUS_MIN:
             response = CompleteResponse(
                 self.status_code,
                 list(self.items()),
-                bytes(self._body_buffer),
+                self._pieces,
                 self.method,
                 not self.should_keep_alive(),
             )
             self.complete.append(response)
-        self._body_buffer = bytearray()
+        self._pieces = []
 
 
 def read_response(sock, parser, exchange, rules):
-    """Return the complete response to an exchange.
+    """Return the complete response to an exchange, which then holds its memory.
 
     Responses that belong to another request are dropped. Raises ResponseError if the
     response is invalid or incomplete, or too long before it is complete, and OSError if
@@ -134,24 +170,33 @@
     """
     parser.begin_exchange(exchange.method)
     hold = rules.answer_budget.hold()
-    n_dropped = 0
-    is_unsure = False
     try:
-        while True:
-            while parser.complete:
-                response = parser.complete.popleft()
-                parser.n_responses += 1
-                echoed_id = read_echoed_id(response, parser, rules)
-                if is_for_exchange(echoed_id, exchange, parser, rules):
-                    response.closes_connection |= is_unsure
-                    return check_framing(response, echoed_id, parser, rules)
-                n_dropped += 1
-                is_unsure |= echoed_id is None
-                if n_dropped > N_DROPPED_MAX:
-                    raise ResponseError(f"more than {N_DROPPED_MAX} other responses")
-            receive_bytes(sock, parser, exchange, hold, rules.head_max_bytes)
-    finally:
+        response = read_matching_response(sock, parser, exchange, rules, hold)
+    except BaseException:
+        # Also if the greenlet is killed.
         hold.release()
+        raise
+    exchange.take_answer_hold(hold)
+    return response
+
+
+def read_matching_response(sock, parser, exchange, rules, hold):
+    """Return the complete response to an exchange; see ``read_response``."""
+    n_dropped = 0
+    is_unsure = False
+    while True:
+        while parser.complete:
+            response = parser.complete.popleft()
+            parser.n_responses += 1
+            echoed_id = read_echoed_id(response, parser, rules)
+            if is_for_exchange(echoed_id, exchange, parser, rules):
+                response.closes_connection |= is_unsure
+                return check_framing(response, echoed_id, parser, rules)
+            n_dropped += 1
+            is_unsure |= echoed_id is None
+            if n_dropped > N_DROPPED_MAX:
+                raise ResponseError(f"more than {N_DROPPED_MAX} other responses")
+        receive_bytes(sock, parser, exchange, hold, rules.head_max_bytes)
 
 
 def receive_bytes(sock, parser, exchange, hold, head_max_bytes):
@@ -180,8 +225,9 @@
         raise ResponseError(
             f"response body is longer than {exchange.answer_max_bytes} bytes"
         )
-    n_head_bytes = parser.n_received_bytes - n_body_bytes
-    if n_head_bytes > head_max_bytes + CHUNK_OVERHEAD_FACTOR * n_body_bytes:
+    n_other_bytes = parser.n_received_bytes - n_body_bytes
+    n_chunk_bytes = n_other_bytes - CHUNK_OVERHEAD_SHARE * n_body_bytes
+    if max(parser.n_header_bytes, n_chunk_bytes) > head_max_bytes:
         raise ResponseError(
             f"response has more than {head_max_bytes} bytes outside its body"
         )
--- a/packages/entry/tests/test_edge_answers.py
+++ b/packages/entry/tests/test_edge_answers.py
@@ -157,7 +157,7 @@
 
 def make_answer(status=200, **items):
     pairs = [(name.replace("_", "-"), value) for name, value in items.items()]
-    return CompleteResponse(status, pairs, b"x", "GET", False)
+    return CompleteResponse(status, pairs, [b"x"], "GET", False)
 
 
 @pytest.mark.parametrize(
@@ -201,9 +201,7 @@
         "retry": "Hornbeam-Retry-After-Ms",
     }
     pairs = [(names[name], value) for name, value in items.items()]
-    return peer_response(
-        CompleteResponse(status, pairs, b"", "GET", False), "p"
-    ).refusal
+    return peer_response(CompleteResponse(status, pairs, [], "GET", False), "p").refusal
 
 
 @pytest.mark.parametrize("text", ["soon", "", "nan", "inf"])
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -60,7 +60,7 @@
 
 
 def peer_answer(status, items):
-    return CompleteResponse(status, items, b"", "POST", False)
+    return CompleteResponse(status, items, [], "POST", False)
 
 
 @pytest.mark.parametrize("status", [200, 400, 414, 431, 503])
