Refuse requests in a planned stop that would outlast it

Reproduced: with service times of 1.1 s and a grace period of 3 s, orders that a stopping VM had passed on got no answer, both through the owner and through the VM that relays.

Cause: a VM that stops took every request until its listener closed, and on open connections after that, whatever time was left.

Change: a filter before the relay asks whether a call that came during the stop can end before the process does: its deadline is earlier, or one and a half times the longest recent call of its service (the route's objective if none is known) leaves enough time. Otherwise the caller is told 503, not run, at once. A VM that relayed the request to the stopping one serves it itself. Calls that came before the stop are served as before.

Evidence: test_platform_stops.py fails before (statuses 0 among orders that ran) and passes for both VMs; filters are tested without processes.

--- a/packages/core/hornbeamstand_core/edge_messages.py
+++ b/packages/core/hornbeamstand_core/edge_messages.py
@@ -107,6 +107,18 @@
         self.path = path
 
 
+class CheckStop(Record):
+    """Ask whether a call may end before a planned stop of this VM does.
+
+    The reply is a bool; it is True while no stop is planned.
+    """
+
+    __slots__ = ("call",)
+
+    def __init__(self, call):
+        self.call = call
+
+
 class Routed(Record):
     """A request's policy, and the peer that owns its service.
 
--- a/packages/core/hornbeamstand_core/filters/edge_chain.py
+++ b/packages/core/hornbeamstand_core/filters/edge_chain.py
@@ -5,8 +5,9 @@
 from .chain import build_chain
 from .find_route import find_route
 from .relay import relay
+from .stopping import stopping
 
 
 def build_edge_chain():
     """Return the handler of requests from callers and of those that peers relay."""
-    return build_chain([account, find_route, relay], attempts)
+    return build_chain([account, find_route, stopping, relay], attempts)
--- a/packages/core/hornbeamstand_core/filters/relay.py
+++ b/packages/core/hornbeamstand_core/filters/relay.py
@@ -15,7 +15,9 @@
 )
 from ..messages import (
     CANCELLED,
+    NOT_RUN,
     OUTCOME_UNKNOWN,
+    STOPPING,
     TIMED_OUT,
     Answer,
     Refusal,
@@ -89,13 +91,20 @@
 
 
 def relay_outcome(call, result, now_ms):
-    """Return the outcome of a relayed call, or None to continue on this VM."""
+    """Return the outcome of a relayed call, or None to continue on this VM.
+
+    The call continues here if the peer certainly has not sent it: it can't be reached
+    or is about to stop.
+    """
     if isinstance(result, SendFailure):
         if not result.may_have_run:
             return None
         if call.policy.is_idempotent:
             return continue_locally(call, result.kind, now_ms)
         return Err(Refusal(result.kind, OUTCOME_UNKNOWN, 502, "relay", call.relay_to))
-    if result.refusal is not None:
-        return Err(result.refusal)
+    refusal = result.refusal
+    if refusal is not None:
+        if refusal.reason == STOPPING and refusal.certainty == NOT_RUN:
+            return None
+        return Err(refusal)
     return Ok(Answer(result.status, result.payload, result.target_id))
--- a/packages/core/hornbeamstand_core/messages.py
+++ b/packages/core/hornbeamstand_core/messages.py
@@ -108,6 +108,9 @@
 NOT_RUN = "not-run"
 OUTCOME_UNKNOWN = "outcome-unknown"
 
+# Value of ``Refusal.reason`` of a VM that would end before the request does.
+STOPPING = "VM is stopping"
+
 
 class Refusal(Record):
     """An error response that the load balancer generates itself.
--- a/packages/core/tests/test_edge_filters.py
+++ b/packages/core/tests/test_edge_filters.py
@@ -1,5 +1,8 @@
 """The filters of routed requests, run without tasks and sockets."""
 
+import pytest
+
+from hornbeamstand_core.controllers.stop_limit import StopLimit
 from hornbeamstand_core.edge_messages import (
     HEDGE,
     Abort,
@@ -7,6 +10,7 @@
     AwaitEvent,
     CallerDisconnected,
     CheckPeerAlive,
+    CheckStop,
     EdgeCall,
     EdgeRequest,
     ExchangeEnded,
@@ -24,6 +28,7 @@
     CONNECT_FAILED,
     NOT_RUN,
     OUTCOME_UNKNOWN,
+    STOPPING,
     Account,
     Permit,
     Refusal,
@@ -45,6 +50,7 @@
         self.n_permits = 0
         self.refused_kinds = set()
         self.is_peer_alive = True
+        self.stop_limit = StopLimit()
         self.now_ms = 0.0
 
     def run(self, *events):
@@ -68,6 +74,8 @@
             return self.acquire_slot(effect)
         if isinstance(effect, CheckPeerAlive):
             return self.is_peer_alive
+        if isinstance(effect, CheckStop):
+            return self.stop_limit.may_finish(effect.call, self.now_ms)
         if isinstance(effect, AwaitEvent):
             event = events.pop(0)
             return event(self, effect) if callable(event) else event
@@ -280,3 +288,55 @@
     outcome = driver.run(CallerDisconnected(20.0))
     assert outcome.err_value.reason == CANCELLED
     assert len(driver.effects_of(Abort)) == 1
+
+
+# Planned stops. A call's deadline is at 1195 ms and its objective is 600 ms.
+
+
+def test_a_call_that_may_outlast_the_stop_is_refused_before_any_send():
+    """Guards against orders that are passed on and then cut without an answer."""
+    driver = Driver(is_idempotent=False, relay_to="10.0.0.2")
+    driver.stop_limit.begin(599.0, 0.0)
+    refusal = driver.run().err_value
+    assert (refusal.reason, refusal.certainty) == (STOPPING, NOT_RUN)
+    assert refusal.status == 503
+    assert refusal.retry_after_ms > 0.0
+    sent = [e for e in driver.effects if isinstance(e, (Relay, AcquireSlot, StartSend))]
+    assert sent == []
+
+
+@pytest.mark.parametrize(
+    ("duration_ms", "is_served"), [(790.0, True), (800.0, False), (5000.0, False)]
+)
+def test_a_call_is_served_in_a_stop_if_calls_of_its_service_are_short(
+    duration_ms, is_served
+):
+    driver = Driver()
+    driver.stop_limit.begin(1190.0, 0.0)
+    driver.stop_limit.note_call("shop", duration_ms, 0.0)
+    driver.stop_limit.note_call("shop", 20.0, 0.0)
+    driver.stop_limit.note_call("other", 1.0, 0.0)
+    outcome = driver.run(send_ends(0, SUCCESS))
+    assert outcome.is_ok() == is_served
+
+
+def test_an_order_that_a_stopping_peer_refuses_continues_on_this_vm():
+    refusal = Refusal(STOPPING, NOT_RUN, 503, "stop", "10.0.0.2", 30.0)
+    driver = Driver(is_idempotent=False, relay_to="10.0.0.2")
+    relayed = UpstreamResponse(503, None, refusal=refusal, target_id="10.0.0.2")
+    outcome = driver.run(relay_ends(relayed), send_ends(0, SUCCESS))
+    assert outcome.is_ok()
+
+
+def test_a_call_that_came_before_the_stop_is_served():
+    driver = Driver()
+    driver.stop_limit.begin(599.0, 0.1)
+    assert driver.run(send_ends(0, SUCCESS)).is_ok()
+
+
+def test_the_longest_duration_fades():
+    """A single long call does not count for the life of the process."""
+    driver = Driver()
+    driver.stop_limit.note_call("shop", 5000.0, -600_000.0)
+    driver.stop_limit.begin(500.0, 0.0)
+    assert driver.run(send_ends(0, SUCCESS)).is_ok()
--- a/packages/ctl/hornbeamstand_ctl/explain.py
+++ b/packages/ctl/hornbeamstand_ctl/explain.py
@@ -33,6 +33,7 @@
     "caller-gone": "the caller disconnected",
     "cancelled": "the caller disconnected",
     "peer is silent": "the VM that it was forwarded to sent no more heartbeats",
+    "VM is stopping": "it might have lasted beyond the end of a planned stop",
     "no target took it": "every target that was tried refused it",
 }
 
--- a/packages/entry/hornbeamstand_entry/edge/performers.py
+++ b/packages/entry/hornbeamstand_entry/edge/performers.py
@@ -11,6 +11,7 @@
     AwaitEvent,
     CallerDisconnected,
     CheckPeerAlive,
+    CheckStop,
     ExchangeEnded,
     FindRoute,
     ProbeLoads,
@@ -43,7 +44,15 @@
 
 
 def make_performers(
-    control_task, target_pools, peer_pools, dialect, metrics, log, clock, settings
+    control_task,
+    target_pools,
+    peer_pools,
+    dialect,
+    metrics,
+    log,
+    clock,
+    settings,
+    stop_limit,
 ):
     """Return a dict that maps each effect class to its performer.
 
@@ -57,6 +66,8 @@
         The platform's headers and codecs.
     metrics, log, clock, settings
         The process's metrics, log, clock and settings.
+    stop_limit : StopLimit
+        The end of a planned stop, and the durations of calls.
     """
 
     def next_reply(context):
@@ -234,15 +245,23 @@
     def post_release(effect, context):
         control_task.post(effect)
 
+    def check_stop(effect, context):
+        return stop_limit.may_finish(effect.call, clock.now_ms())
+
     def account(effect, context):
         now_ms = clock.now_ms()
         metrics.count_edge_call(effect.call, effect.outcome, now_ms)
+        call = effect.call
+        if call.policy is not None:
+            duration_ms = now_ms - call.request.arrived_at_ms
+            stop_limit.note_call(call.policy.service_name, duration_ms, now_ms)
         log.answer(effect.call, effect.outcome, now_ms)
 
     return {
         FindRoute: ask,
         AcquireSlot: acquire,
         CheckPeerAlive: ask,
+        CheckStop: check_stop,
         StartSend: start_send,
         ProbeLoads: probe_loads,
         Relay: relay,
--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -9,6 +9,7 @@
 from gevent.event import Event
 from hornbeamstand_core.balancer_messages import SendProbe
 from hornbeamstand_core.controllers.edge import EdgeNode
+from hornbeamstand_core.controllers.stop_limit import StopLimit
 from hornbeamstand_core.edge_node_messages import (
     FetchConfig,
     Resync,
@@ -90,7 +91,8 @@
 class EdgeProcess:
     """The tasks of one edge process.
 
-    ``body_budget`` limits the bytes of all bodies of requests and responses.
+    ``body_budget`` limits the bytes of all bodies of requests and responses, and
+    ``stop_limit`` is the end of a planned stop.
     ``peer_pools`` holds the connections to other entry VMs. ``caller_servers`` are the
     HTTP servers for callers' requests, which a planned stop closes first.
     """
@@ -108,6 +110,7 @@
         "store_watcher",
         "registration",
         "body_budget",
+        "stop_limit",
         "peer_pools",
         "caller_servers",
     )
@@ -182,6 +185,7 @@
     def _build_front(self, stack):
         """Build the load prober, the performers, the front end and the gauges."""
         body_budget = self.body_budget
+        self.stop_limit = StopLimit()
         target_pools = Pools(
             self.clock,
             stack,
@@ -211,6 +215,7 @@
             self.log,
             self.clock,
             self.settings,
+            self.stop_limit,
         )
         self.front = EdgeFront(
             self.node,
@@ -364,17 +369,19 @@
 
     The VM first leaves the lookup responses, but still accepts connections. Then the
     listener closes, and the function waits for the requests in progress, at the latest
-    until ``STOP_MARGIN_MS`` before the end of the grace period.
+    until ``STOP_MARGIN_MS`` before the end of the grace period. Requests that may take
+    longer are refused from the beginning.
     """
     process.log.info("process: planned stop")
     began_at_ms = process.clock.now_ms()
+    end_at_ms = began_at_ms + process.settings.grace_ms - STOP_MARGIN_MS
+    process.stop_limit.begin(end_at_ms, began_at_ms)
     process.front.is_stopping = True
     process.control_task.post(StopEdge())
     gevent.sleep(min(STOP_LISTEN_MAX_MS, process.settings.grace_ms / 2) / MS_PER_S)
     servers = process.caller_servers
     stop_accepting(servers)
     close_idle_connections(servers)
-    end_at_ms = began_at_ms + process.settings.grace_ms - STOP_MARGIN_MS
     while process.clock.now_ms() < end_at_ms:
         if not (process.front.n_requests or has_requests(servers)):
             return
--- a/tests/test_platform_stops.py
+++ b/tests/test_platform_stops.py
@@ -72,3 +72,43 @@
     assert cell.n_runs_max() == 1
     n_runs = sum(sum(server.runs.values()) for server in cell.servers)
     assert n_runs == statuses.count(200)
+
+
+# Work that may last beyond the end of a stop whose grace period is 3 s.
+LONG_WORK_MS = 1100.0
+LONG_TIMEOUT_MS = 4000
+
+
+@pytest.mark.parametrize("i_vm", [0, 1])
+def test_no_order_is_passed_on_that_the_end_of_the_stop_may_cut(tmp_path, i_vm):
+    """Guards against orders that are taken late in a stop and cut without an answer."""
+    with EdgeCell(tmp_path, n_vms=2 * len(DOMAINS)) as cell:
+        for i in range(3):
+            cell.add_server(
+                f"shop-{i}", "shop", DOMAINS[i], n_slots=30, work_ms=LONG_WORK_MS
+            )
+        cell.set_config(1, PREFIXES, LONG_TIMEOUT_MS)
+        cell.start_all()
+        vm = vms_of_first_domain(cell)[i_vm]
+        known = [gevent.spawn(send_order, cell, vm, f"known-{i}") for i in range(3)]
+        gevent.joinall(known)
+        assert [job.value for job in known] == [200] * len(known)
+        cell.signal(vm, signal.SIGTERM)
+        jobs = {}
+        while vm.process.poll() is None:
+            name = f"late-{len(jobs)}"
+            jobs[name] = gevent.spawn(send_order, cell, vm, name)
+            gevent.sleep(0.02)
+        gevent.joinall(jobs.values(), timeout=5.0)
+        ran = {name for server in cell.servers for name in server.runs}
+        statuses = {name: job.value for name, job in jobs.items()}
+        assert {statuses[name] for name in ran & set(statuses)} == {200}
+        refused = [name for name, status in statuses.items() if status == 503]
+        assert refused
+        assert not ran & set(refused)
+
+
+def send_order(cell, vm, name):
+    """Send one order; return the status, or 0 without an answer."""
+    names = {"Attempt-Id": name, "Deadline-Ms": str(LONG_TIMEOUT_MS)}
+    return cell.send(vm, "/orders/x", "POST", b"order", **names).status
