Start also while an address is in use, settings are half written or SIGHUP comes

Reproduced here, each with the code before: a start ends with status 1 while another socket has one of the six addresses, also an outgoing connection that got the port, or the earlier process; with status 2 while the settings file is half written; with status -1 at a SIGHUP in the first 0.2 s.

Cause: listeners were bound once, settings read once, and signals were handled only after the start. Ruled out by trials: a store that is down, busy or silent, output whose reader has gone or that is closed, and a process at its limit of descriptors all keep running.

SIGTERM while it waits ends it with status 0.

Not covered: a SIGHUP in the first 20 to 50 ms, before the interpreter runs any line of this project.

--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -1,12 +1,11 @@
 """Builds the tasks of one edge process and runs them until the process stops."""
 
 import gc
-import signal
+import socket
 import time
 from contextlib import ExitStack
 
 import gevent
-from gevent.event import Event
 from hornbeamstand_core.balancer_messages import SendProbe
 from hornbeamstand_core.controllers.edge import EdgeNode
 from hornbeamstand_core.controllers.stop_limit import StopLimit
@@ -29,6 +28,7 @@
 from ..tasks.connections import ConnectionRules
 from ..tasks.pools import Pools
 from ..tasks.response_parser import HEAD_MAX_BYTES
+from .addresses import wait_until_free
 from .config_copies import ConfigCopies
 from .control_task import EdgeControlTask
 from .front import EdgeFront, respond
@@ -43,6 +43,7 @@
     start_server,
     stop_accepting,
 )
+from .signals import Signals
 from .store_client import StoreClient
 from .store_watcher import Registration, StoreWatcher
 
@@ -116,14 +117,13 @@
     )
 
     @classmethod
-    def from_config(cls, settings, dialect, stack):
+    def from_config(cls, settings, dialect, log, stack):
         """Build the tasks and start them; the exit stack stops and closes them."""
         self = cls()
         self.settings = settings
         self.dialect = dialect
         self.clock = make_process_clock()
-        self.log = EdgeLog.from_config(settings.vm_id, self.clock)
-        self.log.start(stack)
+        self.log = log
         self.metrics = EdgeMetrics()
         self.node = make_node(settings, self.clock)
         self.control_task = EdgeControlTask(self.node, self.clock, self.log)
@@ -304,7 +304,7 @@
     )
 
 
-def run_edge(settings, dialect, reload_settings):
+def run_edge(settings, dialect, reload_settings, is_reload_requested=False):
     """Run one edge process until its planned stop is complete.
 
     Parameters
@@ -315,13 +315,22 @@
         The platform's headers and codecs.
     reload_settings : callable
         Reads the settings again; returns ``Ok`` with them, or ``Err``.
+    is_reload_requested : bool
+        Whether the settings were to be read again after they had been read.
     """
+    signals = Signals(is_reload_requested)
+    signals.install()
     with ExitStack() as stack:
-        process = EdgeProcess.from_config(settings, dialect, stack)
+        log = EdgeLog.from_config(settings.vm_id, make_process_clock())
+        log.start(stack)
+        if not wait_for_addresses(settings, log, signals):
+            log.info("process: stopped", reason="stop requested before the start")
+            return
+        process = EdgeProcess.from_config(settings, dialect, log, stack)
         process.listen(stack)
         tune_garbage_collector()
         process.log.info("process: started", front=settings.front_address)
-        wait_for_stop(process, reload_settings)
+        wait_for_stop(process, reload_settings, signals)
         stop(process)
         process.log.info("process: stopped")
         close_bounded(stack, CLOSE_TIMEOUT_MS)
@@ -338,22 +347,44 @@
     gc.enable()
 
 
-def wait_for_stop(process, reload_settings):
-    """Wait for SIGTERM or SIGINT; reload the settings on SIGHUP."""
-    stop_requested = Event()
+def wait_for_addresses(settings, log, signals):
+    """Wait until all addresses are free; return False if a stop is requested first."""
+    peer_address = f"{settings.ip}:{settings.peer_port}"
+    stream_addresses = (
+        settings.front_address,
+        peer_address,
+        settings.ready_address,
+        settings.lookup_address,
+        settings.admin_address,
+    )
+    clock = make_process_clock()
+
+    def are_free(addresses, kind):
+        return wait_until_free(addresses, kind, clock, log, signals.wait)
 
-    def reload():
-        loaded = reload_settings()
-        if loaded.is_err():
-            detail = f"{loaded.err_value}; the earlier settings stay in force"
-            process.log.warning("process: reload failed", error=detail)
+    return are_free(stream_addresses, socket.SOCK_STREAM) and are_free(
+        [peer_address], socket.SOCK_DGRAM
+    )
+
+
+def wait_for_stop(process, reload_settings, signals):
+    """Wait until a stop is requested; reload the settings whenever that is."""
+    while True:
+        if signals.is_reload_requested:
+            signals.is_reload_requested = False
+            reload(process, reload_settings)
+        if signals.wait():
             return
-        adopt_settings(process, loaded.ok_value)
 
-    gevent.signal_handler(signal.SIGTERM, stop_requested.set)
-    gevent.signal_handler(signal.SIGINT, stop_requested.set)
-    gevent.signal_handler(signal.SIGHUP, reload)
-    stop_requested.wait()
+
+def reload(process, reload_settings):
+    """Read the settings again and apply them."""
+    loaded = reload_settings()
+    if loaded.is_err():
+        detail = f"{loaded.err_value}; the earlier settings stay in force"
+        process.log.warning("process: reload failed", error=detail)
+        return
+    adopt_settings(process, loaded.ok_value)
 
 
 def adopt_settings(process, settings):
--- /dev/null
+++ b/packages/entry/hornbeamstand_entry/edge/signals.py
@@ -0,0 +1,43 @@
+"""The signals by which the platform stops a process or has it read its settings."""
+
+import signal
+
+import gevent
+from gevent.event import Event
+
+
+class Signals:
+    """The signals that were received and not handled yet.
+
+    ``is_stop_requested`` and ``is_reload_requested`` are set when the signal comes.
+    """
+
+    __slots__ = ("is_stop_requested", "is_reload_requested", "_received")
+
+    def __init__(self, is_reload_requested=False):
+        self.is_stop_requested = False
+        self.is_reload_requested = is_reload_requested
+        self._received = Event()
+        if is_reload_requested:
+            self._received.set()
+
+    def install(self):
+        """Handle SIGTERM, SIGINT and SIGHUP from now on."""
+        gevent.signal_handler(signal.SIGTERM, self._note_stop)
+        gevent.signal_handler(signal.SIGINT, self._note_stop)
+        gevent.signal_handler(signal.SIGHUP, self._note_reload)
+
+    def _note_stop(self):
+        self.is_stop_requested = True
+        self._received.set()
+
+    def _note_reload(self):
+        self.is_reload_requested = True
+        self._received.set()
+
+    def wait(self, timeout_ms=None):
+        """Wait until a signal comes; return whether a stop is requested."""
+        self._received.wait(None if timeout_ms is None else timeout_ms / 1000.0)
+        if not self.is_stop_requested:
+            self._received.clear()
+        return self.is_stop_requested
--- /dev/null
+++ b/tests/test_platform_starts.py
@@ -0,0 +1,111 @@
+"""Processes that start under difficulties start anyway, once these are over."""
+
+import signal
+import socket
+import subprocess
+import sys
+
+import gevent
+import pytest
+from hornbeamstand_entry.edge.signals import Signals
+
+from standins.edge_cell import DOMAINS, EdgeCell
+
+PREFIXES = {"/tools/": ("shop", "idempotent")}
+# Time for which a difficulty lasts; a start without one takes less.
+DIFFICULTY_S = 1.0
+
+
+@pytest.fixture
+def cell(tmp_path):
+    with EdgeCell(tmp_path, n_vms=1) as made:
+        made.add_server("shop-0", "shop", DOMAINS[0])
+        made.set_config(1, PREFIXES)
+        yield made
+
+
+def assert_starts(cell, vm):
+    cell.wait_for(lambda: cell.is_ready(vm))
+    assert vm.process.poll() is None
+    assert cell.send(vm, "/tools/x").status == 200
+
+
+@pytest.mark.parametrize("name", ["front", "ready", "lookup", "peer", "metrics"])
+def test_a_process_waits_until_its_addresses_are_free(cell, name):
+    """Guards against a start that fails while another socket has an address."""
+    vm = cell.vms[0]
+    with socket.socket() as holder:
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind((vm.ip, vm.ports[name]))
+        holder.listen()
+        cell.start_vm(vm)
+        gevent.sleep(DIFFICULTY_S)
+        assert vm.process.poll() is None
+    assert_starts(cell, vm)
+    assert "process: address in use" in (cell.folder / f"{vm.name}.log").read_text()
+
+
+def test_a_process_waits_until_its_datagram_address_is_free(cell):
+    vm = cell.vms[0]
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as holder:
+        holder.bind((vm.ip, vm.ports["peer"]))
+        cell.start_vm(vm)
+        gevent.sleep(DIFFICULTY_S)
+    assert_starts(cell, vm)
+
+
+def test_a_process_that_waits_for_an_address_can_be_stopped(cell):
+    vm = cell.vms[0]
+    with socket.socket() as holder:
+        holder.bind((vm.ip, vm.ports["front"]))
+        holder.listen()
+        cell.start_vm(vm)
+        gevent.sleep(DIFFICULTY_S)
+        cell.signal(vm, signal.SIGTERM)
+        assert vm.process.wait(2.0) == 0
+
+
+def test_a_process_waits_until_its_settings_are_written(cell):
+    """Guards against a start that fails because the file is about to be written."""
+    vm = cell.vms[0]
+    text = vm.settings_file.read_text()
+    vm.settings_file.write_text(text[: len(text) // 2])
+    cell.start_vm(vm)
+    gevent.sleep(DIFFICULTY_S)
+    vm.settings_file.write_text(text)
+    assert_starts(cell, vm)
+
+
+def test_settings_that_stay_wrong_end_the_start(cell):
+    vm = cell.vms[0]
+    vm.settings_file.write_text("[Self")
+    cell.start_vm(vm)
+    assert vm.process.wait(10.0) == 2
+
+
+@pytest.mark.parametrize("mode", ["busy", "many", "silent"])
+def test_a_process_starts_while_the_store_is_away(cell, mode):
+    vm = cell.vms[0]
+    cell.store.mode = mode
+    cell.start_vm(vm)
+    gevent.sleep(DIFFICULTY_S)
+    cell.store.mode = "ok"
+    assert_starts(cell, vm)
+
+
+def test_a_reload_during_the_start_does_not_end_the_process():
+    """Guards against SIGHUP before the process handles it."""
+    code = (
+        "import os, signal\n"
+        "import hornbeamstand_platform.__main__ as main\n"
+        "os.kill(os.getpid(), signal.SIGHUP)\n"
+        "print(len(main.early_signals))"
+    )
+    run = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
+    assert (run.returncode, run.stdout.strip()) == (0, "1")
+
+
+def test_a_reload_during_the_start_is_made_up_for():
+    signals = Signals(is_reload_requested=True)
+    assert signals.wait() is False
+    assert signals.is_reload_requested
