--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -95,7 +95,8 @@
     ``body_budget`` limits the bytes of all bodies of requests and responses, and
     ``stop_limit`` is the end of a planned stop.
     ``peer_pools`` holds the connections to other entry VMs. ``caller_servers`` are the
-    HTTP servers for callers' requests, which a planned stop closes first.
+    HTTP servers for callers' requests, which a planned stop closes first, and
+    ``peer_server`` is that for the requests that other VMs relay.
     """
 
     __slots__ = (
@@ -114,6 +115,7 @@
         "stop_limit",
         "peer_pools",
         "caller_servers",
+        "peer_server",
     )
 
     @classmethod
@@ -249,7 +251,7 @@
             return start_server(address, app, stack, self.idle_ms, limits)
 
         self.caller_servers = [listen_at(settings.front_address, front.serve_caller)]
-        listen_at(peer_address, front.serve_peer, self.peer_limits)
+        self.peer_server = listen_at(peer_address, front.serve_peer, self.peer_limits)
         listen_at(settings.ready_address, front.serve_ready)
         listen_at(settings.lookup_address, front.serve_lookup)
         listen_at(settings.admin_address, self.serve_admin)
@@ -414,7 +416,8 @@
     stop_accepting(servers)
     close_idle_connections(servers)
     while process.clock.now_ms() < end_at_ms:
-        if not (process.front.n_requests or has_requests(servers)):
+        # An answer is part of its request until the peer or caller has got it.
+        if not has_requests([*servers, process.peer_server]):
             return
         gevent.sleep(STOP_POLL_INTERVAL_MS / MS_PER_S)
         close_idle_connections(servers)
--- a/packages/entry/tests/test_caller_limits.py
+++ b/packages/entry/tests/test_caller_limits.py
@@ -246,3 +246,22 @@
     close_idle_connections([front.server])
     sock.sendall(b"TP/1.1\r\nHost: h\r\n\r\n")
     assert sock.recv(65536).startswith(b"HTTP/1.1 200")
+
+
+def test_an_answer_that_is_being_written_keeps_a_stop_waiting(stack):
+    """Guards against a relayed answer that the end of the owner cuts off."""
+    front = Front(stack)
+    n_bytes = 32 << 20
+
+    def answer(environ, start_response):
+        start_response("200 OK", [("Content-Length", str(n_bytes))])
+        return [b"x" * n_bytes]
+
+    front.server.application = answer
+    sock = connect(stack, front)
+    sock.sendall(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+    gevent.sleep(0.1)
+    assert has_requests([front.server])
+    assert len(read_to_end(sock)) > n_bytes
+    gevent.sleep(0.01)
+    assert not has_requests([front.server])
--- a/tests/test_platform_starts.py
+++ b/tests/test_platform_starts.py
@@ -57,6 +57,7 @@
 def test_a_process_that_waits_for_an_address_can_be_stopped(cell):
     vm = cell.vms[0]
     with socket.socket() as holder:
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         holder.bind((vm.ip, vm.ports["front"]))
         holder.listen()
         cell.start_vm(vm)
