Part how an edge process lives from what it is built of

Nothing but the place of the code changed; the tests of packages/, starts and stops pass. The test of what a start imports names the new module, which imports the old one.

--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -1,11 +1,7 @@
-"""Builds the tasks of one edge process and runs them until the process stops."""
+"""Builds and connects the tasks of one edge process."""
 
-import gc
-import socket
 import time
-from contextlib import ExitStack
 
-import gevent
 from hornbeamstand_core.balancer_messages import SendProbe
 from hornbeamstand_core.controllers.edge import EdgeNode
 from hornbeamstand_core.controllers.stop_limit import StopLimit
@@ -16,34 +12,24 @@
     SendContacts,
     SendEdgeHeartbeat,
     SetWatch,
-    StopEdge,
 )
 from hornbeamstand_core.filters.edge_chain import build_edge_chain
 from hornbeamstand_core.identity import EdgeIdentity
 from hornbeamstand_core.routes import CallerLimits
 
 from ..clock import make_process_clock
-from ..closing import close_bounded
 from ..tasks.byte_budget import ByteBudget
 from ..tasks.connections import ConnectionRules
 from ..tasks.pools import Pools
 from ..tasks.response_parser import HEAD_MAX_BYTES
-from .addresses import wait_until_free
 from .config_copies import ConfigCopies
 from .control_task import EdgeControlTask
 from .front import EdgeFront, respond
 from .heartbeats import HeartbeatTask
 from .load_probes import LoadProber
-from .logs import EdgeLog
 from .metrics import EdgeMetrics
 from .performers import make_performers
-from .servers import (
-    close_idle_connections,
-    has_requests,
-    start_server,
-    stop_accepting,
-)
-from .signals import Signals
+from .servers import start_server
 from .store_client import StoreClient
 from .store_watcher import Registration, StoreWatcher
 
@@ -63,25 +49,7 @@
 # Maximum age of the last answer on a connection to a target that a request reuses, if
 # the request may run only once.
 TARGET_RESPONSE_MAX_AGE_MS = 1500.0
-# Maximum time for which a planned stop still accepts connections. Callers may use the
-# address from an earlier lookup for that long. A longer time would leave the accepted
-# requests too little of the grace period.
-STOP_LISTEN_MAX_MS = 2900.0
-# Interval at which a planned stop checks whether the requests have ended.
-STOP_POLL_INTERVAL_MS = 50.0
-# Part of the grace period that is reserved for the exit of the process: after the grace
-# period, the platform kills it.
-STOP_MARGIN_MS = 600.0
-# Timeout for closing the tasks' resources. Greenlets that have not ended by then end
-# with the process.
-CLOSE_TIMEOUT_MS = 150.0
 MS_PER_S = 1000.0
-# Thresholds of the garbage collector: net allocations before a collection of the
-# youngest generation, collections of the youngest before one of the middle generation,
-# and collections of the middle before one of the oldest.
-GC_YOUNG_THRESHOLD = 20_000
-GC_MIDDLE_THRESHOLD = 50
-GC_OLD_THRESHOLD = 100
 # Time for which callers' connections may be idle beyond the limit that callers are
 # told, so that no connection is closed while a request is on its way.
 IDLE_MARGIN_MS = 2000.0
@@ -304,120 +272,3 @@
         settings.retry_window_ms,
         settings.n_domains,
     )
-
-
-def run_edge(settings, dialect, reload_settings, is_reload_requested=False):
-    """Run one edge process until its planned stop is complete.
-
-    Parameters
-    ----------
-    settings : EdgeSettings
-        Settings of the process.
-    dialect : Dialect
-        The platform's headers and codecs.
-    reload_settings : callable
-        Reads the settings again; returns ``Ok`` with them, or ``Err``.
-    is_reload_requested : bool
-        Whether the settings were to be read again after they had been read.
-    """
-    signals = Signals(is_reload_requested)
-    signals.install()
-    with ExitStack() as stack:
-        log = EdgeLog.from_config(settings.vm_id, make_process_clock())
-        log.start(stack)
-        if not wait_for_addresses(settings, log, signals):
-            log.info("process: stopped", reason="stop requested before the start")
-            return
-        process = EdgeProcess.from_config(settings, dialect, log, stack)
-        process.listen(stack)
-        tune_garbage_collector()
-        process.log.info("process: started", front=settings.front_address)
-        wait_for_stop(process, reload_settings, signals)
-        stop(process)
-        process.log.info("process: stopped")
-        close_bounded(stack, CLOSE_TIMEOUT_MS)
-
-
-def tune_garbage_collector():
-    """Keep garbage collection pauses short, and enable the collector.
-
-    The objects that exist by now are frozen: they live as long as the process. The
-    platform's entry point disables the collector during the start.
-    """
-    gc.freeze()
-    gc.set_threshold(GC_YOUNG_THRESHOLD, GC_MIDDLE_THRESHOLD, GC_OLD_THRESHOLD)
-    gc.enable()
-
-
-def wait_for_addresses(settings, log, signals):
-    """Wait until all addresses are free; return False if a stop is requested first."""
-    peer_address = f"{settings.ip}:{settings.peer_port}"
-    stream_addresses = (
-        settings.front_address,
-        peer_address,
-        settings.ready_address,
-        settings.lookup_address,
-        settings.admin_address,
-    )
-    clock = make_process_clock()
-
-    def are_free(addresses, kind):
-        return wait_until_free(addresses, kind, clock, log, signals.wait)
-
-    return are_free(stream_addresses, socket.SOCK_STREAM) and are_free(
-        [peer_address], socket.SOCK_DGRAM
-    )
-
-
-def wait_for_stop(process, reload_settings, signals):
-    """Wait until a stop is requested; reload the settings whenever that is."""
-    while True:
-        if signals.is_reload_requested:
-            signals.is_reload_requested = False
-            reload(process, reload_settings)
-        if signals.wait():
-            return
-
-
-def reload(process, reload_settings):
-    """Read the settings again and apply them."""
-    loaded = reload_settings()
-    if loaded.is_err():
-        detail = f"{loaded.err_value}; the earlier settings stay in force"
-        process.log.warning("process: reload failed", error=detail)
-        return
-    adopt_settings(process, loaded.ok_value)
-
-
-def adopt_settings(process, settings):
-    """Apply the settings that may change while the process runs."""
-    process.control_task.post(read_retry_limits(settings))
-    process.settings.grace_ms = settings.grace_ms
-    process.settings.lookup_ttl_ms = settings.lookup_ttl_ms
-    process.log.info("process: settings reloaded", grace_ms=settings.grace_ms)
-
-
-def stop(process):
-    """Perform the planned stop.
-
-    The VM first leaves the lookup responses, but still accepts connections. Then the
-    listener closes, and the function waits for the requests in progress, at the latest
-    until ``STOP_MARGIN_MS`` before the end of the grace period. Requests that may take
-    longer are refused from the beginning.
-    """
-    process.log.info("process: planned stop")
-    began_at_ms = process.clock.now_ms()
-    end_at_ms = began_at_ms + process.settings.grace_ms - STOP_MARGIN_MS
-    process.stop_limit.begin(end_at_ms, began_at_ms)
-    process.front.is_stopping = True
-    process.control_task.post(StopEdge())
-    gevent.sleep(min(STOP_LISTEN_MAX_MS, process.settings.grace_ms / 2) / MS_PER_S)
-    servers = process.caller_servers
-    stop_accepting(servers)
-    close_idle_connections(servers)
-    while process.clock.now_ms() < end_at_ms:
-        # An answer is part of its request until the peer or caller has got it.
-        if not has_requests([*servers, process.peer_server]):
-            return
-        gevent.sleep(STOP_POLL_INTERVAL_MS / MS_PER_S)
-        close_idle_connections(servers)
--- a/packages/entry/hornbeamstand_entry/edge/signals.py
+++ b/packages/entry/hornbeamstand_entry/edge/signals.py
@@ -5,6 +5,8 @@
 import gevent
 from gevent.event import Event
 
+MS_PER_S = 1000.0
+
 
 class Signals:
     """The signals that were received and not handled yet.
@@ -37,7 +39,7 @@
 
     def wait(self, timeout_ms=None):
         """Wait until a signal comes; return whether a stop is requested."""
-        self._received.wait(None if timeout_ms is None else timeout_ms / 1000.0)
+        self._received.wait(None if timeout_ms is None else timeout_ms / MS_PER_S)
         if not self.is_stop_requested:
             self._received.clear()
         return self.is_stop_requested
--- a/packages/entry/tests/test_edge_logs.py
+++ b/packages/entry/tests/test_edge_logs.py
@@ -86,7 +86,7 @@
 def test_importing_the_process_does_not_load_structlog():
     """Imports delay the start, and all VMs may start at once while callers wait."""
     code = (
-        "import sys, hornbeamstand_entry.edge.process;"
+        "import sys, hornbeamstand_entry.edge.lifecycle;"
         "sys.exit('structlog' in sys.modules)"
     )
     assert subprocess.run([sys.executable, "-c", code], check=False).returncode == 0
