Wait for the log line of a start that waits for an address

The test read the log once the VM was ready; the log is written every 100 ms, and first 0.8 s after the start.

--- a/tests/test_platform_starts.py
+++ b/tests/test_platform_starts.py
@@ -42,7 +42,8 @@
         gevent.sleep(DIFFICULTY_S)
         assert vm.process.poll() is None
     assert_starts(cell, vm)
-    assert "process: address in use" in (cell.folder / f"{vm.name}.log").read_text()
+    log_file = cell.folder / f"{vm.name}.log"
+    cell.wait_for(lambda: "process: address in use" in log_file.read_text())
 
 
 def test_a_process_waits_until_its_datagram_address_is_free(cell):
