Bound what a long path and many odd services cost each tick and look-up

Every tick also computed the owner of each service that any entry had ever named.

Change: a look-up starts at the length of the longest prefix. A tick covers the services of the configuration; others are looked at when a request names them, as before.

Evidence: both new tests of test_edge_node.py fail on the code before and pass.

--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -362,8 +362,10 @@
         return []
 
     def _tick(self, message, now_ms):
-        for service in self.services.values():
-            service.note_owner(now_ms)
+        # Entries of other writers may name any number of other services.
+        for name in self._service_names():
+            if name in self.services:
+                self.services[name].note_owner(now_ms)
         out = self._note_delay(message.delay_ms, now_ms)
         out += self._begin_serving(now_ms)
         out += self._drain_all(now_ms)
--- a/packages/core/hornbeamstand_core/routes.py
+++ b/packages/core/hornbeamstand_core/routes.py
@@ -112,23 +112,27 @@
 
     ``hosts`` maps a host name to a dict of path prefix to HostRoute; each prefix
     begins and ends with a slash. ``services`` maps a service name to its ServiceRules,
-    and ``limits`` is a CallerLimits.
+    and ``limits`` is a CallerLimits. ``prefix_max`` is the length of the longest
+    prefix.
     """
 
-    __slots__ = ("version", "hosts", "services", "limits")
+    __slots__ = ("version", "hosts", "services", "limits", "prefix_max")
 
     def __init__(self, version, hosts, services, limits):
         self.version = version
         self.hosts = hosts
         self.services = services
         self.limits = limits
+        prefixes = (prefix for by_prefix in hosts.values() for prefix in by_prefix)
+        self.prefix_max = max(map(len, prefixes), default=0)
 
     def find(self, host, path):
         """Return the route with the longest prefix of the path, or None."""
         by_prefix = self.hosts.get(host)
         if by_prefix is None:
             return None
-        plain = path.partition("?")[0]
+        # What is beyond the longest prefix can't matter, and may be very long.
+        plain = path[: self.prefix_max].partition("?")[0]
         end = plain.rfind("/")
         while end >= 0:
             route = by_prefix.get(plain[: end + 1])
--- a/packages/core/tests/test_edge_node.py
+++ b/packages/core/tests/test_edge_node.py
@@ -199,3 +199,34 @@
     node.handle(RetryLimits(0.0, 0.0, 5000.0, 3), 10.0)
     assert service.retry_limits.window_ms == 5000.0
     assert service.retry_window.n_left(3, 1, 10.0) == -1.0
+
+
+class CountingRoutes(dict):
+    """Routes by prefix that count the look-ups."""
+
+    n_lookups = 0
+
+    def get(self, prefix, default=None):
+        self.n_lookups += 1
+        return super().get(prefix, default)
+
+
+def test_a_path_with_thousands_of_slashes_is_looked_up_a_few_times():
+    """Guards against a path that takes the time of other requests."""
+    config = make_config(prefix="/x/y/")
+    routes = CountingRoutes(config.hosts["h"])
+    config.hosts["h"] = routes
+    assert config.find("h", "/x/y/" + "/" * 16_000) is not None
+    assert config.find("h", "/" * 16_000) is None
+    assert routes.n_lookups < 10
+
+
+def test_a_tick_costs_nothing_for_services_that_only_odd_entries_name():
+    """Guards against many entries of another writer that slow down every tick."""
+    node = make_serving_node()
+    entry = make_entry("t1")
+    entry.service_name = "odd"
+    node.handle(StoreChanges([entry], 9), 0.0)
+    # Any use of it by a tick would fail.
+    node.services["odd"].retry_window = None
+    node.handle(EdgeTick(), 200.0)
