--- a/tests/test_platform_odd_entries.py
+++ b/tests/test_platform_odd_entries.py
@@ -1,5 +1,7 @@
 """Odd entries of another writer don't stop the processes that read them."""
 
+from random import Random
+
 import gevent
 import msgspec
 import pytest
@@ -10,6 +12,9 @@
 # Time in which the entries reach every VM and requests meet them.
 SETTLE_S = 1.0
 N_ROUNDS = 6
+# Changes of entries, and the time between two of them.
+N_CHANGES = 600
+CHANGE_INTERVAL_S = 0.005
 # Depths just below and far beyond that at which JSON can be decoded.
 DEPTHS = (900, 980, 100_000)
 
@@ -113,3 +118,22 @@
     lines = [line for line in log.read_text().splitlines() if "unreadable" in line]
     assert any("Concurrency is 2147483647" in line for line in lines)
     assert max(map(len, lines)) < 1000
+
+
+def test_requests_are_served_while_odd_entries_change_often(cell):
+    """Guards against a controller whose time goes into another writer's entries."""
+    values = list(odd_entries().items())
+    rng = Random(1)
+
+    def change_entries():
+        for i in range(N_CHANGES):
+            key, value = rng.choice(values)
+            cell.store.put(f"{key}-{i % 50}", value)
+            if i % 3 == 0:
+                cell.store.delete(f"{rng.choice(values)[0]}-{i % 50}")
+            gevent.sleep(CHANGE_INTERVAL_S)
+
+    writer = gevent.spawn(change_entries)
+    while not writer.ready():
+        assert failures(cell) == []
+    assert all(vm.process.poll() is None for vm in cell.vms)
