Use one clock in a process's start, and name a predicate by what it returns

Read as a newcomer: run_edge and EdgeProcess made a clock each, and _may_be_connection told too little. Docstrings that had been edited in place are set as paragraphs. No change of behaviour; the tests of packages/, starts, stops and restarts pass.

--- a/packages/entry/hornbeamstand_entry/edge/lifecycle.py
+++ b/packages/entry/hornbeamstand_entry/edge/lifecycle.py
@@ -53,12 +53,13 @@
     signals = Signals(is_reload_requested)
     signals.install()
     with ExitStack() as stack:
-        log = EdgeLog.from_config(settings.vm_id, make_process_clock())
+        clock = make_process_clock()
+        log = EdgeLog.from_config(settings.vm_id, clock)
         log.start(stack)
-        if not wait_for_addresses(settings, log, signals):
+        if not wait_for_addresses(settings, clock, log, signals):
             log.info("process: stopped", reason="stop requested before the start")
             return
-        process = EdgeProcess.from_config(settings, dialect, log, stack)
+        process = EdgeProcess.from_config(settings, dialect, clock, log, stack)
         process.listen(stack)
         tune_garbage_collector()
         process.log.info("process: started", front=settings.front_address)
@@ -79,7 +80,7 @@
     gc.enable()
 
 
-def wait_for_addresses(settings, log, signals):
+def wait_for_addresses(settings, clock, log, signals):
     """Wait until all addresses are free; return False if a stop is requested first."""
     peer_address = f"{settings.ip}:{settings.peer_port}"
     stream_addresses = (
@@ -89,7 +90,6 @@
         settings.lookup_address,
         settings.admin_address,
     )
-    clock = make_process_clock()
 
     def are_free(addresses, kind):
         return wait_until_free(addresses, kind, clock, log, signals.wait)
--- a/packages/entry/hornbeamstand_entry/edge/messages.py
+++ b/packages/entry/hornbeamstand_entry/edge/messages.py
@@ -116,8 +116,8 @@
 
     The result is None if the response names neither a target nor the reason of a
     refusal: the peer's HTTP server wrote it, and it is no answer of a target. A refusal
-    that does not state that the request did not run leaves its outcome
-    unknown, whatever its status.
+    that does not state that the request did not run leaves its outcome unknown,
+    whatever its status.
     """
     refusal = None
     reason = response.get(headers.REFUSAL)
--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -17,7 +17,6 @@
 from hornbeamstand_core.identity import EdgeIdentity
 from hornbeamstand_core.routes import CallerLimits
 
-from ..clock import make_process_clock
 from ..tasks.byte_budget import ByteBudget
 from ..tasks.connections import ConnectionRules
 from ..tasks.pools import Pools
@@ -61,10 +60,10 @@
     """The tasks of one edge process.
 
     ``body_budget`` limits the bytes of all bodies of requests and responses, and
-    ``stop_limit`` is the end of a planned stop.
-    ``peer_pools`` holds the connections to other entry VMs. ``caller_servers`` are the
-    HTTP servers for callers' requests, which a planned stop closes first, and
-    ``peer_server`` is that for the requests that other VMs relay.
+    ``stop_limit`` is the end of a planned stop. ``peer_pools`` holds the connections to
+    other entry VMs. ``caller_servers`` are the HTTP servers for callers' requests,
+    which a planned stop closes first, and ``peer_server`` is that for the requests that
+    other VMs relay.
     """
 
     __slots__ = (
@@ -87,12 +86,12 @@
     )
 
     @classmethod
-    def from_config(cls, settings, dialect, log, stack):
+    def from_config(cls, settings, dialect, clock, log, stack):
         """Build the tasks and start them; the exit stack stops and closes them."""
         self = cls()
         self.settings = settings
         self.dialect = dialect
-        self.clock = make_process_clock()
+        self.clock = clock
         self.log = log
         self.metrics = EdgeMetrics()
         self.node = make_node(settings, self.clock)
--- a/packages/entry/hornbeamstand_entry/edge/store_watcher.py
+++ b/packages/entry/hornbeamstand_entry/edge/store_watcher.py
@@ -179,7 +179,7 @@
                 self._forget_history(result.err_value)
                 call = self._read_all
                 continue
-            if self._may_be_connection(result.err_value):
+            if self._may_concern_connection_only(result.err_value):
                 self._log_failure(result.err_value, "retrying on another connection")
                 self._is_retrying = True
                 continue
@@ -243,8 +243,8 @@
             self._delayed_ms = BATCH_DELAY_MS
         return result
 
-    def _may_be_connection(self, error):
-        """Return whether a failure may concern only the connection that was used.
+    def _may_concern_connection_only(self, error):
+        """Return whether a failure may concern only the connection that it came on.
 
         A single connection that is silent or reset doesn't show that the store is away:
         entries that are removed meanwhile were removed by their targets. The next call
