--- a/standins/edge_cell.py
+++ b/standins/edge_cell.py
@@ -11,6 +11,7 @@
 import msgspec
 from geventhttpclient import HTTPClient
 
+from standins.process_limits import MEMORY_MB, N_DESCRIPTORS_MAX, ProcessLimits
 from standins.server import Server
 from standins.store import Store
 
@@ -40,6 +41,8 @@
 [Self.Limits]
 CpuShare = 1.0
 Cpus = 1
+MemoryMb = {memory_mb}
+MaxFds = {n_descriptors}
 BandwidthMbps = 1000.0
 [Network]
 InternalPorts = [{peer_port}, {last_port}]
@@ -81,10 +84,18 @@
     """One VM that runs an edge process.
 
     ``ports`` maps the name of a listener, such as ``front``, to its port. ``process``
-    is None until the first start.
+    is None until the first start. ``limits`` are set on the process when it starts.
     """
 
-    __slots__ = ("name", "ip", "domain", "ports", "process", "settings_file")
+    __slots__ = (
+        "name",
+        "ip",
+        "domain",
+        "ports",
+        "process",
+        "settings_file",
+        "limits",
+    )
 
     def __init__(self, name, ip, domain, ports, settings_file):
         self.name = name
@@ -93,13 +104,19 @@
         self.ports = ports
         self.process = None
         self.settings_file = settings_file
+        self.limits = ProcessLimits()
 
     def start(self, log_file):
         """Start the process, with its output in a log file."""
         env = {**os.environ, "HORNBEAMSTAND_NODE_FILE": str(self.settings_file)}
         command = [sys.executable, "-m", "hornbeamstand_platform"]
         self.process = subprocess.Popen(
-            command, env=env, stdout=log_file, stderr=log_file, cwd=log_file.name + ".d"
+            command,
+            env=env,
+            stdout=log_file,
+            stderr=log_file,
+            cwd=log_file.name + ".d",
+            preexec_fn=self.limits.apply,
         )
 
 
@@ -169,6 +186,8 @@
             grace_ms=GRACE_MS,
             retry_ratio=RETRY_RATIO,
             retry_slack=RETRY_SLACK,
+            memory_mb=MEMORY_MB,
+            n_descriptors=N_DESCRIPTORS_MAX,
             **{f"{key}_port": port for key, port in ports.items()},
         )
         file.write_text(text)
