Open connections without a system thread

Callers saw requests end without an answer, and processes ended by themselves with status -6 or 1 within seconds of traffic, where a process has a limit of its address space of 300 MB, the MemoryMb of its settings. gevent's create_connection looks up also a numeric address, in a pool of up to 10 system threads. Each has a stack and an arena of the allocator, so that the address space grew far beyond what was used until a thread could not start.

A connection is now opened on a gevent socket to the address itself. All addresses are an IPv4 address and a port by the schemas; other texts fail like an address that nobody listens at. The socket is closed if anything fails, setting its options included, which ended the exchange without a result before.

On the code before, all six tests of test_platform_limits.py failed (lost requests or ended processes under the limit of the address space, 11 threads under the others), and in test_connections.py those of the threads and of two hosts that were looked up. The test of the descriptors passed before.

--- a/packages/entry/hornbeamstand_entry/tasks/connections.py
+++ b/packages/entry/hornbeamstand_entry/tasks/connections.py
@@ -299,23 +299,44 @@
 def connect(connection, address, clock):
     """Open the connection; returns whether it was opened.
 
-    An address that can't be one, such as one whose port is out of range, fails like one
-    that nobody listens at.
+    What is no IPv4 address and port fails like an address that nobody listens at.
     """
-    host, _, port = address.rpartition(":")
     try:
-        connection.sock = gevent_socket.create_connection(
-            (host, int(port)),
-            timeout=connection.rules.connect_timeout_ms / MS_PER_S,
-        )
+        connection.sock = open_socket(parse_address(address), connection.rules)
     except (OSError, OverflowError, ValueError):
         return False
-    connection.sock.settimeout(None)
-    set_options(connection.sock, connection.rules)
     connection.opened_at_ms = clock.now_ms()
     return True
 
 
+def parse_address(address):
+    """Return the IPv4 address and the port of a text.
+
+    Raises OSError or ValueError if it has none. Names are not looked up: that would
+    take a system thread.
+    """
+    host, _, port = address.rpartition(":")
+    socket.inet_pton(socket.AF_INET, host)
+    return host, int(port)
+
+
+def open_socket(address, rules):
+    """Return a socket that is connected to an IPv4 address and port.
+
+    Raises OSError or OverflowError if it can't be connected in time.
+    """
+    sock = gevent_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.settimeout(rules.connect_timeout_ms / MS_PER_S)
+        sock.connect(address)
+        sock.settimeout(None)
+        set_options(sock, rules)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
 def set_options(sock, rules):
     """Set the TCP options that send small requests at once and detect a dead server."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/packages/entry/tests/test_connections.py
+++ b/packages/entry/tests/test_connections.py
@@ -1,5 +1,8 @@
 """Connections that stop answering, answer late, break or are closed while idle."""
 
+import gc
+import os
+import socket
 from contextlib import ExitStack
 
 import gevent
@@ -227,6 +230,65 @@
     assert not result.may_have_run
 
 
+HOSTS = ["localhost", "::1", "[::1]", "1", "127.1", "", "a\0b", "\u00b2", "x" * 5000]
+
+
+@pytest.mark.parametrize("host", HOSTS)
+def test_a_host_that_is_no_ipv4_address_is_not_looked_up(stack, host):
+    """Guards against the system threads of look-ups."""
+    server, _ = start(stack)
+    port = server.address.rpartition(":")[2]
+    pool = ConnectionPool(f"{host}:{port}", make_process_clock())
+    pool.start(stack)
+    result = send(pool)
+    assert isinstance(result, SendFailure)
+    assert not result.may_have_run
+    assert server.n_connections == 0
+
+
+def test_opening_connections_starts_no_thread(stack):
+    """Guards against a process that ends at a limit of its threads or address space."""
+    server, pool = start(stack)
+    gevent.get_hub().threadpool.kill()
+    n_threads = len(os.listdir("/proc/self/task"))
+    open_three(pool)
+    assert server.n_connections == 3
+    assert len(os.listdir("/proc/self/task")) == n_threads
+
+
+@pytest.mark.parametrize("is_silent", [False, True])
+def test_a_connection_that_is_not_opened_leaves_no_descriptor(stack, is_silent):
+    """Guards against sockets that stay open after a failed or ended connect."""
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        if is_silent:
+            fill_backlog(listener, stack)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        rules = ConnectionRules(connect_timeout_ms=50.0)
+        pool = ConnectionPool(address, make_process_clock(), rules)
+        pool.start(stack)
+        close_garbage()
+        n_open = len(os.listdir("/proc/self/fd"))
+        assert isinstance(send(pool), SendFailure)
+        assert (send(pool, timeout_ms=20.0) is None) == is_silent
+        assert len(os.listdir("/proc/self/fd")) == n_open
+
+
+def close_garbage():
+    """Close the sockets of earlier tests."""
+    gevent.sleep(0.02)
+    gc.collect()
+
+
+def fill_backlog(listener, stack):
+    """Let a listener answer no further connections."""
+    listener.listen(0)
+    for _ in range(3):
+        sock = stack.enter_context(socket.socket())
+        sock.setblocking(False)
+        sock.connect_ex(listener.getsockname())
+
+
 KEEP_ALIVES = ["\u00b2", "9" * 400, "9" * 5000, "-1", "", "x", "1.5"]
 
 
--- /dev/null
+++ b/tests/test_platform_limits.py
@@ -0,0 +1,98 @@
+"""Processes under operators' limits: none ends, and no request is lost."""
+
+import signal
+
+import pytest
+from gevent.pool import Pool
+
+from standins.edge_cell import DOMAINS, EdgeCell
+from standins.process_limits import (
+    MEMORY_MB,
+    N_DESCRIPTORS_MAX,
+    ProcessLimits,
+    ProcessUsage,
+)
+
+PREFIXES = {"/tools/": ("shop", "idempotent"), "/orders/": ("shop", "order")}
+N_SERVERS = 8
+N_REQUESTS = 300
+# Maximum number of callers that wait at the same time. More of them than servers open
+# new connections to the servers all the while.
+N_CALLERS = 24
+# Maximum number of threads of a process: its own, and as many as libraries start once.
+N_THREADS_MAX = 2
+# Part of the limit of the address space that must stay free under traffic.
+FREE_SHARE = 0.1
+FAILURE_WORDS = ("RuntimeError", "MemoryError", "Traceback", "Fatal Python error")
+
+LIMITS = {
+    "address space": ProcessLimits(address_space_mb=MEMORY_MB),
+    "data": ProcessLimits(data_mb=MEMORY_MB),
+    "descriptors": ProcessLimits(n_descriptors=N_DESCRIPTORS_MAX),
+    "threads": ProcessLimits(n_threads=1),
+    "all": ProcessLimits(MEMORY_MB, MEMORY_MB, N_DESCRIPTORS_MAX, 1),
+}
+
+
+@pytest.fixture
+def cell(tmp_path):
+    with EdgeCell(tmp_path, n_vms=2) as made:
+        for i in range(N_SERVERS):
+            made.add_server(f"shop-{i}", "shop", DOMAINS[i % 2], work_ms=5.0, n_slots=6)
+        made.set_config(1, PREFIXES)
+        yield made
+
+
+def send_many(cell):
+    """Send requests to all VMs in turn, many at once; return the number per status."""
+    counts = {}
+
+    def send(i):
+        vm = cell.vms[i % len(cell.vms)]
+        path, method = ("/orders/x", "POST") if i % 3 == 0 else ("/tools/x", "GET")
+        status = cell.send(vm, path, method).status
+        counts[status] = counts.get(status, 0) + 1
+
+    pool = Pool(N_CALLERS)
+    for i in range(N_REQUESTS):
+        pool.spawn(send, i)
+    pool.join(raise_error=True)
+    return counts
+
+
+def read_logs(cell):
+    return "".join((cell.folder / f"{vm.name}.log").read_text() for vm in cell.vms)
+
+
+def assert_unharmed(cell):
+    """Check that all processes run well within the limits and logged no failure."""
+    logs = read_logs(cell)
+    assert [word for word in FAILURE_WORDS if word in logs] == [], logs[-3000:]
+    assert [vm.process.poll() for vm in cell.vms] == [None] * len(cell.vms)
+    for vm in cell.vms:
+        usage = ProcessUsage.from_process(vm.process.pid)
+        assert usage.n_threads <= N_THREADS_MAX
+        assert usage.address_space_mb <= (1 - FREE_SHARE) * MEMORY_MB
+
+
+@pytest.mark.parametrize("name", LIMITS)
+def test_traffic_under_a_limit_ends_no_process(cell, name):
+    """Guards against what takes far more address space or threads than it uses."""
+    for vm in cell.vms:
+        vm.limits = LIMITS[name]
+    cell.start_all()
+    counts = send_many(cell)
+    assert counts == {200: N_REQUESTS}
+    assert cell.n_runs_max() == 1
+    assert_unharmed(cell)
+
+
+def test_a_planned_stop_under_all_limits_is_clean(cell):
+    for vm in cell.vms:
+        vm.limits = LIMITS["all"]
+    cell.start_all()
+    assert send_many(cell) == {200: N_REQUESTS}
+    for vm in cell.vms:
+        cell.signal(vm, signal.SIGTERM)
+    assert [vm.process.wait(10.0) for vm in cell.vms] == [0] * len(cell.vms)
+    assert not any(word in read_logs(cell) for word in FAILURE_WORDS)
