Start the HTTP servers without asking a name server

pywsgi asks for the name of a server's address (SERVER_NAME) when it starts, in a system thread: a reverse look-up for each of the five servers of an edge process, seen with strace as a query to port 53. Where a thread can't start, the process ends at its start; where no name server answers, each server would wait for the resolver's time-out, 5 s by default, before the process serves. The name is never used, so the server is given its address as its name.

Both tests of test_edge_servers.py and five of test_platform_limits.py, which now allow no second thread, failed on the code before.

--- a/packages/entry/hornbeamstand_entry/edge/servers.py
+++ b/packages/entry/hornbeamstand_entry/edge/servers.py
@@ -2,9 +2,7 @@
 
 import socket
 
-from gevent.pywsgi import WSGIServer
-
-from ..http_server import CallerHandler
+from ..http_server import CallerHandler, make_server
 
 MS_PER_S = 1000.0
 
@@ -39,10 +37,7 @@
     milliseconds, and ``limits`` one that returns the CallerLimits. They are called
     before each request, so that new limits apply to open connections too.
     """
-    host, _, port = address.rpartition(":")
-    server = WSGIServer(
-        (host, int(port)), app, log=None, error_log=None, handler_class=EdgeHandler
-    )
+    server = make_server(address, app, EdgeHandler)
     server.caller_idle_s = idle_ms() / MS_PER_S
     server.idle_ms = idle_ms
     server.limits = limits
--- a/packages/entry/hornbeamstand_entry/http_server.py
+++ b/packages/entry/hornbeamstand_entry/http_server.py
@@ -230,15 +230,28 @@
     return watcher
 
 
+def make_server(address, app, handler_class):
+    """Return a server for a WSGI application, which does not listen yet.
+
+    The library would ask a name server for the name of its address.
+    """
+    host, _, port = address.rpartition(":")
+    return WSGIServer(
+        (host, int(port)),
+        app,
+        log=None,
+        error_log=None,
+        handler_class=handler_class,
+        environ={"SERVER_NAME": host},
+    )
+
+
 def start_server(address, app, caller_idle_ms, stack, handler_class=CallerHandler):
     """Start a server for a WSGI application; the exit stack stops it.
 
     ``caller_idle_ms`` is the timeout of each read and write on a caller's connection.
     """
-    host, _, port = address.rpartition(":")
-    server = WSGIServer(
-        (host, int(port)), app, log=None, error_log=None, handler_class=handler_class
-    )
+    server = make_server(address, app, handler_class)
     server.caller_idle_s = caller_idle_ms / MS_PER_S
     server.limits = CallerLimits
     server.start()
--- /dev/null
+++ b/packages/entry/tests/test_edge_servers.py
@@ -0,0 +1,42 @@
+"""HTTP servers of a process when the system lacks something they ask for."""
+
+from contextlib import ExitStack
+
+import pytest
+from gevent import pywsgi
+from hornbeamstand_core.routes import CallerLimits
+from hornbeamstand_entry import http_server
+from hornbeamstand_entry.edge import servers as edge_servers
+
+IDLE_MS = 5000.0
+
+
+@pytest.fixture
+def stack():
+    with ExitStack() as exit_stack:
+        yield exit_stack
+
+
+def respond(environ, start_response):
+    start_response("200 OK", [("Content-Length", "2")])
+    return [b"ok"]
+
+
+def start_plain(stack):
+    return http_server.start_server("127.0.0.1:0", respond, IDLE_MS, stack)
+
+
+def start_edge(stack):
+    return edge_servers.start_server(
+        "127.0.0.1:0", respond, stack, lambda: IDLE_MS, CallerLimits
+    )
+
+
+@pytest.mark.parametrize("start", [start_plain, start_edge])
+def test_a_start_asks_no_name_server(stack, monkeypatch, start):
+    """Guards against a start that waits for a name server that doesn't answer."""
+    asked = []
+    monkeypatch.setattr(pywsgi.socket, "getfqdn", lambda host: asked.append(host) or "")
+    server = start(stack)
+    assert asked == []
+    assert server.environ["SERVER_NAME"] == "127.0.0.1"
--- a/tests/test_platform_limits.py
+++ b/tests/test_platform_limits.py
@@ -19,8 +19,8 @@
 # Maximum number of callers that wait at the same time. More of them than servers open
 # new connections to the servers all the while.
 N_CALLERS = 24
-# Maximum number of threads of a process: its own, and as many as libraries start once.
-N_THREADS_MAX = 2
+# Number of threads of a process: it starts none.
+N_THREADS = 1
 # Part of the limit of the address space that must stay free under traffic.
 FREE_SHARE = 0.1
 FAILURE_WORDS = ("RuntimeError", "MemoryError", "Traceback", "Fatal Python error")
@@ -71,7 +71,7 @@
     assert [vm.process.poll() for vm in cell.vms] == [None] * len(cell.vms)
     for vm in cell.vms:
         usage = ProcessUsage.from_process(vm.process.pid)
-        assert usage.n_threads <= N_THREADS_MAX
+        assert usage.n_threads == N_THREADS
         assert usage.address_space_mb <= (1 - FREE_SHARE) * MEMORY_MB
 
 
