Wait in a planned stop for requests that have just arrived

A caller lost its request at a planned stop, with a closed connection and no answer, if it was the only one in progress: the stop accepted the connections that waited, and ended the process before their tasks had begun to run. The same held for a request that had just come on a kept connection.

The stop now lets the tasks run before it looks whether requests are in progress, and a connection with unread bytes counts as one that is.

The two tests of a stop that finishes such requests and the one of unread bytes failed on the code before.

--- a/packages/entry/hornbeamstand_entry/edge/lifecycle.py
+++ b/packages/entry/hornbeamstand_entry/edge/lifecycle.py
@@ -142,12 +142,18 @@
     process.front.is_stopping = True
     process.control_task.post(StopEdge())
     gevent.sleep(min(STOP_LISTEN_MAX_MS, process.settings.grace_ms / 2) / MS_PER_S)
-    servers = process.caller_servers
-    stop_accepting(servers)
-    close_idle_connections(servers)
-    while process.clock.now_ms() < end_at_ms:
+    finish_requests(
+        process.caller_servers, process.peer_server, process.clock, end_at_ms
+    )
+
+
+def finish_requests(caller_servers, peer_server, clock, end_at_ms):
+    """Close the listeners; return once no request is in progress, or at the end."""
+    stop_accepting(caller_servers)
+    while clock.now_ms() < end_at_ms:
+        # The tasks of connections read meanwhile what has arrived.
+        gevent.sleep(STOP_POLL_INTERVAL_MS / MS_PER_S)
+        close_idle_connections(caller_servers)
         # An answer is part of its request until the peer or caller has got it.
-        if not has_requests([*servers, process.peer_server]):
+        if not has_requests([*caller_servers, peer_server]):
             return
-        gevent.sleep(STOP_POLL_INTERVAL_MS / MS_PER_S)
-        close_idle_connections(servers)
--- a/packages/entry/hornbeamstand_entry/edge/servers.py
+++ b/packages/entry/hornbeamstand_entry/edge/servers.py
@@ -60,12 +60,22 @@
 
 
 def has_requests(servers):
-    """Return whether a request is being received or served on any connection."""
+    """Return whether a request has arrived on any connection and is not answered yet.
+
+    Its connection's task may not have begun to read it.
+    """
     return any(
-        not handler.is_idle for server in servers for handler in server.open_handlers
+        is_busy(handler) for server in servers for handler in server.open_handlers
     )
 
 
+def is_busy(handler):
+    """Return whether a connection serves a request or has received bytes of one."""
+    if not handler.is_idle:
+        return True
+    return handler.socket is not None and has_bytes(handler.socket)
+
+
 def close_idle_connections(servers):
     """End the servers' connections on which no request has begun to arrive.
 
@@ -74,9 +84,8 @@
     """
     for server in servers:
         for handler in list(server.open_handlers):
-            if handler.is_idle and handler.socket is not None:
-                if not has_bytes(handler.socket):
-                    end_reading(handler.socket)
+            if handler.socket is not None and not is_busy(handler):
+                end_reading(handler.socket)
 
 
 def end_reading(sock):
--- a/packages/entry/tests/test_caller_limits.py
+++ b/packages/entry/tests/test_caller_limits.py
@@ -6,6 +6,8 @@
 import gevent
 import pytest
 from hornbeamstand_core.routes import CallerLimits
+from hornbeamstand_entry.clock import make_process_clock
+from hornbeamstand_entry.edge.lifecycle import finish_requests
 from hornbeamstand_entry.edge.servers import (
     close_idle_connections,
     has_requests,
@@ -229,6 +231,46 @@
     assert sock.recv(65536).startswith(b"HTTP/1.1 200")
 
 
+def finish(front):
+    """Finish the requests as a planned stop does; return how many were served."""
+    clock = make_process_clock()
+    with ExitStack() as stack:
+        peer_server = Front(stack).server
+        finish_requests([front.server], peer_server, clock, clock.now_ms() + 2000.0)
+    return front.n_requests
+
+
+def test_a_stop_waits_for_a_request_that_it_has_just_accepted(stack):
+    """Guards against an end before the request's task has begun to run."""
+    front = Front(stack)
+    # A socket of the standard library, so that the server does not run meanwhile.
+    sock = socket.create_connection(front.address, timeout=3.0)
+    stack.callback(sock.close)
+    sock.sendall(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+    assert finish(front) == 1
+    assert sock.recv(65536).startswith(b"HTTP/1.1 200")
+
+
+def test_a_stop_waits_for_a_request_that_just_came_on_a_kept_connection(stack):
+    """Guards against an end before the connection's task has read the request."""
+    front = Front(stack)
+    sock = connect(stack, front)
+    sock.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert sock.recv(65536)
+    gevent.sleep(0.01)
+    sock._sock.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert finish(front) == 2
+    assert sock.recv(65536).startswith(b"HTTP/1.1 200")
+
+
+def test_a_request_that_is_not_read_yet_keeps_a_stop_waiting(stack):
+    front = Front(stack)
+    sock = connect(stack, front)
+    gevent.sleep(0.01)
+    sock._sock.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert has_requests([front.server])
+
+
 def test_an_idle_connection_is_closed_at_a_stop(stack):
     front = Front(stack)
     sock = connect(stack, front)
