Finish a planned stop at the limit of descriptors

A process ended with status 1 in its planned stop, with its requests, if a connection waited at a listener and no descriptor was free: to accept it raised an OSError (EMFILE) that nobody caught. So would a caller that left before it was accepted.

A process whose callers hold all descriptors serves again once they let go of some; that held before.

--- a/packages/entry/hornbeamstand_entry/edge/lifecycle.py
+++ b/packages/entry/hornbeamstand_entry/edge/lifecycle.py
@@ -149,11 +149,11 @@
 
 def finish_requests(caller_servers, peer_server, clock, end_at_ms):
     """Close the listeners; return once no request is in progress, or at the end."""
-    stop_accepting(caller_servers)
     while clock.now_ms() < end_at_ms:
+        has_closed = stop_accepting(caller_servers)
         # The tasks of connections read meanwhile what has arrived.
         gevent.sleep(STOP_POLL_INTERVAL_MS / MS_PER_S)
         close_idle_connections(caller_servers)
         # An answer is part of its request until the peer or caller has got it.
-        if not has_requests([*caller_servers, peer_server]):
+        if has_closed and not has_requests([*caller_servers, peer_server]):
             return
--- a/packages/entry/hornbeamstand_entry/edge/servers.py
+++ b/packages/entry/hornbeamstand_entry/edge/servers.py
@@ -48,15 +48,27 @@
 
 
 def stop_accepting(servers):
-    """Close the listening sockets, after accepting the connections that wait there.
+    """Accept the connections that wait, then close the listening sockets.
 
     A connection that the operating system has accepted, and this process has not, would
-    be reset otherwise, with the request that its caller has sent.
+    be reset otherwise, with the request that its caller has sent. Returns False if
+    connections wait that can't be accepted now; the function is then called again.
     """
     for server in servers:
+        if not server.closed and accept_waiting(server):
+            server.close()
+    return all(server.closed for server in servers)
+
+
+def accept_waiting(server):
+    """Accept the connections that wait at a server; return whether none is left."""
+    try:
         while accepted := server.do_read():
             server.do_handle(*accepted)
-        server.close()
+    except OSError:
+        # The process has no free descriptor, or the caller has left.
+        return False
+    return True
 
 
 def has_requests(servers):
--- a/tests/test_platform_limits.py
+++ b/tests/test_platform_limits.py
@@ -1,8 +1,11 @@
 """Processes under operators' limits: none ends, and no request is lost."""
 
 import signal
+from contextlib import ExitStack
 
+import gevent
 import pytest
+from gevent import socket as gevent_socket
 from gevent.pool import Pool
 
 from standins.edge_cell import DOMAINS, EdgeCell
@@ -23,6 +26,10 @@
 N_THREADS = 1
 # Part of the limit of the address space that must stay free under traffic.
 FREE_SHARE = 0.1
+# Limit of descriptors that few callers reach, and the time for which a process then
+# tries to accept connections before the test goes on.
+FEW_DESCRIPTORS = 64
+SETTLE_S = 0.3
 FAILURE_WORDS = ("RuntimeError", "MemoryError", "Traceback", "Fatal Python error")
 
 LIMITS = {
@@ -96,3 +103,37 @@
         cell.signal(vm, signal.SIGTERM)
     assert [vm.process.wait(10.0) for vm in cell.vms] == [0] * len(cell.vms)
     assert not any(word in read_logs(cell) for word in FAILURE_WORDS)
+
+
+def hold_all_descriptors(vm, stack):
+    """Open idle connections until a process has no descriptor for another one."""
+    for _ in range(2 * FEW_DESCRIPTORS):
+        sock = stack.enter_context(gevent_socket.socket())
+        sock.connect((vm.ip, vm.ports["front"]))
+    gevent.sleep(SETTLE_S)
+    usage = ProcessUsage.from_process(vm.process.pid)
+    assert usage.n_descriptors == FEW_DESCRIPTORS
+
+
+def test_a_process_without_descriptors_serves_once_it_has_some(cell):
+    """Guards against an acceptor that ends when a connection finds no descriptor."""
+    vm = cell.vms[0]
+    vm.limits = ProcessLimits(n_descriptors=FEW_DESCRIPTORS)
+    cell.start_all()
+    with ExitStack() as stack:
+        hold_all_descriptors(vm, stack)
+        assert vm.process.poll() is None
+    cell.wait_for(lambda: cell.send(vm, "/tools/x").status == 200)
+
+
+def test_a_planned_stop_without_descriptors_serves_those_that_wait(cell):
+    """Guards against a stop that ends when a connection finds no descriptor."""
+    vm = cell.vms[0]
+    vm.limits = ProcessLimits(n_descriptors=FEW_DESCRIPTORS)
+    cell.start_all()
+    with ExitStack() as stack:
+        hold_all_descriptors(vm, stack)
+        cell.signal(vm, signal.SIGTERM)
+        waiting = gevent.spawn(cell.send, vm, "/tools/x", **{"Deadline-Ms": "3000"})
+        assert waiting.get().status == 200
+    assert vm.process.wait(10.0) == 0
