Keep the log if its library can't be loaded

A process that had no free descriptor 0.8 s after its start wrote no log lines until its end: the import of structlog, which is put off until the process serves, raised an OSError and ended the writer of the log. An import with too little memory did the same.

The lines are then rendered without the library, in the same form, for as long as the process runs. The start is not changed: the library is still loaded 800 ms after it.

The three tests of the renderer and the one of a process without descriptors failed on the code before.

--- a/packages/entry/hornbeamstand_entry/edge/logs.py
+++ b/packages/entry/hornbeamstand_entry/edge/logs.py
@@ -31,6 +31,8 @@
 MS_PER_S = 1000.0
 # Maximum size of one write.
 WRITE_MAX_BYTES = 65536
+# Errors of an import while the process has too few descriptors or too little memory.
+LOAD_ERRORS = (ImportError, OSError, MemoryError)
 
 
 class LogLine(Record):
@@ -62,7 +64,7 @@
     def render(self, line):
         """Return a LogLine as JSON text."""
         if self._logger is None:
-            self._logger = self._make_logger()
+            self._logger = self._load_logger()
         self._logger.info(line.event, time_s=line.time_s, **line.fields)
         return self._rendered.pop()
 
@@ -70,6 +72,12 @@
         """Store a rendered line (the end of structlog's chain)."""
         self._rendered.append(text)
 
+    def _load_logger(self):
+        try:
+            return self._make_logger()
+        except LOAD_ERRORS:
+            return PlainLogger(self.vm_id, self)
+
     def _make_logger(self):
         import structlog
 
@@ -81,6 +89,29 @@
         ).bind(vm=self.vm_id)
 
 
+class PlainLogger:
+    """Renders the lines of one VM if the library for that can't be loaded.
+
+    Parameters
+    ----------
+    vm_id : str
+        The VM.
+    target : Renderer
+        Takes the rendered lines.
+    """
+
+    __slots__ = ("vm_id", "target")
+
+    def __init__(self, vm_id, target):
+        self.vm_id = vm_id
+        self.target = target
+
+    def info(self, event, **fields):
+        """Render one line."""
+        line = {"vm": self.vm_id, **fields, "event": event}
+        self.target.info(render_json(self, "info", line))
+
+
 class LogBuffer:
     """Buffers log lines and writes them to a descriptor without blocking.
 
--- a/packages/entry/tests/test_edge_logs.py
+++ b/packages/entry/tests/test_edge_logs.py
@@ -83,6 +83,39 @@
     assert '"time_s":5.0' in os.read(pipe[0], 4096).decode()
 
 
+class FailingFinder:
+    """Raises an error when a module is imported (an entry of ``sys.meta_path``)."""
+
+    def __init__(self, name, error):
+        self.name = name
+        self.error = error
+
+    def find_spec(self, name, path=None, target=None):
+        if name == self.name:
+            raise self.error
+
+
+@pytest.mark.parametrize("error", [ImportError(), OSError(24, "x"), MemoryError()])
+def test_lines_are_the_same_without_the_library(pipe, monkeypatch, error):
+    """Guards against a log that ends because a library can't be loaded."""
+    clock = Clock.from_reader(lambda: 0.0)
+    monkeypatch.setattr(logs.time, "time", lambda: 7.5)
+
+    def write_lines():
+        log = EdgeLog.from_config("edge-0", clock, pipe[1])
+        log.info("process: started", front="a")
+        log.warning("answer: refused", status=503)
+        log.lines.flush()
+        return os.read(pipe[0], 1 << 20)
+
+    expected = write_lines()
+    monkeypatch.delitem(sys.modules, "structlog")
+    finder = FailingFinder("structlog", error)
+    monkeypatch.setattr(sys, "meta_path", [finder, *sys.meta_path])
+    assert write_lines() == expected
+    assert expected.count(b"\n") == 2
+
+
 def test_importing_the_process_does_not_load_structlog():
     """Imports delay the start, and all VMs may start at once while callers wait."""
     code = (
--- a/tests/test_platform_limits.py
+++ b/tests/test_platform_limits.py
@@ -7,6 +7,7 @@
 import pytest
 from gevent import socket as gevent_socket
 from gevent.pool import Pool
+from hornbeamstand_entry.edge.logs import FIRST_FLUSH_DELAY_MS
 
 from standins.edge_cell import DOMAINS, EdgeCell
 from standins.process_limits import (
@@ -17,6 +18,7 @@
 )
 
 PREFIXES = {"/tools/": ("shop", "idempotent"), "/orders/": ("shop", "order")}
+MS_PER_S = 1000.0
 N_SERVERS = 8
 N_REQUESTS = 300
 # Maximum number of callers that wait at the same time. More of them than servers open
@@ -116,14 +118,16 @@
 
 
 def test_a_process_without_descriptors_serves_once_it_has_some(cell):
-    """Guards against an acceptor that ends when a connection finds no descriptor."""
+    """Guards against tasks that end, also the log's, when no descriptor is free."""
     vm = cell.vms[0]
     vm.limits = ProcessLimits(n_descriptors=FEW_DESCRIPTORS)
     cell.start_all()
     with ExitStack() as stack:
         hold_all_descriptors(vm, stack)
+        gevent.sleep(FIRST_FLUSH_DELAY_MS / MS_PER_S)
         assert vm.process.poll() is None
     cell.wait_for(lambda: cell.send(vm, "/tools/x").status == 200)
+    cell.wait_for(lambda: "answer: sent" in read_logs(cell))
 
 
 def test_a_planned_stop_without_descriptors_serves_those_that_wait(cell):
