Name the task that failed, and the limits of the process, in the log

A process that ended by the failure of a task wrote nothing: the buffered lines were lost with os._exit, and no line named the task. No line or gauge told the limits of the process or how near it was to them. No logic is changed.

A last line `process: task failed` names the task and the error, behind the buffered lines. It is left out by no rate limit, and the process ends even if it can't be written. `process: started` has the limits, and the metrics have the use of address space, data, threads and descriptors beside them, read from /proc/self at a scrape.

--- a/packages/entry/hornbeamstand_entry/admin.py
+++ b/packages/entry/hornbeamstand_entry/admin.py
@@ -5,6 +5,7 @@
 from hornbeamstand_core.controllers.target_state import EJECTED
 from hornbeamstand_core.messages import Refusal
 
+from .process_use import read_process_gauges
 from .responses import respond_json, respond_refusal
 
 
@@ -74,6 +75,8 @@
     gauge = process.metrics.set_gauge
     usage = resource.getrusage(resource.RUSAGE_SELF)
     gauge("processor_s", usage.ru_utime + usage.ru_stime)
+    for name, value in read_process_gauges().items():
+        gauge(name, value)
     gauge("peer_sent_bytes", process.datagrams.n_bytes_sent)
     gauge("peer_sent_datagrams", process.datagrams.n_sent)
     gauge("probes_sent", process.prober.n_sent)
--- a/packages/entry/hornbeamstand_entry/edge/lifecycle.py
+++ b/packages/entry/hornbeamstand_entry/edge/lifecycle.py
@@ -9,6 +9,7 @@
 
 from ..clock import make_process_clock
 from ..closing import close_bounded
+from ..process_use import describe_limits
 from .addresses import wait_until_free
 from .logs import EdgeLog
 from .process import EdgeProcess, read_retry_limits
@@ -62,7 +63,9 @@
         process = EdgeProcess.from_config(settings, dialect, clock, log, stack)
         process.listen(stack)
         tune_garbage_collector()
-        process.log.info("process: started", front=settings.front_address)
+        process.log.info(
+            "process: started", front=settings.front_address, **describe_limits()
+        )
         wait_for_stop(process, reload_settings, signals)
         stop(process)
         process.log.info("process: stopped")
--- a/packages/entry/hornbeamstand_entry/edge/logs.py
+++ b/packages/entry/hornbeamstand_entry/edge/logs.py
@@ -15,6 +15,8 @@
 import msgspec
 from hornbeamstand_core.records import Record
 
+from ..tasks.task import report_failures_to
+
 # Maximum number of lines that are buffered between two flushes.
 N_BUFFERED_LINES_MAX = 4000
 # Maximum rate of lines.
@@ -126,6 +128,11 @@
         """Buffer a warning, unless the rate of lines and warnings is exceeded."""
         self._append(line, LINES_PER_S_MAX + EXTRA_WARNINGS_PER_S_MAX)
 
+    def flush_last(self, line):
+        """Write the buffered lines and a last one, which no limit leaves out."""
+        self._lines.append(line)
+        self.flush()
+
     def _append(self, line, per_s_max):
         second = int(self.clock.now_ms() / MS_PER_S)
         if second != self._second:
@@ -245,8 +252,14 @@
             **fields,
         )
 
+    def task_failed(self, name, error):
+        """Log the failure of a task that ends the process, and write all lines."""
+        fields = {"task": name, "error": repr(error)}
+        self.lines.flush_last(LogLine(time.time(), "process: task failed", fields))
+
     def start(self, stack):
         """Start to flush at intervals; the exit stack ends that and flushes again."""
+        report_failures_to(self.task_failed, stack)
         stack.callback(self.lines.flush)
         writer = gevent.spawn(self._write_forever)
         stack.callback(writer.kill, block=False)
--- a/packages/entry/hornbeamstand_entry/edge/metrics.py
+++ b/packages/entry/hornbeamstand_entry/edge/metrics.py
@@ -6,6 +6,8 @@
 
 from hdrh.histogram import HdrHistogram
 
+from ..process_use import read_process_gauges
+
 # Range and precision of the latency histograms: 1 ms to 2 minutes, two significant
 # digits.
 HISTOGRAM_MAX_MS = 120_000
@@ -82,6 +84,8 @@
             for percentile in PERCENTILES:
                 value = histogram.get_value_at_percentile(percentile)
                 latency.labels(service, str(percentile)).set(value)
-        for name, read in self.gauges.items():
-            Gauge(f"hornbeamstand_{name}", name, registry=registry).set(read())
+        values = {name: read() for name, read in self.gauges.items()}
+        values |= read_process_gauges()
+        for name, value in values.items():
+            Gauge(f"hornbeamstand_{name}", name, registry=registry).set(value)
         return generate_latest(registry)
--- a/packages/entry/hornbeamstand_entry/process.py
+++ b/packages/entry/hornbeamstand_entry/process.py
@@ -28,6 +28,7 @@
 from .logs import make_logs
 from .metrics import Metrics
 from .performers import make_performers
+from .process_use import describe_limits
 from .tasks.config_watcher import WATCH_WAIT_MS, ConfigWatcher
 from .tasks.connections import ConnectionRules
 from .tasks.control_task import ControlTask
@@ -37,6 +38,7 @@
 from .tasks.platform_task import PlatformTask
 from .tasks.pools import Pools
 from .tasks.prober import Prober
+from .tasks.task import report_failures_to
 
 # Interval at which buffered log lines are written.
 LOG_FLUSH_INTERVAL_MS = 100.0
@@ -97,6 +99,7 @@
         self.clock = make_process_clock()
         self.bind_logger, flush = make_logs(settings.log_format, settings.vm_id)
         stack.callback(flush)
+        report_failures_to(self._log_task_failure(flush), stack)
         flusher = gevent.spawn(flush_periodically, flush)
         stack.callback(flusher.kill, block=False)
         self.node = make_node(settings, self.clock)
@@ -111,6 +114,16 @@
         self._build_front()
         return self
 
+    def _log_task_failure(self, flush):
+        """Return a function that logs a task's failure and writes all lines."""
+        log = self.bind_logger("process")
+
+        def report(name, error):
+            log.error("process: task failed", task=name, error=repr(error))
+            flush()
+
+        return report
+
     def _build_control(self, stack):
         settings = self.settings
         timeout_ms = settings.platform_timeout_ms
@@ -247,7 +260,7 @@
     admin = make_admin_app(process)
     start_server(settings.admin_address, admin, idle_ms, stack)
     tune_garbage_collector()
-    log.info("process: started", front=settings.front_address)
+    log.info("process: started", front=settings.front_address, **describe_limits())
     wait_for_stop(process, log)
     log.info("process: stopped")
 
--- a/packages/entry/hornbeamstand_entry/tasks/task.py
+++ b/packages/entry/hornbeamstand_entry/tasks/task.py
@@ -1,6 +1,7 @@
 """Tasks with mailboxes, and the loop of a task that also does periodic work."""
 
 import os
+from functools import partial
 
 import gevent
 from gevent.queue import Empty, SimpleQueue
@@ -9,15 +10,29 @@
 # Exit status of a process after one of its tasks raised an exception (EX_SOFTWARE of
 # sysexits.h).
 EXIT_TASK_FAILED = 70
+# Functions that ``report_failures_to`` has registered.
+failure_reports = []
 
 
-def exit_on_task_failure(greenlet):
+def report_failures_to(report, stack):
+    """Call ``report(name, error)`` before the failure of a task ends the process.
+
+    ``report`` must not block. The exit stack removes it.
+    """
+    failure_reports.append(report)
+    stack.callback(failure_reports.remove, report)
+
+
+def exit_on_task_failure(name, greenlet):
     """Exit the process at once, because without one of its tasks its state is wrong.
 
-    gevent has already printed the exception to standard error. Peers handle the exit
-    like any other crash.
+    Peers handle the exit like any other crash.
     """
-    os._exit(EXIT_TASK_FAILED)
+    try:
+        for report in failure_reports:
+            report(name, greenlet.exception)
+    finally:
+        os._exit(EXIT_TASK_FAILED)
 
 
 class Task:
@@ -40,7 +55,7 @@
         An exception in the greenlet ends the process.
         """
         self.greenlet = gevent.spawn(run)
-        self.greenlet.link_exception(exit_on_task_failure)
+        self.greenlet.link_exception(partial(exit_on_task_failure, self.name))
         stack.callback(self.greenlet.kill, block=False)
 
 
