Answer the request whose connection met an unexpected error

A connection's greenlet that met an error which nobody foresaw (RuntimeError of a thread that can't start, MemoryError) in opening the connection, in its check, or behind the response ended without a word. The requester waited until its deadline, was told "timed out, outcome unknown" though nothing had been sent, and held its slot meanwhile. The sender of a long body that met one left the reader and the server waiting for each other.

The exchange now fails at once: it did not run if no byte was sent, else its outcome is unknown. A line `process: unexpected error` names the connection and the error. The sender of a body shuts the connection down.

--- a/packages/entry/hornbeamstand_entry/edge/logs.py
+++ b/packages/entry/hornbeamstand_entry/edge/logs.py
@@ -252,14 +252,17 @@
             **fields,
         )
 
-    def task_failed(self, name, error):
-        """Log the failure of a task that ends the process, and write all lines."""
+    def unexpected_error(self, name, error, ends_process):
+        """Log an unexpected error; write all lines if it ends the process."""
+        if not ends_process:
+            self.warning("process: unexpected error", part=name, error=repr(error))
+            return
         fields = {"task": name, "error": repr(error)}
         self.lines.flush_last(LogLine(time.time(), "process: task failed", fields))
 
     def start(self, stack):
         """Start to flush at intervals; the exit stack ends that and flushes again."""
-        report_failures_to(self.task_failed, stack)
+        report_failures_to(self.unexpected_error, stack)
         stack.callback(self.lines.flush)
         writer = gevent.spawn(self._write_forever)
         stack.callback(writer.kill, block=False)
--- a/packages/entry/hornbeamstand_entry/process.py
+++ b/packages/entry/hornbeamstand_entry/process.py
@@ -99,7 +99,7 @@
         self.clock = make_process_clock()
         self.bind_logger, flush = make_logs(settings.log_format, settings.vm_id)
         stack.callback(flush)
-        report_failures_to(self._log_task_failure(flush), stack)
+        report_failures_to(self._make_failure_report(flush), stack)
         flusher = gevent.spawn(flush_periodically, flush)
         stack.callback(flusher.kill, block=False)
         self.node = make_node(settings, self.clock)
@@ -114,11 +114,14 @@
         self._build_front()
         return self
 
-    def _log_task_failure(self, flush):
-        """Return a function that logs a task's failure and writes all lines."""
+    def _make_failure_report(self, flush):
+        """Return a function that logs unexpected errors; see ``report_failures_to``."""
         log = self.bind_logger("process")
 
-        def report(name, error):
+        def report(name, error, ends_process):
+            if not ends_process:
+                log.error("process: unexpected error", part=name, error=repr(error))
+                return
             log.error("process: task failed", task=name, error=repr(error))
             flush()
 
--- a/packages/entry/hornbeamstand_entry/tasks/connections.py
+++ b/packages/entry/hornbeamstand_entry/tasks/connections.py
@@ -23,10 +23,11 @@
 from .response_parser import (
     ERROR_STATUS_MIN,
     HEAD_MAX_BYTES,
+    ResponseError,
     ResponseParser,
     read_response,
 )
-from .task import Task
+from .task import Task, report_failure
 
 # Timeout for opening a connection.
 CONNECT_TIMEOUT_MS = 1000.0
@@ -178,6 +179,8 @@
             connection.exchange = None
             connection.last_response_at_ms = clock.now_ms()
             pool_task.post(ConnectionIdle(connection))
+    except Exception as error:
+        fail_exchange(connection.exchange, address, error)
     finally:
         if connection.sock is not None:
             connection.sock.close()
@@ -211,8 +214,7 @@
     except gevent.GreenletExit:
         closed.has_timed_out = is_reused and exchange.has_timed_out
         raise
-    except Exception as error:
-        # The socket and the HTTP parser each raise exceptions of their own.
+    except (OSError, ResponseError) as error:
         reply(exchange, SendFailure(BROKEN_RESPONSE, True, f"{address} {error!r}"))
         return False
     note_keep_alive(connection, response)
@@ -221,6 +223,14 @@
     return not response.should_close()
 
 
+def fail_exchange(exchange, address, error):
+    """Report an unexpected error, and fail the exchange that it interrupted, if any."""
+    report_failure(f"connection {address}", error)
+    if exchange is not None:
+        kind = BROKEN_RESPONSE if exchange.is_sent else CONNECT_FAILED
+        reply(exchange, SendFailure(kind, exchange.is_sent, f"{address} {error!r}"))
+
+
 def send_and_read(connection, exchange):
     """Send a request and return its response, which may come before all is sent.
 
@@ -250,6 +260,11 @@
     except OSError:
         # The reader of the connection notices its end too, after what came before.
         return False
+    except Exception as error:
+        report_failure("connection", error)
+        # The server waits for the rest, and the reader for the server.
+        sock.shutdown(socket.SHUT_RDWR)
+        return False
     return True
 
 
--- a/packages/entry/hornbeamstand_entry/tasks/task.py
+++ b/packages/entry/hornbeamstand_entry/tasks/task.py
@@ -15,22 +15,28 @@
 
 
 def report_failures_to(report, stack):
-    """Call ``report(name, error)`` before the failure of a task ends the process.
+    """Call ``report(name, error, ends_process)`` for every unexpected error.
 
-    ``report`` must not block. The exit stack removes it.
+    ``name`` is that of the task or part where it was raised. ``report`` must not block.
+    The exit stack removes it.
     """
     failure_reports.append(report)
     stack.callback(failure_reports.remove, report)
 
 
+def report_failure(name, error, ends_process=False):
+    """Report an unexpected error to the functions that were registered for it."""
+    for report in failure_reports:
+        report(name, error, ends_process)
+
+
 def exit_on_task_failure(name, greenlet):
     """Exit the process at once, because without one of its tasks its state is wrong.
 
     Peers handle the exit like any other crash.
     """
     try:
-        for report in failure_reports:
-            report(name, greenlet.exception)
+        report_failure(name, greenlet.exception, ends_process=True)
     finally:
         os._exit(EXIT_TASK_FAILED)
 
--- /dev/null
+++ b/packages/entry/tests/test_unexpected_errors.py
@@ -0,0 +1,118 @@
+"""Errors that nobody foresaw: their requests fail at once, and nothing waits on."""
+
+from contextlib import ExitStack
+
+import gevent
+import pytest
+from gevent.queue import SimpleQueue
+from gevent.server import StreamServer
+from hornbeamstand_core.messages import BROKEN_RESPONSE, CONNECT_FAILED
+from hornbeamstand_entry.clock import make_process_clock
+from hornbeamstand_entry.tasks import connections
+from hornbeamstand_entry.tasks.exchange import Exchange
+from hornbeamstand_entry.tasks.pools import ConnectionPool
+from hornbeamstand_entry.tasks.task import report_failures_to
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+DEADLINE_MS = 3000.0
+# Maximum time until a request whose exchange failed has its result.
+AT_ONCE_MS = 1000.0
+
+
+@pytest.fixture
+def stack():
+    with ExitStack() as exit_stack:
+        yield exit_stack
+
+
+@pytest.fixture
+def reports(stack):
+    found = []
+    report_failures_to(lambda *report: found.append(report), stack)
+    return found
+
+
+def start_pool(stack):
+    def serve(sock, _):
+        while sock.recv(65536):
+            sock.sendall(ANSWER)
+
+    server = StreamServer(("127.0.0.1", 0), serve)
+    server.start()
+    stack.callback(server.stop, timeout=0)
+    pool = ConnectionPool(f"127.0.0.1:{server.server_port}", make_process_clock())
+    pool.start(stack)
+    return pool
+
+
+def make_exchange(pool, body=b""):
+    until_ms = pool.clock.now_ms() + DEADLINE_MS
+    return Exchange("GET", REQUEST, until_ms, False, 1000, SimpleQueue(), body=body)
+
+
+def send(pool, body=b""):
+    exchange = make_exchange(pool, body)
+    pool.task.post(exchange)
+    return exchange.receive_result(AT_ONCE_MS)
+
+
+def fail(*args):
+    raise RuntimeError("can't start new thread")
+
+
+@pytest.mark.parametrize("step", ["connect", "is_unusable"])
+def test_unexpected_error_before_the_send_is_a_failure_that_did_not_run(
+    stack, reports, monkeypatch, step
+):
+    pool = start_pool(stack)
+    assert send(pool).status_code == 200
+    gevent.sleep(0.01)
+    with monkeypatch.context() as patch:
+        patch.setattr(connections, step, fail)
+        if step == "connect":
+            pool._idle.clear()
+        result = send(pool)
+    assert (result.kind, result.may_have_run) == (CONNECT_FAILED, False)
+    assert "can't start new thread" in result.peer
+    assert [str(error) for _, error, _ in reports] == ["can't start new thread"]
+
+
+@pytest.mark.parametrize("step", ["read_response", "note_error"])
+def test_unexpected_error_after_the_send_is_a_failure_that_may_have_run(
+    stack, reports, monkeypatch, step
+):
+    pool = start_pool(stack)
+    monkeypatch.setattr(connections, step, fail)
+    result = send(pool)
+    assert (result.kind, result.may_have_run) == (BROKEN_RESPONSE, True)
+    assert len(reports) == 1
+
+
+def test_unexpected_error_while_the_body_is_sent_ends_the_exchange(
+    stack, reports, monkeypatch
+):
+    def serve(sock, _):
+        while sock.recv(65536):
+            continue
+
+    pool = start_pool(stack)
+    server = StreamServer(("127.0.0.1", 0), serve)
+    server.start()
+    stack.callback(server.stop, timeout=0)
+    pool.address = f"127.0.0.1:{server.server_port}"
+    monkeypatch.setattr(connections.gevent_socket.socket, "sendall", fail)
+    result = send(pool, body=b"x" * 100_000)
+    assert (result.kind, result.may_have_run) == (BROKEN_RESPONSE, True)
+    assert len(reports) == 1
+
+
+def test_pool_goes_on_after_an_unexpected_error_of_a_connection(
+    stack, reports, monkeypatch
+):
+    pool = start_pool(stack)
+    with monkeypatch.context() as patch:
+        patch.setattr(connections, "connect", fail)
+        send(pool)
+    assert send(pool).status_code == 200
+    assert len(reports) == 1
