Settle the exchange of a connection that is killed before or between its runs

A request that was cancelled in the loop's turn in which its connection was opened killed a greenlet that had not begun. Its clean-up never ran: the pool counted the connection for good and was never removed. A kill that was still pending when the pool assigned the next exchange to that connection took this one with it: its requester waited until its deadline. Callbacks are split over several turns on a busy VM, so both need only load.

The clean-up is linked to the greenlet and runs however it ends. An exchange that was not cancelled itself goes back to the pool if nothing of it was sent, else it has failed with an unknown outcome.

--- a/packages/entry/hornbeamstand_entry/tasks/connections.py
+++ b/packages/entry/hornbeamstand_entry/tasks/connections.py
@@ -166,29 +166,53 @@
         self.has_timed_out = has_timed_out
 
 
-def run_connection(connection, address, pool_task, clock):
-    """Perform exchanges over one socket until one of them ends the connection."""
+def start_connection(connection, address, pool_task, clock):
+    """Start the task of a connection, which ends when an exchange does not keep it."""
     closed = ConnectionClosed(connection, False)
-    try:
-        while True:
-            exchange = connection.task.mailbox.get()
-            if not perform_exchange(
+    greenlet = gevent.spawn(
+        run_connection, connection, address, pool_task, clock, closed
+    )
+    # A greenlet that is killed before it runs has no other way to report its end.
+    greenlet.rawlink(lambda _: end_connection(connection, address, pool_task, closed))
+    connection.task.greenlet = greenlet
+
+
+def run_connection(connection, address, pool_task, clock, closed):
+    """Perform exchanges over one socket until one of them ends the connection."""
+    is_kept = True
+    while is_kept:
+        exchange = connection.task.mailbox.get()
+        try:
+            is_kept = perform_exchange(
                 connection, exchange, address, pool_task, clock, closed
-            ):
-                return
-            connection.exchange = None
+            )
+        except Exception as error:
+            is_kept = False
+            fail_exchange(exchange, address, error)
+        connection.exchange = None
+        if is_kept:
             connection.last_response_at_ms = clock.now_ms()
             pool_task.post(ConnectionIdle(connection))
-    except Exception as error:
-        fail_exchange(connection.exchange, address, error)
-    finally:
-        if connection.sock is not None:
-            connection.sock.close()
-        # The exchange refers to its connection. Without this, what was read of a
-        # response would stay in memory until the next garbage collection.
-        connection.exchange = None
-        connection.parser = None
-        pool_task.post(closed)
+
+
+def end_connection(connection, address, pool_task, closed):
+    """Close a connection whose greenlet ended; settle the exchange that it still had.
+
+    An exchange may be assigned to a connection that an earlier one has just cancelled.
+    """
+    if connection.sock is not None:
+        connection.sock.close()
+    exchange = connection.exchange
+    if exchange is not None and not exchange.is_cancelled:
+        if exchange.is_sent:
+            reply(exchange, SendFailure(BROKEN_RESPONSE, True, address))
+        else:
+            pool_task.post(exchange)
+    # The exchange refers to its connection. Without this, what was read of a response
+    # would stay in memory until the next garbage collection.
+    connection.exchange = None
+    connection.parser = None
+    pool_task.post(closed)
 
 
 def perform_exchange(connection, exchange, address, pool_task, clock, closed):
@@ -224,11 +248,10 @@
 
 
 def fail_exchange(exchange, address, error):
-    """Report an unexpected error, and fail the exchange that it interrupted, if any."""
+    """Report an unexpected error, and fail the exchange that it interrupted."""
     report_failure(f"connection {address}", error)
-    if exchange is not None:
-        kind = BROKEN_RESPONSE if exchange.is_sent else CONNECT_FAILED
-        reply(exchange, SendFailure(kind, exchange.is_sent, f"{address} {error!r}"))
+    kind = BROKEN_RESPONSE if exchange.is_sent else CONNECT_FAILED
+    reply(exchange, SendFailure(kind, exchange.is_sent, f"{address} {error!r}"))
 
 
 def send_and_read(connection, exchange):
--- a/packages/entry/hornbeamstand_entry/tasks/pools.py
+++ b/packages/entry/hornbeamstand_entry/tasks/pools.py
@@ -9,7 +9,7 @@
     Connection,
     ConnectionIdle,
     ConnectionRules,
-    run_connection,
+    start_connection,
 )
 from .exchange import Exchange
 from .task import Task
@@ -120,9 +120,7 @@
     def _open(self):
         connection = Connection(f"connection {self.address}", self.rules)
         self._connection_tasks.add(connection.task)
-        connection.task.greenlet = gevent.spawn(
-            run_connection, connection, self.address, self.task, self.clock
-        )
+        start_connection(connection, self.address, self.task, self.clock)
         return connection
 
     def _note_idle(self, connection):
--- a/packages/entry/tests/test_unexpected_errors.py
+++ b/packages/entry/tests/test_unexpected_errors.py
@@ -116,3 +116,25 @@
         send(pool)
     assert send(pool).status_code == 200
     assert len(reports) == 1
+
+
+def test_connection_that_is_cancelled_before_it_starts_leaves_nothing_behind(stack):
+    pool = start_pool(stack)
+    exchange = make_exchange(pool)
+    pool._assign(exchange)
+    exchange.cancel()
+    gevent.sleep(0.01)
+    assert pool.is_unused
+
+
+def test_exchange_on_a_connection_that_an_earlier_one_cancelled_is_sent_on_another(
+    stack,
+):
+    """The cancelling runs in the loop's turn in which the connection got idle."""
+    pool = start_pool(stack)
+    assert send(pool).status_code == 200
+    gevent.sleep(0.01)
+    exchange = make_exchange(pool)
+    pool._idle[0].task.greenlet.kill(block=False)
+    pool._assign(exchange)
+    assert exchange.receive_result(AT_ONCE_MS).status_code == 200
