End the process when one of its greenlets ends by an error

Only tasks with a mailbox ended the process when they failed. The store watcher (also after a change of what it watches), the registration, the receivers of datagrams, the log writer, the sweeper of pools, probes and copies of orders ended alone: the process lived on with targets that were never updated, without heartbeats from its peers, or without log, and said so on standard error only.

spawn_supervised names the greenlet in `process: task failed` and ends the process with status 70, so that peers take over, as for tasks.

--- a/packages/entry/hornbeamstand_entry/edge/heartbeats.py
+++ b/packages/entry/hornbeamstand_entry/edge/heartbeats.py
@@ -2,12 +2,11 @@
 
 from ipaddress import AddressValueError, IPv4Address
 
-import gevent
 import msgspec
 from gevent import socket
 from hornbeamstand_core.edge_node_messages import Contacts, EdgeHeartbeat, SendContacts
 
-from ..tasks.task import Task
+from ..tasks.task import Task, spawn_supervised
 
 # Maximum size of a received datagram.
 DATAGRAM_MAX_BYTES = 2048
@@ -109,7 +108,7 @@
         stack.callback(self._sock.close)
         self._sock.bind((self.ip, self.port))
         self.task.start(self._send_loop, stack)
-        receiver = gevent.spawn(self._receive_loop)
+        receiver = spawn_supervised("heartbeat-receiver", self._receive_loop)
         stack.callback(receiver.kill, block=False)
 
     def _send_loop(self):
--- a/packages/entry/hornbeamstand_entry/edge/logs.py
+++ b/packages/entry/hornbeamstand_entry/edge/logs.py
@@ -15,7 +15,7 @@
 import msgspec
 from hornbeamstand_core.records import Record
 
-from ..tasks.task import report_failures_to
+from ..tasks.task import report_failures_to, spawn_supervised
 
 # Maximum number of lines that are buffered between two flushes.
 N_BUFFERED_LINES_MAX = 4000
@@ -264,7 +264,7 @@
         """Start to flush at intervals; the exit stack ends that and flushes again."""
         report_failures_to(self.unexpected_error, stack)
         stack.callback(self.lines.flush)
-        writer = gevent.spawn(self._write_forever)
+        writer = spawn_supervised("log-writer", self._write_forever)
         stack.callback(writer.kill, block=False)
 
     def _write_forever(self):
--- a/packages/entry/hornbeamstand_entry/edge/store_watcher.py
+++ b/packages/entry/hornbeamstand_entry/edge/store_watcher.py
@@ -10,6 +10,7 @@
 )
 from hornbeamstand_core.edge_node_messages import WATCH_ALL, WATCH_NOTHING
 
+from ..tasks.task import spawn_supervised
 from .dialect import StorePage
 
 # Maximum time for which the store may hold a watch that has no changes.
@@ -103,7 +104,7 @@
 
     def start(self, stack):
         """Start the first read; the stack ends the task."""
-        self._greenlet = gevent.spawn(self._run_first_read)
+        self._greenlet = spawn_supervised("store-watcher", self._run_first_read)
         stack.callback(self._stop)
 
     def _stop(self):
@@ -145,7 +146,7 @@
 
     def _restart(self):
         self._greenlet.kill(block=False)
-        self._greenlet = gevent.spawn(self._run)
+        self._greenlet = spawn_supervised("store-watcher", self._run)
 
     def _skip_first_read(self):
         self._greenlet.kill(block=False)
@@ -313,7 +314,7 @@
         if message.scope != WATCH_ALL:
             self._stop()
         elif self._greenlet is None:
-            self._greenlet = gevent.spawn(self._run)
+            self._greenlet = spawn_supervised("registration", self._run)
 
     def _stop(self):
         if self._greenlet is not None:
--- a/packages/entry/hornbeamstand_entry/process.py
+++ b/packages/entry/hornbeamstand_entry/process.py
@@ -38,7 +38,7 @@
 from .tasks.platform_task import PlatformTask
 from .tasks.pools import Pools
 from .tasks.prober import Prober
-from .tasks.task import report_failures_to
+from .tasks.task import report_failures_to, spawn_supervised
 
 # Interval at which buffered log lines are written.
 LOG_FLUSH_INTERVAL_MS = 100.0
@@ -100,7 +100,7 @@
         self.bind_logger, flush = make_logs(settings.log_format, settings.vm_id)
         stack.callback(flush)
         report_failures_to(self._make_failure_report(flush), stack)
-        flusher = gevent.spawn(flush_periodically, flush)
+        flusher = spawn_supervised("log-writer", flush_periodically, flush)
         stack.callback(flusher.kill, block=False)
         self.node = make_node(settings, self.clock)
         decision_log = self.bind_logger("decider") if settings.decision_log else None
--- a/packages/entry/hornbeamstand_entry/tasks/config_watcher.py
+++ b/packages/entry/hornbeamstand_entry/tasks/config_watcher.py
@@ -18,7 +18,7 @@
     read_head,
 )
 
-from .task import Task
+from .task import Task, spawn_supervised
 
 # Maximum time for which the platform may hold a watch that has no change.
 WATCH_WAIT_MS = 10_000.0
@@ -89,7 +89,7 @@
     def start(self, stack):
         """Start to watch the platform and to receive files from peers."""
         self.task.start(self._receive_peer_files, stack)
-        watch_greenlet = gevent.spawn(self._watch)
+        watch_greenlet = spawn_supervised("config-watcher", self._watch)
         stack.callback(watch_greenlet.kill, block=False)
 
     def _watch(self):
--- a/packages/entry/hornbeamstand_entry/tasks/datagrams.py
+++ b/packages/entry/hornbeamstand_entry/tasks/datagrams.py
@@ -4,11 +4,10 @@
 replaced by newer ones.
 """
 
-import gevent
 from gevent import socket
 
 from ..peer_codec import datagram_of, decode_datagram
-from .task import Task
+from .task import Task, spawn_supervised
 
 # Maximum size of a UDP payload over IPv4.
 DATAGRAM_MAX_BYTES = 65507
@@ -38,7 +37,7 @@
         stack.callback(self._sock.close)
         self._sock.bind((host, int(port)))
         self.task.start(self._send_loop, stack)
-        receiver = gevent.spawn(self._receive_loop)
+        receiver = spawn_supervised("datagram-receiver", self._receive_loop)
         stack.callback(receiver.kill, block=False)
 
     def _send_loop(self):
--- a/packages/entry/hornbeamstand_entry/tasks/orders_task.py
+++ b/packages/entry/hornbeamstand_entry/tasks/orders_task.py
@@ -13,7 +13,7 @@
 from ..peer_codec import KeptResponse, decode_orders, encode_orders
 from ..responses import respond_json
 from .exchange import Exchange
-from .task import Ask, Task, receive, start_loop
+from .task import Ask, Task, receive, spawn_supervised, start_loop
 
 # Timeout for sending orders to a peer and receiving its acknowledgement.
 REPLICATION_TIMEOUT_MS = 300.0
@@ -89,7 +89,7 @@
                 if reply_to is not None:
                     reply_to.put(message.reply)
             else:
-                gevent.spawn(self._replicate, message)
+                spawn_supervised("orders-copy", self._replicate, message)
 
     def _replicate(self, message):
         """Replicate orders; a transfer is repeated until it is stored or outdated."""
--- a/packages/entry/hornbeamstand_entry/tasks/pools.py
+++ b/packages/entry/hornbeamstand_entry/tasks/pools.py
@@ -12,7 +12,7 @@
     start_connection,
 )
 from .exchange import Exchange
-from .task import Task
+from .task import Task, spawn_supervised
 
 # Maximum number of idle connections that a pool keeps.
 N_IDLE_MAX = 64
@@ -189,7 +189,7 @@
         self._pools = {}
         # Maps an address to the exit stack of its pool.
         self._stacks = {}
-        sweeper = gevent.spawn(self._sweep_loop)
+        sweeper = spawn_supervised("pool-sweeper", self._sweep_loop)
         stack.callback(sweeper.kill, block=False)
         stack.callback(self._close_all)
 
--- a/packages/entry/hornbeamstand_entry/tasks/prober.py
+++ b/packages/entry/hornbeamstand_entry/tasks/prober.py
@@ -1,11 +1,10 @@
 """The task that sends health probes to targets and reports the results."""
 
-import gevent
 from hornbeamstand_core.balancer_messages import ProbeResult
 
 from ..encoding import encode_request, read_report
 from .exchange import Exchange
-from .task import Task
+from .task import Task, spawn_supervised
 
 # Timeout of one probe, after which it counts as failed.
 PROBE_TIMEOUT_MS = 1000.0
@@ -37,7 +36,7 @@
         while True:
             probe = self.task.mailbox.get()
             self.n_sent += 1
-            gevent.spawn(self._probe, probe)
+            spawn_supervised("probe", self._probe, probe)
 
     def _probe(self, probe):
         started_at_ms = self.clock.now_ms()
--- a/packages/entry/hornbeamstand_entry/tasks/task.py
+++ b/packages/entry/hornbeamstand_entry/tasks/task.py
@@ -41,6 +41,16 @@
         os._exit(EXIT_TASK_FAILED)
 
 
+def spawn_supervised(name, run, *args):
+    """Return a new greenlet that calls ``run``, and whose failure ends the process.
+
+    A greenlet that nobody waits for would otherwise end without notice.
+    """
+    greenlet = gevent.spawn(run, *args)
+    greenlet.link_exception(partial(exit_on_task_failure, name))
+    return greenlet
+
+
 class Task:
     """A named greenlet with a mailbox."""
 
@@ -60,8 +70,7 @@
 
         An exception in the greenlet ends the process.
         """
-        self.greenlet = gevent.spawn(run)
-        self.greenlet.link_exception(partial(exit_on_task_failure, self.name))
+        self.greenlet = spawn_supervised(self.name, run)
         stack.callback(self.greenlet.kill, block=False)
 
 
--- a/packages/entry/tests/test_task_failures.py
+++ b/packages/entry/tests/test_task_failures.py
@@ -3,8 +3,11 @@
 import subprocess
 import sys
 import textwrap
+from pathlib import Path
 
+import hornbeamstand_entry
 import msgspec
+import pytest
 from hornbeamstand_entry.tasks.task import EXIT_TASK_FAILED
 
 START = """
@@ -23,6 +26,55 @@
 """
 
 
+START_WATCHER = """
+from types import SimpleNamespace
+from hornbeamstand_core.edge_node_messages import WATCH_ALL, SetWatch
+from hornbeamstand_entry.edge.dialect import StorePage
+from hornbeamstand_entry.edge.store_watcher import Registration, StoreWatcher
+from result import Ok
+
+store = SimpleNamespace(codec=SimpleNamespace(operator_prefix="op/"))
+store.read_all = lambda *args: Ok(StorePage([], 5))
+store.watch = lambda *args: Ok(StorePage([], 5))
+control_task = SimpleNamespace(post=lambda message: None)
+watcher = StoreWatcher(store, control_task, log)
+"""
+START_HEARTBEATS = """
+from types import SimpleNamespace
+from hornbeamstand_entry.edge import heartbeats
+task = heartbeats.HeartbeatTask("127.0.0.1", 0, None, log)
+heartbeats.decode_heartbeat = lambda raw, ip: fail()
+task.start(stack)
+port = task._sock.getsockname()[1]
+task._sock.sendto(b"x", ("127.0.0.1", port))
+"""
+START_POOLS = """
+from hornbeamstand_entry.tasks import pools
+pools.SWEEP_INTERVAL_MS = 1.0
+pools.Pools.sweep = lambda self: fail()
+pools.Pools(make_process_clock(), stack)
+"""
+START_REGISTRATION = """
+from hornbeamstand_entry.edge import store_watcher
+store_watcher.REGISTRATION_DELAY_MS = 1.0
+store.grant_lease = lambda ttl_ms: fail()
+registration = Registration(store, "key", b"", log)
+registration.start(stack)
+registration.set_watch(SetWatch(WATCH_ALL))
+"""
+FAIL_FIRST_READ = """
+store.read_all = lambda *args: fail()
+watcher.start(stack)
+"""
+FAIL_RESTARTED_WATCH = """
+watcher.start(stack)
+gevent.sleep(0.01)
+store.watch = lambda *args: fail()
+watcher.set_watch(SetWatch(WATCH_ALL))
+"""
+ENTRY = Path(hornbeamstand_entry.__file__).parent
+
+
 def run_process(body):
     """Run code after START in a process; return its status and its log lines."""
     code = textwrap.dedent(START) + textwrap.dedent(body) + "gevent.sleep(5)\n"
@@ -61,3 +113,30 @@
     """)
     assert status == EXIT_TASK_FAILED
     assert lines == []
+
+
+@pytest.mark.parametrize(
+    "name, body",
+    [
+        ("store-watcher", START_WATCHER + FAIL_FIRST_READ),
+        ("store-watcher", START_WATCHER + FAIL_RESTARTED_WATCH),
+        ("registration", START_WATCHER + START_REGISTRATION),
+        ("heartbeat-receiver", START_HEARTBEATS),
+        ("pool-sweeper", START_POOLS),
+    ],
+)
+def test_no_greenlet_ends_alone_while_the_process_lives_on(name, body):
+    status, lines = run_process(body)
+    assert status == EXIT_TASK_FAILED
+    assert lines[-1]["event"] == "process: task failed"
+    assert lines[-1]["task"] == name
+
+
+def test_every_greenlet_is_supervised_or_settles_its_exchange():
+    """Those of connections report their end to their pool or to their reader."""
+    n_spawned = {
+        str(path.relative_to(ENTRY)): path.read_text().count("gevent.spawn(")
+        for path in ENTRY.rglob("*.py")
+    }
+    unsupervised = {path: n for path, n in n_spawned.items() if n}
+    assert unsupervised == {"tasks/task.py": 1, "tasks/connections.py": 2}
