Read datagrams on after a read that found no memory

The receiver of heartbeats repeated a failed read at once, without letting other greenlets run: an error that lasts, such as ENOBUFS under a limit of memory, stops the whole process in a loop. The receiver of an entry VM's datagrams expected only refused datagrams and ended at any other error.

--- a/packages/entry/tests/test_unexpected_errors.py
+++ b/packages/entry/tests/test_unexpected_errors.py
@@ -1,14 +1,18 @@
 """Errors that nobody foresaw: their requests fail at once, and nothing waits on."""
 
+import errno
 from contextlib import ExitStack
+from types import SimpleNamespace
 
 import gevent
 import pytest
+from gevent import socket
 from gevent.queue import SimpleQueue
 from gevent.server import StreamServer
 from hornbeamstand_core.messages import BROKEN_RESPONSE, CONNECT_FAILED
 from hornbeamstand_entry.clock import make_process_clock
-from hornbeamstand_entry.tasks import connections
+from hornbeamstand_entry.edge import heartbeats
+from hornbeamstand_entry.tasks import connections, datagrams
 from hornbeamstand_entry.tasks.exchange import Exchange
 from hornbeamstand_entry.tasks.pools import ConnectionPool
 from hornbeamstand_entry.tasks.task import report_failures_to
@@ -18,6 +22,8 @@
 DEADLINE_MS = 3000.0
 # Maximum time until a request whose exchange failed has its result.
 AT_ONCE_MS = 1000.0
+# Number of reads in a row that find no memory.
+N_FAILURES = 3
 
 
 @pytest.fixture
@@ -57,6 +63,20 @@
     return exchange.receive_result(AT_ONCE_MS)
 
 
+class FailingSocket(socket.socket):
+    """Fails its first reads, and then reads one datagram."""
+
+    n_reads = 0
+
+    def recvfrom(self, *args):
+        self.n_reads += 1
+        if self.n_reads <= N_FAILURES:
+            raise OSError(errno.ENOBUFS, "no buffer space available")
+        if self.n_reads == N_FAILURES + 1:
+            return b"x", ("127.0.0.1", 1)
+        gevent.sleep(60)
+
+
 def fail(*args):
     raise RuntimeError("can't start new thread")
 
@@ -138,3 +158,27 @@
     pool._idle[0].task.greenlet.kill(block=False)
     pool._assign(exchange)
     assert exchange.receive_result(AT_ONCE_MS).status_code == 200
+
+
+@pytest.mark.parametrize("module", [heartbeats, datagrams])
+def test_receiver_of_datagrams_outlives_a_lack_of_memory_without_spinning(
+    stack, reports, monkeypatch, module
+):
+    received = []
+    address = ("127.0.0.1", 0)
+    if module is heartbeats:
+        control_task = SimpleNamespace(post=received.append)
+        task = heartbeats.HeartbeatTask(*address, control_task, None)
+        monkeypatch.setattr(heartbeats, "decode_heartbeat", lambda raw, ip: raw)
+    else:
+        post = SimpleNamespace(post=received.append)
+        task = datagrams.Datagrams("127.0.0.1:0", SimpleNamespace(task=post))
+        monkeypatch.setattr(datagrams, "decode_datagram", lambda raw: raw)
+    monkeypatch.setattr(module, "RECEIVE_RETRY_MS", 1.0)
+    monkeypatch.setattr(module.socket, "socket", FailingSocket)
+    task.start(stack)
+    with gevent.Timeout(AT_ONCE_MS / 1000.0):
+        while not received:
+            gevent.sleep(0.01)
+    assert received[0] == b"x"
+    assert [error.errno for _, error, _ in reports] == [errno.ENOBUFS] * N_FAILURES
