Refuse a request that met an unexpected error, and release its slots

An exception in the filter chain of the edge, or in one of its performers, went through to the HTTP server. The caller got a status 500 of the library, or a connection that broke off without an answer if it was an error of a socket. No line was logged, no call counted, and the slots of the request's sends were never released: the owner counted them as in use for good.

The driver raises a performer's exception in the filter that yielded the effect. `attempts` aborts and releases the sends in flight, and the new filter `recover` ends the call with a refusal: 503, not run, before any send or relay, else 502 with an unknown outcome. It is accounted and logged like any other. What fails behind the filters still gets the status 500, which doesn't say "not run", and now a line in the log.

Without these filters, entry VMs (`run`) keep status 500 and lose the slot as before.

--- a/packages/core/hornbeamstand_core/edge_messages.py
+++ b/packages/core/hornbeamstand_core/edge_messages.py
@@ -96,6 +96,15 @@
 # Effects that the filters yield.
 
 
+class ReportError(Record):
+    """Report an exception that no filter expects."""
+
+    __slots__ = ("error",)
+
+    def __init__(self, error):
+        self.error = error
+
+
 class FindRoute(Record):
     """Look up a request's policy; the reply is a Routed or a Refusal."""
 
--- a/packages/core/hornbeamstand_core/filters/attempts.py
+++ b/packages/core/hornbeamstand_core/filters/attempts.py
@@ -68,9 +68,19 @@
 def attempts(call):
     """Send until one send succeeds or no attempt is left.
 
-    The call also ends if its deadline passes or its caller disconnects.
+    The call also ends if its deadline passes or its caller disconnects. An exception
+    releases the slots of the sends in flight.
     """
     state = AttemptState(default_hedge_at_ms(call))
+    try:
+        return (yield from send_until_success(call, state))
+    except Exception:
+        yield from abort_all(state)
+        raise
+
+
+def send_until_success(call, state):
+    """Send until one send succeeds or no attempt is left; see ``attempts``."""
     # A peer that no longer responds may have sent the request already, so the first
     # send from this VM counts as a retry.
     kind = RETRY if call.n_may_have_run else FIRST
--- a/packages/core/hornbeamstand_core/filters/edge_chain.py
+++ b/packages/core/hornbeamstand_core/filters/edge_chain.py
@@ -4,10 +4,11 @@
 from .attempts import attempts
 from .chain import build_chain
 from .find_route import find_route
+from .recover import recover
 from .relay import relay
 from .stopping import stopping
 
 
 def build_edge_chain():
     """Return the handler of requests from callers and of those that peers relay."""
-    return build_chain([account, find_route, stopping, relay], attempts)
+    return build_chain([account, recover, find_route, stopping, relay], attempts)
--- a/packages/core/tests/test_edge_filters.py
+++ b/packages/core/tests/test_edge_filters.py
@@ -16,6 +16,7 @@
     ExchangeEnded,
     FindRoute,
     Relay,
+    ReportError,
     RequestPolicy,
     Routed,
     StartSend,
@@ -340,3 +341,51 @@
     driver.stop_limit.note_call("shop", 5000.0, -600_000.0)
     driver.stop_limit.begin(500.0, 0.0)
     assert driver.run(send_ends(0, SUCCESS)).is_ok()
+
+
+class FailingDriver(Driver):
+    """Raises an unexpected error for the effects of one class."""
+
+    def __init__(self, failing_class, **values):
+        super().__init__(**values)
+        self.failing_class = failing_class
+
+    def run(self):
+        request = EdgeRequest("r1", "host", "/x/", "GET", 2500.0, 0.0)
+        steps = build_edge_chain()(EdgeCall(request))
+        effect = next(steps)
+        try:
+            while True:
+                self.effects.append(effect)
+                if isinstance(effect, self.failing_class):
+                    effect = steps.throw(RuntimeError("no memory"))
+                else:
+                    effect = steps.send(self.perform(effect, []))
+        except StopIteration as stop:
+            return stop.value
+
+
+@pytest.mark.parametrize(
+    "failing_class, relay_to, certainty",
+    [
+        (FindRoute, None, NOT_RUN),
+        (AcquireSlot, None, NOT_RUN),
+        (StartSend, None, OUTCOME_UNKNOWN),
+        (AwaitEvent, None, OUTCOME_UNKNOWN),
+        (Relay, "10.0.0.2", OUTCOME_UNKNOWN),
+    ],
+)
+def test_unexpected_error_refuses_the_call_and_releases_its_slots(
+    failing_class, relay_to, certainty
+):
+    driver = FailingDriver(failing_class, relay_to=relay_to)
+    refusal = driver.run().err_value
+    assert refusal.certainty == certainty
+    assert refusal.status == (503 if certainty == NOT_RUN else 502)
+    released = [e.permit for e in driver.effects if isinstance(e, Release)]
+    started = [e.permit for e in driver.effects if isinstance(e, StartSend)]
+    assert released == started
+    assert [e.outcome.err_value for e in driver.effects if isinstance(e, Account)] == [
+        refusal
+    ]
+    assert len([e for e in driver.effects if isinstance(e, ReportError)]) == 1
--- a/packages/entry/hornbeamstand_entry/edge/performers.py
+++ b/packages/entry/hornbeamstand_entry/edge/performers.py
@@ -16,6 +16,7 @@
     FindRoute,
     ProbeLoads,
     Relay,
+    ReportError,
     StartSend,
     WaitTimedOut,
 )
@@ -30,7 +31,7 @@
 from ..context import CALLER_GONE
 from ..encoding import split_request
 from ..tasks.exchange import Exchange, ExchangeResult
-from ..tasks.task import receive
+from ..tasks.task import receive, report_failure
 from .load_probes import read_load_probe, start_load_probe, unanswered_result
 from .messages import peer_items, peer_response, target_items, target_response
 
@@ -248,6 +249,9 @@
     def check_stop(effect, context):
         return stop_limit.may_finish(effect.call, clock.now_ms())
 
+    def report_error(effect, context):
+        report_failure("front", effect.error)
+
     def account(effect, context):
         now_ms = clock.now_ms()
         metrics.count_edge_call(effect.call, effect.outcome, now_ms)
@@ -269,4 +273,5 @@
         Abort: abort,
         Release: post_release,
         Account: account,
+        ReportError: report_error,
     }
--- a/packages/entry/hornbeamstand_entry/http_server.py
+++ b/packages/entry/hornbeamstand_entry/http_server.py
@@ -17,6 +17,7 @@
     check_headers,
     error_response,
 )
+from .tasks.task import report_failure
 
 # Number of bytes of a body that are read at a time.
 BODY_READ_BYTES = 65_536
@@ -85,6 +86,12 @@
         text = self.head_lines.read_headers().decode("latin-1")
         return Parser(_class=OldMessage).parsestr(text)
 
+    def handle_error(self, t, v, tb):
+        """Respond with status 500 after an exception of the application, and log it."""
+        if not isinstance(v, OSError):
+            report_failure("http-server", v)
+        super().handle_error(t, v, tb)
+
     def _handle_client_error(self, ex):
         return error_response(ex)
 
--- a/packages/entry/hornbeamstand_entry/performers.py
+++ b/packages/entry/hornbeamstand_entry/performers.py
@@ -36,15 +36,21 @@
 
 
 def drive(handler, call, context, performers):
-    """Run a filter chain for a call and return the outcome."""
+    """Run a filter chain for a call and return the outcome.
+
+    An exception of a performer is raised in the filter that yielded its effect.
+    """
     steps = handler(call)
-    reply = None
+    advance, value = steps.send, None
     while True:
         try:
-            effect = steps.send(reply)
+            effect = advance(value)
         except StopIteration as stop:
             return stop.value
-        reply = performers[type(effect)](effect, context)
+        try:
+            advance, value = steps.send, performers[type(effect)](effect, context)
+        except Exception as error:
+            advance, value = steps.throw, error
 
 
 def make_performers(node, control_task, orders_task, pools, metrics, clock, settings):
