Take an answer that could not be decoded for a failed call, whatever the error

The decoders of the store's answers and of peers' configuration copies raise ValueError for bytes that are wrong. Any other error, such as a MemoryError for a large answer, ended the store watcher or the task that fetches copies, and with it the process: each of the VMs that read the same answer.

It now fails the call, which is repeated after the usual delay, and is logged as `process: unexpected error`.

Both tests fail on the code before with the error itself.

--- a/packages/entry/hornbeamstand_entry/edge/config_copies.py
+++ b/packages/entry/hornbeamstand_entry/edge/config_copies.py
@@ -10,7 +10,7 @@
 from hornbeamstand_core.messages import SendFailure
 
 from ..encoding import encode_request
-from ..tasks.task import Task
+from ..tasks.task import Task, report_failure
 from .calls import call
 
 # Path at which peers serve their copy, on the port for requests between VMs.
@@ -124,6 +124,10 @@
         except ValueError as error:
             self._log_failure(fetch, str(error))
             return
+        except Exception as error:
+            report_failure("config-copies", error)
+            self._log_failure(fetch, repr(error))
+            return
         if isinstance(entry, ConfigEntry):
             self.log.info("config: copied", peer=fetch.ip, version=fetch.version)
         # A copy does not contain the store's revision. With 0, the controllers keep the
--- a/packages/entry/hornbeamstand_entry/edge/store_client.py
+++ b/packages/entry/hornbeamstand_entry/edge/store_client.py
@@ -5,6 +5,7 @@
 from result import Err, Ok
 
 from ..encoding import encode_request
+from ..tasks.task import report_failure
 from .calls import call
 
 # Maximum size of the store's answer.
@@ -85,6 +86,9 @@
             return Ok(decode(answer.body))
         except ValueError as error:
             return Err(StoreError(step, self.address, f"unreadable answer: {error}"))
+        except Exception as error:
+            report_failure("store-client", error)
+            return Err(StoreError(step, self.address, f"unreadable answer: {error!r}"))
 
     def read_all(self, prefix, may_be_stale=False):
         """Return one StorePage with all records of a prefix.
--- a/packages/entry/tests/test_unexpected_errors.py
+++ b/packages/entry/tests/test_unexpected_errors.py
@@ -9,12 +9,16 @@
 from gevent import socket
 from gevent.queue import SimpleQueue
 from gevent.server import StreamServer
+from hornbeamstand_core.edge_node_messages import FetchConfig
 from hornbeamstand_core.messages import BROKEN_RESPONSE, CONNECT_FAILED
 from hornbeamstand_entry.clock import make_process_clock
-from hornbeamstand_entry.edge import heartbeats
+from hornbeamstand_entry.edge import heartbeats, store_client
+from hornbeamstand_entry.edge.config_copies import ConfigCopies, compress_copy
+from hornbeamstand_entry.edge.store_client import StoreClient
 from hornbeamstand_entry.tasks import connections, datagrams
 from hornbeamstand_entry.tasks.exchange import Exchange
 from hornbeamstand_entry.tasks.pools import ConnectionPool
+from hornbeamstand_entry.tasks.response_parser import CompleteResponse
 from hornbeamstand_entry.tasks.task import report_failures_to
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -182,3 +186,29 @@
             gevent.sleep(0.01)
     assert received[0] == b"x"
     assert [error.errno for _, error, _ in reports] == [errno.ENOBUFS] * N_FAILURES
+
+
+def test_answer_of_the_store_that_finds_no_memory_is_a_failed_call(
+    stack, reports, monkeypatch
+):
+    response = CompleteResponse(200, [], [b"{}"], "GET", False)
+    monkeypatch.setattr(store_client, "call", lambda *args, **values: response)
+    codec = SimpleNamespace(
+        range_request=lambda *args: SimpleNamespace(
+            method="GET", path="/", body=b"", wait_ms=0.0
+        ),
+        decode_page=fail,
+    )
+    client = StoreClient("127.0.0.1:1", codec, None, make_process_clock(), 100.0)
+    assert "can't start" in str(client.read_all("").err_value)
+    assert [name for name, _, _ in reports] == ["store-client"]
+
+
+def test_copy_of_a_peer_that_finds_no_memory_leaves_the_task_running(stack, reports):
+    lines = []
+    log = SimpleNamespace(info=lambda event, **fields: lines.append(event))
+    copies = ConfigCopies(None, 80, fail, None, make_process_clock(), log)
+    response = CompleteResponse(200, [], [compress_copy(b"{}")], "GET", False)
+    copies._take_answer(FetchConfig("10.0.0.2", 7), response)
+    assert lines == ["config: no copy"]
+    assert [name for name, _, _ in reports] == ["config-copies"]
