Lose only the log line that can't be rendered

A line whose rendering failed, for want of memory or by a field that has no encoding, ended the log writer at each flush: the lines before and behind it were never written, and since the writer is supervised, it would have ended the process. It now counts as left out, and the others are written.

The new test fails on the code before with the error.

--- a/packages/entry/hornbeamstand_entry/edge/logs.py
+++ b/packages/entry/hornbeamstand_entry/edge/logs.py
@@ -146,8 +146,8 @@
 
     def flush(self):
         """Render the buffered lines and write as much as possible without blocking."""
-        texts = [self.render(line) for line in self._lines]
-        self._lines.clear()
+        lines, self._lines = self._lines, []
+        texts = [text for text in map(self._try_render, lines) if text is not None]
         if self.n_dropped > self._n_reported_dropped:
             n_unreported = self.n_dropped - self._n_reported_dropped
             self._n_reported_dropped = self.n_dropped
@@ -167,6 +167,14 @@
                 return
             self._unwritten = self._unwritten[n_written:]
 
+    def _try_render(self, line):
+        """Return the text of a line; one that can't be rendered counts as dropped."""
+        try:
+            return self.render(line)
+        except Exception:
+            self.n_dropped += 1
+            return None
+
     def _drop_excess(self):
         # Drops the oldest lines. The limit is 100 bytes for each line that may be
         # buffered.
--- a/packages/entry/tests/test_edge_logs.py
+++ b/packages/entry/tests/test_edge_logs.py
@@ -90,3 +90,18 @@
         "sys.exit('structlog' in sys.modules)"
     )
     assert subprocess.run([sys.executable, "-c", code], check=False).returncode == 0
+
+
+def test_a_line_that_cannot_be_rendered_loses_no_other_line(pipe):
+    def render(line):
+        if line == "odd":
+            raise MemoryError
+        return line
+
+    lines = LogBuffer(pipe[1], Clock.from_reader(lambda: 0.0), render)
+    for line in ("before", "odd", "behind"):
+        lines.info(line)
+    lines.flush()
+    texts = os.read(pipe[0], 4096).decode().split("\n")
+    assert texts[:2] == ["before", "behind"]
+    assert '"n_lines":1' in texts[2]
