Log an error that ends the serving of the process, and outlive one in a reload

The greenlet that waits for signals and performs the planned stop was the interpreter's first one. An error there closed everything with status 1, and the log had no line of it. An error in reading the settings again that is none of a file (a lack of memory) did this too, while requests were in progress.

Serving runs in a supervised greenlet, with the last line and status 70 of any other task. A reload that fails, whatever the error, leaves the earlier settings in force.

Both tests fail on the code before, with status 1.

--- a/packages/entry/hornbeamstand_entry/edge/lifecycle.py
+++ b/packages/entry/hornbeamstand_entry/edge/lifecycle.py
@@ -6,10 +6,12 @@
 
 import gevent
 from hornbeamstand_core.edge_node_messages import StopEdge
+from result import Err
 
 from ..clock import make_process_clock
 from ..closing import close_bounded
 from ..process_use import describe_limits
+from ..tasks.task import spawn_supervised
 from .addresses import wait_until_free
 from .logs import EdgeLog
 from .process import EdgeProcess, read_retry_limits
@@ -66,12 +68,20 @@
         process.log.info(
             "process: started", front=settings.front_address, **describe_limits()
         )
-        wait_for_stop(process, reload_settings, signals)
-        stop(process)
+        serving = spawn_supervised(
+            "lifecycle", serve_until_stopped, process, reload_settings, signals
+        )
+        serving.join()
         process.log.info("process: stopped")
         close_bounded(stack, CLOSE_TIMEOUT_MS)
 
 
+def serve_until_stopped(process, reload_settings, signals):
+    """Serve until a stop is requested, and perform it."""
+    wait_for_stop(process, reload_settings, signals)
+    stop(process)
+
+
 def tune_garbage_collector():
     """Keep garbage collection pauses short, and enable the collector.
 
@@ -114,7 +124,10 @@
 
 def reload(process, reload_settings):
     """Read the settings again and apply them."""
-    loaded = reload_settings()
+    try:
+        loaded = reload_settings()
+    except Exception as error:
+        loaded = Err(repr(error))
     if loaded.is_err():
         detail = f"{loaded.err_value}; the earlier settings stay in force"
         process.log.warning("process: reload failed", error=detail)
--- a/packages/entry/tests/test_task_failures.py
+++ b/packages/entry/tests/test_task_failures.py
@@ -72,6 +72,30 @@
 store.watch = lambda *args: fail()
 watcher.set_watch(SetWatch(WATCH_ALL))
 """
+START_EDGE = """
+from types import SimpleNamespace
+from result import Ok
+from hornbeamstand_entry.edge import lifecycle
+
+process = SimpleNamespace(
+    log=log,
+    listen=lambda stack: None,
+    settings=SimpleNamespace(grace_ms=0.0, lookup_ttl_ms=0.0),
+)
+settings = SimpleNamespace(vm_id="vm1", front_address="127.0.0.1:1")
+lifecycle.EdgeLog = SimpleNamespace(from_config=lambda *args: log)
+lifecycle.EdgeProcess = SimpleNamespace(from_config=lambda *args: process)
+lifecycle.wait_for_addresses = lambda *args: True
+"""
+FAIL_STOP = """
+lifecycle.wait_for_stop = lambda *args: fail()
+lifecycle.run_edge(settings, None, None)
+"""
+FAIL_RELOAD = """
+lifecycle.reload(process, fail)
+log.lines.flush()
+raise SystemExit(0)
+"""
 ENTRY = Path(hornbeamstand_entry.__file__).parent
 
 
@@ -123,6 +147,7 @@
         ("registration", START_WATCHER + START_REGISTRATION),
         ("heartbeat-receiver", START_HEARTBEATS),
         ("pool-sweeper", START_POOLS),
+        ("lifecycle", START_EDGE + FAIL_STOP),
     ],
 )
 def test_no_greenlet_ends_alone_while_the_process_lives_on(name, body):
@@ -140,3 +165,10 @@
     }
     unsupervised = {path: n for path, n in n_spawned.items() if n}
     assert unsupervised == {"tasks/task.py": 1, "tasks/connections.py": 2}
+
+
+def test_settings_that_cannot_be_read_for_want_of_memory_change_nothing():
+    status, lines = run_process(START_EDGE + FAIL_RELOAD)
+    assert status == 0
+    assert [line["event"] for line in lines] == ["process: reload failed"]
+    assert "MemoryError('none left')" in lines[0]["error"]
