--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -311,6 +311,13 @@
     assert isinstance(found, InvalidEntry)
 
 
+@pytest.mark.parametrize("path", ["/\u20ac", "/a b", "/a\r\nX: y", "/\x00"])
+def test_a_configuration_whose_health_path_no_request_can_hold_is_invalid(path):
+    service = {**CONFIG["Services"][0], "HealthPath": path}
+    found = records.decode_record("op/config", encoded(CONFIG, Services=[service]))
+    assert isinstance(found, InvalidEntry)
+
+
 @pytest.mark.parametrize("version", [7, "7", "r", "r-1", "r1_0", "r 1", "r1.5"])
 def test_a_configuration_with_a_malformed_version_is_invalid(version):
     found = records.decode_record("op/config", encoded(CONFIG, Version=version))
