Relay requests of services whose names are not Latin-1

The policy that goes with a relayed request names the service. A name with a character beyond Latin-1 had no encoding in the request's head: each relayed request of the service failed with an exception in the front.

The header now holds the bytes of the JSON itself. ASCII names are encoded as before.

Two of the four cases fail on the code before with UnicodeEncodeError.

--- a/packages/entry/hornbeamstand_entry/edge/messages.py
+++ b/packages/entry/hornbeamstand_entry/edge/messages.py
@@ -70,7 +70,8 @@
         policy.priority,
         policy.n_attempts_max,
     ]
-    encoded = msgspec.json.encode(fields).decode()
+    # The request's head is encoded as Latin-1, which restores the bytes of the JSON.
+    encoded = msgspec.json.encode(fields).decode("latin-1")
     return [*context.header_items, (POLICY_HEADER, encoded)]
 
 
@@ -78,7 +79,7 @@
     """Return the RequestPolicy that a peer sent, or None if it is malformed."""
     try:
         fields = msgspec.json.decode(
-            text, type=tuple[str, bool, float, float, int, int]
+            text.encode("latin-1"), type=tuple[str, bool, float, float, int, int]
         )
     except msgspec.DecodeError:
         return None
--- a/packages/entry/tests/test_edge_answers.py
+++ b/packages/entry/tests/test_edge_answers.py
@@ -6,7 +6,7 @@
 import pytest
 from gevent.queue import SimpleQueue
 from gevent.server import StreamServer
-from hornbeamstand_core.edge_messages import LoadReport
+from hornbeamstand_core.edge_messages import LoadReport, Relay, RequestPolicy
 from hornbeamstand_core.messages import NOT_RUN, OUTCOME_UNKNOWN, SendFailure
 from hornbeamstand_entry.clock import make_process_clock
 from hornbeamstand_entry.edge.context import EdgeContext
@@ -14,10 +14,12 @@
 from hornbeamstand_entry.edge.messages import (
     caller_status,
     forwarded_items,
+    peer_items,
     peer_response,
     read_policy,
     target_response,
 )
+from hornbeamstand_entry.encoding import encode_request
 from hornbeamstand_entry.tasks.connections import ConnectionRules
 from hornbeamstand_entry.tasks.exchange import Exchange
 from hornbeamstand_entry.tasks.pools import ConnectionPool
@@ -235,6 +237,18 @@
     ]
 
 
+@pytest.mark.parametrize("name", ["shop", "caf\u00e9", "\u20ac", "\U0001f600"])
+def test_policy_of_a_service_with_any_name_reaches_the_peer(name):
+    policy = RequestPolicy(name, True, 1200.0, 600.0, 1, 2)
+    context = EdgeContext(None, "GET", "/", [], b"")
+    relay = Relay("10.0.0.2", policy, 1200.0)
+    head = encode_request("GET", "/", peer_items(context, relay, 0.0), b"")
+    (line,) = [
+        line for line in head.split(b"\r\n") if line.startswith(b"Hornbeam-Terms")
+    ]
+    assert read_policy(line.partition(b": ")[2].decode("latin-1")) == policy
+
+
 @pytest.mark.parametrize("text", ["", "[]", "{}", '["s",1,1,1,1,1]', "\xff"])
 def test_invalid_request_policy_is_none(text):
     assert read_policy(text) is None
