End the process also when the event loop itself finds no memory

The end by a task's failure is a link, for which gevent starts a greenlet, and that found no memory either. Beside it, tens of thousands of callbacks of the loop failed with MemoryError: each was to wake a greenlet, which then waits for good.

A supervised greenlet now ends the process itself, before anything else runs. A callback of the loop that finds no memory ends it too, under the name `event-loop`; an accept or a caller's own greenlet that does is contained as before.

Both tests fail on the code before.

--- a/packages/entry/hornbeamstand_entry/process.py
+++ b/packages/entry/hornbeamstand_entry/process.py
@@ -38,7 +38,11 @@
 from .tasks.platform_task import PlatformTask
 from .tasks.pools import Pools
 from .tasks.prober import Prober
-from .tasks.task import report_failures_to, spawn_supervised
+from .tasks.task import (
+    exit_on_loop_failures,
+    report_failures_to,
+    spawn_supervised,
+)
 
 # Interval at which buffered log lines are written.
 LOG_FLUSH_INTERVAL_MS = 100.0
@@ -249,6 +253,7 @@
     """Run one entry VM until its planned stop is complete; return the exit status."""
     init_grpc()
     with ExitStack() as stack:
+        exit_on_loop_failures(stack)
         serve(settings, stack)
         close_bounded(stack, CLOSE_TIMEOUT_MS)
     return 0
--- a/packages/entry/hornbeamstand_entry/tasks/task.py
+++ b/packages/entry/hornbeamstand_entry/tasks/task.py
@@ -1,9 +1,10 @@
 """Tasks with mailboxes, and the loop of a task that also does periodic work."""
 
 import os
-from functools import partial
+import traceback
 
 import gevent
+from gevent.baseserver import BaseServer
 from gevent.queue import Empty, SimpleQueue
 from hornbeamstand_core.records import Record
 
@@ -30,25 +31,53 @@
         report(name, error, ends_process)
 
 
-def exit_on_task_failure(name, greenlet):
+def exit_on_failure(name, error):
     """Exit the process at once, because without one of its tasks its state is wrong.
 
     Peers handle the exit like any other crash.
     """
     try:
-        report_failure(name, greenlet.exception, ends_process=True)
+        traceback.print_exception(error)
+        report_failure(name, error, ends_process=True)
     finally:
         os._exit(EXIT_TASK_FAILED)
 
 
+def exit_on_loop_failures(stack):
+    """Exit the process if the event loop can't call back for want of memory.
+
+    The greenlet that was to be woken would wait for good. The exit stack ends this.
+    """
+    hub = gevent.get_hub()
+    handle_error = hub.handle_error
+
+    def handle_loop_error(context, kind, error, trace):
+        is_contained = isinstance(context, (gevent.Greenlet, BaseServer, dict))
+        if issubclass(kind, MemoryError) and not is_contained:
+            exit_on_failure("event-loop", error or MemoryError())
+        handle_error(context, kind, error, trace)
+
+    hub.handle_error = handle_loop_error
+    stack.callback(delattr, hub, "handle_error")
+
+
 def spawn_supervised(name, run, *args):
     """Return a new greenlet that calls ``run``, and whose failure ends the process.
 
     A greenlet that nobody waits for would otherwise end without notice.
     """
-    greenlet = gevent.spawn(run, *args)
-    greenlet.link_exception(partial(exit_on_task_failure, name))
-    return greenlet
+    return gevent.spawn(run_supervised, name, run, *args)
+
+
+def run_supervised(name, run, *args):
+    """Call ``run``; an exception ends the process.
+
+    The failed greenlet does this itself: a link to it may find no memory.
+    """
+    try:
+        run(*args)
+    except Exception as error:
+        exit_on_failure(name, error)
 
 
 class Task:
--- a/packages/entry/tests/test_task_failures.py
+++ b/packages/entry/tests/test_task_failures.py
@@ -91,6 +91,15 @@
 lifecycle.wait_for_stop = lambda *args: fail()
 lifecycle.run_edge(settings, None, None)
 """
+FAIL_CALLBACK = """
+def wait_for_stop(*args):
+    gevent.get_hub().loop.run_callback(fail)
+    gevent.sleep(5)
+
+lifecycle.wait_for_stop = wait_for_stop
+lifecycle.stop = lambda process: None
+lifecycle.run_edge(settings, None, None)
+"""
 FAIL_RELOAD = """
 lifecycle.reload(process, fail)
 log.lines.flush()
@@ -148,6 +157,7 @@
         ("heartbeat-receiver", START_HEARTBEATS),
         ("pool-sweeper", START_POOLS),
         ("lifecycle", START_EDGE + FAIL_STOP),
+        ("event-loop", START_EDGE + FAIL_CALLBACK),
     ],
 )
 def test_no_greenlet_ends_alone_while_the_process_lives_on(name, body):
@@ -172,3 +182,13 @@
     assert status == 0
     assert [line["event"] for line in lines] == ["process: reload failed"]
     assert "MemoryError('none left')" in lines[0]["error"]
+
+
+def test_failed_task_ends_the_process_before_anything_else_runs():
+    """What runs later may find no memory to end the process."""
+    status, lines = run_process("""
+        Task("control-task").start(fail, stack)
+        gevent.spawn(log.info, "answer: sent")
+    """)
+    assert status == EXIT_TASK_FAILED
+    assert [line["event"] for line in lines] == ["process: task failed"]
