Write the last line of a process without the library that renders lines

The last line is encoded directly and written behind the others, whatever becomes of these.

Of the tests, that of a rate of lines that is exceeded asks more now: the line is the last one, behind the count of those left out. That of a last line that can't be written fails the writing itself, since a rendering that fails no longer loses it. This is the new test, which fails on the code before, as the first one does.

--- a/packages/entry/hornbeamstand_entry/edge/logs.py
+++ b/packages/entry/hornbeamstand_entry/edge/logs.py
@@ -128,10 +128,13 @@
         """Buffer a warning, unless the rate of lines and warnings is exceeded."""
         self._append(line, LINES_PER_S_MAX + EXTRA_WARNINGS_PER_S_MAX)
 
-    def flush_last(self, line):
-        """Write the buffered lines and a last one, which no limit leaves out."""
-        self._lines.append(line)
-        self.flush()
+    def flush_last(self, text):
+        """Write the buffered lines and a last text, which no limit leaves out."""
+        try:
+            self.flush()
+        finally:
+            self._unwritten += text + b"\n"
+            self._write()
 
     def _append(self, line, per_s_max):
         second = int(self.clock.now_ms() / MS_PER_S)
@@ -154,6 +157,9 @@
             texts.append(f'{{"event":"log: lines left out","n_lines":{n_unreported}}}')
         if texts:
             self._unwritten += ("\n".join(texts) + "\n").encode()
+        self._write()
+
+    def _write(self):
         while self._unwritten:
             try:
                 n_written = os.write(self.descriptor, self._unwritten[:WRITE_MAX_BYTES])
@@ -189,12 +195,13 @@
 class EdgeLog:
     """The log of one process, with a line for each decision and state change."""
 
-    __slots__ = ("lines",)
+    __slots__ = ("vm_id", "lines")
 
     @classmethod
     def from_config(cls, vm_id, clock, descriptor=1):
         """Build a log that writes to a descriptor."""
         self = cls()
+        self.vm_id = vm_id
         self.lines = LogBuffer(descriptor, clock, Renderer(vm_id).render)
         return self
 
@@ -265,8 +272,15 @@
         if not ends_process:
             self.warning("process: unexpected error", part=name, error=repr(error))
             return
-        fields = {"task": name, "error": repr(error)}
-        self.lines.flush_last(LogLine(time.time(), "process: task failed", fields))
+        # Rendered without the library, which may find no memory to load.
+        fields = {
+            "vm": self.vm_id,
+            "time_s": time.time(),
+            "task": name,
+            "error": repr(error),
+            "event": "process: task failed",
+        }
+        self.lines.flush_last(msgspec.json.encode(fields))
 
     def start(self, stack):
         """Start to flush at intervals; the exit stack ends that and flushes again."""
--- a/packages/entry/tests/test_task_failures.py
+++ b/packages/entry/tests/test_task_failures.py
@@ -136,16 +136,31 @@
         Task("control-task").start(fail, stack)
     """)
     assert status == EXIT_TASK_FAILED
-    assert lines[-2]["event"] == "process: task failed"
+    assert [line["event"] for line in lines[-2:]] == [
+        "log: lines left out",
+        "process: task failed",
+    ]
 
 
-def test_failed_task_ends_the_process_when_its_line_cannot_be_written():
+def test_failed_task_is_named_when_no_other_line_can_be_rendered():
     status, lines = run_process("""
         log.lines.render = lambda line: fail()
+        log.info("answer: sent")
+        Task("control-task").start(fail, stack)
+    """)
+    assert status == EXIT_TASK_FAILED
+    assert lines[0] == {"event": "log: lines left out", "n_lines": 1}
+    assert lines[1]["event"] == "process: task failed"
+    assert lines[1]["vm"] == "vm1"
+
+
+def test_failed_task_ends_the_process_when_its_line_cannot_be_written():
+    status, lines = run_process("""
+        type(log.lines).flush_last = lambda self, text: fail()
         Task("control-task").start(fail, stack)
     """)
     assert status == EXIT_TASK_FAILED
-    assert lines == [{"event": "log: lines left out", "n_lines": 1}]
+    assert lines == []
 
 
 @pytest.mark.parametrize(
