Log the errors that only the event loop learns of

An accept that failed, for example for want of descriptors, paused the acceptor for up to a second, and an unsupervised greenlet that ended by an error, such as that of a caller's connection, left a traceback on standard error and no line of the log.

Both are now `process: unexpected error`, of `acceptor` and `greenlet`. The last line of a process is written before the traceback, whose reader may block.

Both tests fail on the code before: no such line.

--- a/packages/entry/hornbeamstand_entry/edge/lifecycle.py
+++ b/packages/entry/hornbeamstand_entry/edge/lifecycle.py
@@ -11,7 +11,7 @@
 from ..clock import make_process_clock
 from ..closing import close_bounded
 from ..process_use import describe_limits
-from ..tasks.task import exit_on_loop_failures, spawn_supervised
+from ..tasks.task import handle_loop_failures, spawn_supervised
 from .addresses import wait_until_free
 from .logs import EdgeLog
 from .process import EdgeProcess, read_retry_limits
@@ -56,7 +56,7 @@
     signals = Signals(is_reload_requested)
     signals.install()
     with ExitStack() as stack:
-        exit_on_loop_failures(stack)
+        handle_loop_failures(stack)
         clock = make_process_clock()
         log = EdgeLog.from_config(settings.vm_id, clock)
         log.start(stack)
--- a/packages/entry/hornbeamstand_entry/process.py
+++ b/packages/entry/hornbeamstand_entry/process.py
@@ -39,7 +39,7 @@
 from .tasks.pools import Pools
 from .tasks.prober import Prober
 from .tasks.task import (
-    exit_on_loop_failures,
+    handle_loop_failures,
     report_failures_to,
     spawn_supervised,
 )
@@ -253,7 +253,7 @@
     """Run one entry VM until its planned stop is complete; return the exit status."""
     init_grpc()
     with ExitStack() as stack:
-        exit_on_loop_failures(stack)
+        handle_loop_failures(stack)
         serve(settings, stack)
         close_bounded(stack, CLOSE_TIMEOUT_MS)
     return 0
--- a/packages/entry/hornbeamstand_entry/tasks/task.py
+++ b/packages/entry/hornbeamstand_entry/tasks/task.py
@@ -37,16 +37,17 @@
     Peers handle the exit like any other crash.
     """
     try:
-        traceback.print_exception(error)
         report_failure(name, error, ends_process=True)
+        traceback.print_exception(error)
     finally:
         os._exit(EXIT_TASK_FAILED)
 
 
-def exit_on_loop_failures(stack):
-    """Exit the process if the event loop can't call back for want of memory.
+def handle_loop_failures(stack):
+    """Report what the event loop is told of, until the exit stack is closed.
 
-    The greenlet that was to be woken would wait for good. The exit stack ends this.
+    The process exits if the loop can't call back for want of memory: the greenlet that
+    was to be woken would wait for good.
     """
     hub = gevent.get_hub()
     handle_error = hub.handle_error
@@ -55,6 +56,10 @@
         is_contained = isinstance(context, (gevent.Greenlet, BaseServer, dict))
         if issubclass(kind, MemoryError) and not is_contained:
             exit_on_failure("event-loop", error or MemoryError())
+        if isinstance(context, BaseServer):
+            report_failure("acceptor", error)
+        elif isinstance(context, gevent.Greenlet) and not issubclass(kind, OSError):
+            report_failure("greenlet", error)
         handle_error(context, kind, error, trace)
 
     hub.handle_error = handle_loop_error
--- a/packages/entry/tests/test_task_failures.py
+++ b/packages/entry/tests/test_task_failures.py
@@ -100,6 +100,25 @@
 lifecycle.stop = lambda process: None
 lifecycle.run_edge(settings, None, None)
 """
+FAIL_ACCEPT = """
+from gevent.server import StreamServer
+server = StreamServer(("127.0.0.1", 0), fail)
+server.do_read = fail
+lifecycle.wait_for_stop = lambda *args: gevent.sleep(0.2)
+lifecycle.stop = lambda process: None
+server.start()
+address = ("127.0.0.1", server.server_port)
+gevent.socket.create_connection(address)
+lifecycle.run_edge(settings, None, None)
+raise SystemExit(0)
+"""
+FAIL_GREENLET = """
+lifecycle.wait_for_stop = lambda *args: gevent.sleep(0.2)
+lifecycle.stop = lambda process: None
+gevent.spawn(fail)
+lifecycle.run_edge(settings, None, None)
+raise SystemExit(0)
+"""
 FAIL_RELOAD = """
 lifecycle.reload(process, fail)
 log.lines.flush()
@@ -207,3 +226,14 @@
     """)
     assert status == EXIT_TASK_FAILED
     assert [line["event"] for line in lines] == ["process: task failed"]
+
+
+@pytest.mark.parametrize(
+    "part, body", [("acceptor", FAIL_ACCEPT), ("greenlet", FAIL_GREENLET)]
+)
+def test_error_that_only_the_event_loop_learns_of_is_logged(part, body):
+    status, lines = run_process(START_EDGE + body)
+    assert status == 0
+    errors = [line for line in lines if line["event"] == "process: unexpected error"]
+    assert {line["part"] for line in errors} == {part}
+    assert "none left" in errors[0]["error"]
