Handle an unexpected error whatever becomes of its report

A report that raised an exception itself, for want of the memory that was missing before, kept the connection from replying to its exchange. Reports that fail are left out.

The test fails on the code before: no result within 1 s.

--- a/packages/entry/hornbeamstand_entry/tasks/task.py
+++ b/packages/entry/hornbeamstand_entry/tasks/task.py
@@ -2,6 +2,7 @@
 
 import os
 import traceback
+from contextlib import suppress
 
 import gevent
 from gevent.baseserver import BaseServer
@@ -26,9 +27,13 @@
 
 
 def report_failure(name, error, ends_process=False):
-    """Report an unexpected error to the functions that were registered for it."""
+    """Report an unexpected error to the functions that were registered for it.
+
+    A report that fails itself is left out: the error has to be handled in any case.
+    """
     for report in failure_reports:
-        report(name, error, ends_process)
+        with suppress(Exception):
+            report(name, error, ends_process)
 
 
 def exit_on_failure(name, error):
--- a/packages/entry/tests/test_unexpected_errors.py
+++ b/packages/entry/tests/test_unexpected_errors.py
@@ -212,3 +212,11 @@
     copies._take_answer(FetchConfig("10.0.0.2", 7), response)
     assert lines == ["config: no copy"]
     assert [name for name, _, _ in reports] == ["config-copies"]
+
+
+def test_request_is_answered_when_the_report_of_its_error_fails(stack, monkeypatch):
+    report_failures_to(fail, stack)
+    pool = start_pool(stack)
+    monkeypatch.setattr(connections, "connect", fail)
+    result = send(pool)
+    assert (result.kind, result.may_have_run) == (CONNECT_FAILED, False)
