--- a/packages/entry/hornbeamstand_entry/edge/lifecycle.py
+++ b/packages/entry/hornbeamstand_entry/edge/lifecycle.py
@@ -6,9 +6,12 @@
 
 import gevent
 from hornbeamstand_core.edge_node_messages import StopEdge
+from result import Err
 
 from ..clock import make_process_clock
 from ..closing import close_bounded
+from ..process_use import describe_limits
+from ..tasks.task import handle_loop_failures, spawn_supervised
 from .addresses import wait_until_free
 from .logs import EdgeLog
 from .process import EdgeProcess, read_retry_limits
@@ -53,6 +56,7 @@
     signals = Signals(is_reload_requested)
     signals.install()
     with ExitStack() as stack:
+        handle_loop_failures(stack)
         clock = make_process_clock()
         log = EdgeLog.from_config(settings.vm_id, clock)
         log.start(stack)
@@ -62,13 +66,23 @@
         process = EdgeProcess.from_config(settings, dialect, clock, log, stack)
         process.listen(stack)
         tune_garbage_collector()
-        process.log.info("process: started", front=settings.front_address)
-        wait_for_stop(process, reload_settings, signals)
-        stop(process)
+        process.log.info(
+            "process: started", front=settings.front_address, **describe_limits()
+        )
+        serving = spawn_supervised(
+            "lifecycle", serve_until_stopped, process, reload_settings, signals
+        )
+        serving.join()
         process.log.info("process: stopped")
         close_bounded(stack, CLOSE_TIMEOUT_MS)
 
 
+def serve_until_stopped(process, reload_settings, signals):
+    """Serve until a stop is requested, and perform it."""
+    wait_for_stop(process, reload_settings, signals)
+    stop(process)
+
+
 def tune_garbage_collector():
     """Keep garbage collection pauses short, and enable the collector.
 
@@ -111,7 +125,10 @@
 
 def reload(process, reload_settings):
     """Read the settings again and apply them."""
-    loaded = reload_settings()
+    try:
+        loaded = reload_settings()
+    except Exception as error:
+        loaded = Err(repr(error))
     if loaded.is_err():
         detail = f"{loaded.err_value}; the earlier settings stay in force"
         process.log.warning("process: reload failed", error=detail)
--- a/packages/entry/hornbeamstand_entry/edge/logs.py
+++ b/packages/entry/hornbeamstand_entry/edge/logs.py
@@ -15,6 +15,8 @@
 import msgspec
 from hornbeamstand_core.records import Record
 
+from ..tasks.task import report_failures_to, spawn_supervised
+
 # Maximum number of lines that are buffered between two flushes.
 N_BUFFERED_LINES_MAX = 4000
 # Maximum rate of lines.
@@ -157,6 +159,14 @@
         """Buffer a warning, unless the rate of lines and warnings is exceeded."""
         self._append(line, LINES_PER_S_MAX + EXTRA_WARNINGS_PER_S_MAX)
 
+    def flush_last(self, text):
+        """Write the buffered lines and a last text, which no limit leaves out."""
+        try:
+            self.flush()
+        finally:
+            self._unwritten += text + b"\n"
+            self._write()
+
     def _append(self, line, per_s_max):
         second = int(self.clock.now_ms() / MS_PER_S)
         if second != self._second:
@@ -170,14 +180,17 @@
 
     def flush(self):
         """Render the buffered lines and write as much as possible without blocking."""
-        texts = [self.render(line) for line in self._lines]
-        self._lines.clear()
+        lines, self._lines = self._lines, []
+        texts = [text for text in map(self._try_render, lines) if text is not None]
         if self.n_dropped > self._n_reported_dropped:
             n_unreported = self.n_dropped - self._n_reported_dropped
             self._n_reported_dropped = self.n_dropped
             texts.append(f'{{"event":"log: lines left out","n_lines":{n_unreported}}}')
         if texts:
             self._unwritten += ("\n".join(texts) + "\n").encode()
+        self._write()
+
+    def _write(self):
         while self._unwritten:
             try:
                 n_written = os.write(self.descriptor, self._unwritten[:WRITE_MAX_BYTES])
@@ -191,6 +204,14 @@
                 return
             self._unwritten = self._unwritten[n_written:]
 
+    def _try_render(self, line):
+        """Return the text of a line; one that can't be rendered counts as dropped."""
+        try:
+            return self.render(line)
+        except Exception:
+            self.n_dropped += 1
+            return None
+
     def _drop_excess(self):
         # Drops the oldest lines. The limit is 100 bytes for each line that may be
         # buffered.
@@ -205,12 +226,13 @@
 class EdgeLog:
     """The log of one process, with a line for each decision and state change."""
 
-    __slots__ = ("lines",)
+    __slots__ = ("vm_id", "lines")
 
     @classmethod
     def from_config(cls, vm_id, clock, descriptor=1):
         """Build a log that writes to a descriptor."""
         self = cls()
+        self.vm_id = vm_id
         self.lines = LogBuffer(descriptor, clock, Renderer(vm_id).render)
         return self
 
@@ -276,10 +298,26 @@
             **fields,
         )
 
+    def unexpected_error(self, name, error, ends_process):
+        """Log an unexpected error; write all lines if it ends the process."""
+        if not ends_process:
+            self.warning("process: unexpected error", part=name, error=repr(error))
+            return
+        # Rendered without the library, which may find no memory to load.
+        fields = {
+            "vm": self.vm_id,
+            "time_s": time.time(),
+            "task": name,
+            "error": repr(error),
+            "event": "process: task failed",
+        }
+        self.lines.flush_last(msgspec.json.encode(fields))
+
     def start(self, stack):
         """Start to flush at intervals; the exit stack ends that and flushes again."""
+        report_failures_to(self.unexpected_error, stack)
         stack.callback(self.lines.flush)
-        writer = gevent.spawn(self._write_forever)
+        writer = spawn_supervised("log-writer", self._write_forever)
         stack.callback(writer.kill, block=False)
 
     def _write_forever(self):
--- a/packages/entry/hornbeamstand_entry/process.py
+++ b/packages/entry/hornbeamstand_entry/process.py
@@ -28,6 +28,7 @@
 from .logs import make_logs
 from .metrics import Metrics
 from .performers import make_performers
+from .process_use import describe_limits
 from .tasks.config_watcher import WATCH_WAIT_MS, ConfigWatcher
 from .tasks.connections import ConnectionRules
 from .tasks.control_task import ControlTask
@@ -37,6 +38,11 @@
 from .tasks.platform_task import PlatformTask
 from .tasks.pools import Pools
 from .tasks.prober import Prober
+from .tasks.task import (
+    handle_loop_failures,
+    report_failures_to,
+    spawn_supervised,
+)
 
 # Interval at which buffered log lines are written.
 LOG_FLUSH_INTERVAL_MS = 100.0
@@ -97,7 +103,8 @@
         self.clock = make_process_clock()
         self.bind_logger, flush = make_logs(settings.log_format, settings.vm_id)
         stack.callback(flush)
-        flusher = gevent.spawn(flush_periodically, flush)
+        report_failures_to(self._make_failure_report(flush), stack)
+        flusher = spawn_supervised("log-writer", flush_periodically, flush)
         stack.callback(flusher.kill, block=False)
         self.node = make_node(settings, self.clock)
         decision_log = self.bind_logger("decider") if settings.decision_log else None
@@ -111,6 +118,19 @@
         self._build_front()
         return self
 
+    def _make_failure_report(self, flush):
+        """Return a function that logs unexpected errors; see ``report_failures_to``."""
+        log = self.bind_logger("process")
+
+        def report(name, error, ends_process):
+            if not ends_process:
+                log.error("process: unexpected error", part=name, error=repr(error))
+                return
+            log.error("process: task failed", task=name, error=repr(error))
+            flush()
+
+        return report
+
     def _build_control(self, stack):
         settings = self.settings
         timeout_ms = settings.platform_timeout_ms
@@ -233,6 +253,7 @@
     """Run one entry VM until its planned stop is complete; return the exit status."""
     init_grpc()
     with ExitStack() as stack:
+        handle_loop_failures(stack)
         serve(settings, stack)
         close_bounded(stack, CLOSE_TIMEOUT_MS)
     return 0
@@ -247,7 +268,7 @@
     admin = make_admin_app(process)
     start_server(settings.admin_address, admin, idle_ms, stack)
     tune_garbage_collector()
-    log.info("process: started", front=settings.front_address)
+    log.info("process: started", front=settings.front_address, **describe_limits())
     wait_for_stop(process, log)
     log.info("process: stopped")
 
--- a/packages/entry/hornbeamstand_entry/tasks/pools.py
+++ b/packages/entry/hornbeamstand_entry/tasks/pools.py
@@ -9,10 +9,10 @@
     Connection,
     ConnectionIdle,
     ConnectionRules,
-    run_connection,
+    start_connection,
 )
 from .exchange import Exchange
-from .task import Task
+from .task import Task, spawn_supervised
 
 # Maximum number of idle connections that a pool keeps.
 N_IDLE_MAX = 64
@@ -120,9 +120,7 @@
     def _open(self):
         connection = Connection(f"connection {self.address}", self.rules)
         self._connection_tasks.add(connection.task)
-        connection.task.greenlet = gevent.spawn(
-            run_connection, connection, self.address, self.task, self.clock
-        )
+        start_connection(connection, self.address, self.task, self.clock)
         return connection
 
     def _note_idle(self, connection):
@@ -191,7 +189,7 @@
         self._pools = {}
         # Maps an address to the exit stack of its pool.
         self._stacks = {}
-        sweeper = gevent.spawn(self._sweep_loop)
+        sweeper = spawn_supervised("pool-sweeper", self._sweep_loop)
         stack.callback(sweeper.kill, block=False)
         stack.callback(self._close_all)
 
--- /dev/null
+++ b/packages/entry/tests/test_task_failures.py
@@ -0,0 +1,239 @@
+"""Failures of tasks that nobody foresaw, and what the log says of them."""
+
+import subprocess
+import sys
+import textwrap
+from pathlib import Path
+
+import hornbeamstand_entry
+import msgspec
+import pytest
+from hornbeamstand_entry.tasks.task import EXIT_TASK_FAILED
+
+START = """
+from contextlib import ExitStack
+import gevent
+from hornbeamstand_entry.clock import make_process_clock
+from hornbeamstand_entry.edge.logs import EdgeLog
+from hornbeamstand_entry.tasks.task import Task
+
+stack = ExitStack()
+log = EdgeLog.from_config("vm1", make_process_clock())
+log.start(stack)
+
+def fail():
+    raise MemoryError("none left")
+"""
+
+
+START_WATCHER = """
+from types import SimpleNamespace
+from hornbeamstand_core.edge_node_messages import WATCH_ALL, SetWatch
+from hornbeamstand_entry.edge.dialect import StorePage
+from hornbeamstand_entry.edge.store_watcher import Registration, StoreWatcher
+from result import Ok
+
+store = SimpleNamespace(codec=SimpleNamespace(operator_prefix="op/"))
+store.read_all = lambda *args: Ok(StorePage([], 5))
+store.watch = lambda *args: Ok(StorePage([], 5))
+control_task = SimpleNamespace(post=lambda message: None)
+watcher = StoreWatcher(store, control_task, log)
+"""
+START_HEARTBEATS = """
+from types import SimpleNamespace
+from hornbeamstand_entry.edge import heartbeats
+task = heartbeats.HeartbeatTask("127.0.0.1", 0, None, log)
+heartbeats.decode_heartbeat = lambda raw, ip: fail()
+task.start(stack)
+port = task._sock.getsockname()[1]
+task._sock.sendto(b"x", ("127.0.0.1", port))
+"""
+START_POOLS = """
+from hornbeamstand_entry.tasks import pools
+pools.SWEEP_INTERVAL_MS = 1.0
+pools.Pools.sweep = lambda self: fail()
+pools.Pools(make_process_clock(), stack)
+"""
+START_REGISTRATION = """
+from hornbeamstand_entry.edge import store_watcher
+store_watcher.REGISTRATION_DELAY_MS = 1.0
+store.grant_lease = lambda ttl_ms: fail()
+registration = Registration(store, "key", b"", log)
+registration.start(stack)
+registration.set_watch(SetWatch(WATCH_ALL))
+"""
+FAIL_FIRST_READ = """
+store.read_all = lambda *args: fail()
+watcher.start(stack)
+"""
+FAIL_RESTARTED_WATCH = """
+watcher.start(stack)
+gevent.sleep(0.01)
+store.watch = lambda *args: fail()
+watcher.set_watch(SetWatch(WATCH_ALL))
+"""
+START_EDGE = """
+from types import SimpleNamespace
+from result import Ok
+from hornbeamstand_entry.edge import lifecycle
+
+process = SimpleNamespace(
+    log=log,
+    listen=lambda stack: None,
+    settings=SimpleNamespace(grace_ms=0.0, lookup_ttl_ms=0.0),
+)
+settings = SimpleNamespace(vm_id="vm1", front_address="127.0.0.1:1")
+lifecycle.EdgeLog = SimpleNamespace(from_config=lambda *args: log)
+lifecycle.EdgeProcess = SimpleNamespace(from_config=lambda *args: process)
+lifecycle.wait_for_addresses = lambda *args: True
+"""
+FAIL_STOP = """
+lifecycle.wait_for_stop = lambda *args: fail()
+lifecycle.run_edge(settings, None, None)
+"""
+FAIL_CALLBACK = """
+def wait_for_stop(*args):
+    gevent.get_hub().loop.run_callback(fail)
+    gevent.sleep(5)
+
+lifecycle.wait_for_stop = wait_for_stop
+lifecycle.stop = lambda process: None
+lifecycle.run_edge(settings, None, None)
+"""
+FAIL_ACCEPT = """
+from gevent.server import StreamServer
+server = StreamServer(("127.0.0.1", 0), fail)
+server.do_read = fail
+lifecycle.wait_for_stop = lambda *args: gevent.sleep(0.2)
+lifecycle.stop = lambda process: None
+server.start()
+address = ("127.0.0.1", server.server_port)
+gevent.socket.create_connection(address)
+lifecycle.run_edge(settings, None, None)
+raise SystemExit(0)
+"""
+FAIL_GREENLET = """
+lifecycle.wait_for_stop = lambda *args: gevent.sleep(0.2)
+lifecycle.stop = lambda process: None
+gevent.spawn(fail)
+lifecycle.run_edge(settings, None, None)
+raise SystemExit(0)
+"""
+FAIL_RELOAD = """
+lifecycle.reload(process, fail)
+log.lines.flush()
+raise SystemExit(0)
+"""
+ENTRY = Path(hornbeamstand_entry.__file__).parent
+
+
+def run_process(body):
+    """Run code after START in a process; return its status and its log lines."""
+    code = textwrap.dedent(START) + textwrap.dedent(body) + "gevent.sleep(5)\n"
+    ended = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, timeout=30, check=False
+    )
+    lines = [msgspec.json.decode(line) for line in ended.stdout.splitlines()]
+    return ended.returncode, lines
+
+
+def test_failed_task_is_named_after_the_buffered_lines_before_the_process_ends():
+    status, lines = run_process("""
+        log.info("answer: sent", status=200)
+        Task("pool 10.0.0.1:80").start(fail, stack)
+    """)
+    assert status == EXIT_TASK_FAILED
+    assert [line["event"] for line in lines] == ["answer: sent", "process: task failed"]
+    assert lines[-1]["task"] == "pool 10.0.0.1:80"
+    assert "none left" in lines[-1]["error"]
+
+
+def test_failed_task_is_named_when_the_rate_of_lines_is_exceeded():
+    status, lines = run_process("""
+        for _ in range(900):
+            log.warning("answer: refused")
+        Task("control-task").start(fail, stack)
+    """)
+    assert status == EXIT_TASK_FAILED
+    assert [line["event"] for line in lines[-2:]] == [
+        "log: lines left out",
+        "process: task failed",
+    ]
+
+
+def test_failed_task_is_named_when_no_other_line_can_be_rendered():
+    status, lines = run_process("""
+        log.lines.render = lambda line: fail()
+        log.info("answer: sent")
+        Task("control-task").start(fail, stack)
+    """)
+    assert status == EXIT_TASK_FAILED
+    assert lines[0] == {"event": "log: lines left out", "n_lines": 1}
+    assert lines[1]["event"] == "process: task failed"
+    assert lines[1]["vm"] == "vm1"
+
+
+def test_failed_task_ends_the_process_when_its_line_cannot_be_written():
+    status, lines = run_process("""
+        type(log.lines).flush_last = lambda self, text: fail()
+        Task("control-task").start(fail, stack)
+    """)
+    assert status == EXIT_TASK_FAILED
+    assert lines == []
+
+
+@pytest.mark.parametrize(
+    "name, body",
+    [
+        ("store-watcher", START_WATCHER + FAIL_FIRST_READ),
+        ("store-watcher", START_WATCHER + FAIL_RESTARTED_WATCH),
+        ("registration", START_WATCHER + START_REGISTRATION),
+        ("heartbeat-receiver", START_HEARTBEATS),
+        ("pool-sweeper", START_POOLS),
+        ("lifecycle", START_EDGE + FAIL_STOP),
+        ("event-loop", START_EDGE + FAIL_CALLBACK),
+    ],
+)
+def test_no_greenlet_ends_alone_while_the_process_lives_on(name, body):
+    status, lines = run_process(body)
+    assert status == EXIT_TASK_FAILED
+    assert lines[-1]["event"] == "process: task failed"
+    assert lines[-1]["task"] == name
+
+
+def test_every_greenlet_is_supervised_or_settles_its_exchange():
+    """Those of connections report their end to their pool or to their reader."""
+    n_spawned = {
+        str(path.relative_to(ENTRY)): path.read_text().count("gevent.spawn(")
+        for path in ENTRY.rglob("*.py")
+    }
+    unsupervised = {path: n for path, n in n_spawned.items() if n}
+    assert unsupervised == {"tasks/task.py": 1, "tasks/connections.py": 2}
+
+
+def test_settings_that_cannot_be_read_for_want_of_memory_change_nothing():
+    status, lines = run_process(START_EDGE + FAIL_RELOAD)
+    assert status == 0
+    assert [line["event"] for line in lines] == ["process: reload failed"]
+    assert "MemoryError('none left')" in lines[0]["error"]
+
+
+def test_failed_task_ends_the_process_before_anything_else_runs():
+    """What runs later may find no memory to end the process."""
+    status, lines = run_process("""
+        Task("control-task").start(fail, stack)
+        gevent.spawn(log.info, "answer: sent")
+    """)
+    assert status == EXIT_TASK_FAILED
+    assert [line["event"] for line in lines] == ["process: task failed"]
+
+
+@pytest.mark.parametrize(
+    "part, body", [("acceptor", FAIL_ACCEPT), ("greenlet", FAIL_GREENLET)]
+)
+def test_error_that_only_the_event_loop_learns_of_is_logged(part, body):
+    status, lines = run_process(START_EDGE + body)
+    assert status == 0
+    errors = [line for line in lines if line["event"] == "process: unexpected error"]
+    assert {line["part"] for line in errors} == {part}
+    assert "none left" in errors[0]["error"]
