Take no response for framed that only its connection ends

A response whose Transfer-Encoding contains "chunked" without being chunked ("chunked, gzip", "xchunked") has no length, and the parser reads it up to the end of the connection. `is_framed` searched the header for the word, so pools that accept no unframed response (peers, the store, targets of the product's own mode) took such a response for whole wherever its connection was closed: 200 with any part of the body, from the first byte on, and an empty body before it.

Whether a response is framed is now what the parser saw, not what the headers seem to say: a response that becomes complete only with the end of its connection isn't.

New property tests cut responses at every byte, at a close and at a reset, alone and behind another response, with each set of rules. On the code before, four cases of `test_a_response_that_only_its_connection_ends_needs_a_rule_that_accepts_it` failed; heads that break off were refused already.

--- a/packages/entry/hornbeamstand_entry/tasks/response_parser.py
+++ b/packages/entry/hornbeamstand_entry/tasks/response_parser.py
@@ -29,7 +29,6 @@
 PIECE_BYTES = 65536
 # Maximum number of responses to other requests that are dropped during one exchange.
 N_DROPPED_MAX = 16
-NO_BODY_STATUSES = frozenset([204, 304])
 
 
 class ResponseError(Exception):
@@ -42,7 +41,8 @@
     ``body_pieces`` are the parts of its body in order, which are not joined because a
     long body would then be in memory twice. ``closes_connection`` is set if the
     connection must not carry another exchange, and ``is_followed`` if further bytes,
-    which belong to no request, came behind it.
+    which belong to no request, came behind it. ``is_framed`` is unset if only the end
+    of the connection ended the response.
     """
 
     __slots__ = (
@@ -52,6 +52,7 @@
         "method",
         "closes_connection",
         "is_followed",
+        "is_framed",
     )
 
     def __init__(
@@ -63,6 +64,7 @@
         self.method = method
         self.closes_connection = closes_connection
         self.is_followed = False
+        self.is_framed = True
 
     @property
     def body(self):
@@ -90,15 +92,6 @@
         """Return whether the connection must not carry another exchange."""
         return self.closes_connection
 
-    @property
-    def is_framed(self):
-        """Return whether the response states its own end."""
-        if self.method == "HEAD" or self.status_code in NO_BODY_STATUSES:
-            return True
-        if self.get("Content-Length") is not None:
-            return True
-        return "chunked" in self.get("Transfer-Encoding", "").lower()
-
 
 class ResponseParser(HTTPResponse):
     """Parses the responses of one connection; ``complete`` holds those not yet read.
@@ -115,6 +108,7 @@
         self.n_responses = 0
         self.has_echoed_ids = False
         self._pieces = []
+        self._is_at_end = False
         self._begin_counts()
 
     def _begin_counts(self):
@@ -127,6 +121,11 @@
         self.method = method
         self._begin_counts()
 
+    def feed(self, data):
+        """Parse bytes; no bytes are the end of the connection."""
+        self._is_at_end = not data
+        super().feed(data)
+
     def _on_header_field(self, string):
         self.n_header_bytes += len(string)
         super()._on_header_field(string)
@@ -157,6 +156,7 @@
                 self.method,
                 not self.should_keep_alive(),
             )
+            response.is_framed = not self._is_at_end
             self.complete.append(response)
         self._pieces = []
 
