Close a connection whose HEAD response is followed by bytes

A server that sends a body with its response to a HEAD request left its connection in use: the HTTP library drops invalid bytes behind such a response and reports no error, then or later. The next request was sent on that connection, may have run, and its response could not be read any more, so its caller got 502 or waited until the deadline.

The parser passes the library's special case over: bytes behind a HEAD response are handled as behind any other, so the response stays valid and its connection is closed; an invalid response on a connection that once carried a HEAD request fails at once.

--- a/packages/entry/hornbeamstand_entry/tasks/response_parser.py
+++ b/packages/entry/hornbeamstand_entry/tasks/response_parser.py
@@ -122,9 +122,13 @@
         self._begin_counts()
 
     def feed(self, data):
-        """Parse bytes; no bytes are the end of the connection."""
+        """Parse bytes; no bytes are the end of the connection.
+
+        The feed of HTTPResponse is passed over: behind a response to a HEAD request it
+        drops invalid bytes unnoticed.
+        """
         self._is_at_end = not data
-        super().feed(data)
+        super(HTTPResponse, self).feed(data)
 
     def _on_header_field(self, string):
         self.n_header_bytes += len(string)
--- a/packages/entry/tests/test_response_cuts.py
+++ b/packages/entry/tests/test_response_cuts.py
@@ -12,7 +12,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from packages.entry.tests.test_response_fuzz import Pieces
+from .test_response_fuzz import Pieces
 
 OWN_ID = "own"
 ANSWER_MAX_BYTES = 5000
@@ -149,3 +149,19 @@
     assert response.body == BODY
     assert response.should_close()
     assert read(Pieces([raw], True), ResponseParser(), rules) is None
+
+
+@pytest.mark.parametrize("name", sorted(RULES))
+def test_bytes_behind_a_head_response_close_its_connection(name):
+    raw = head(b"Content-Length: 40") + BODY
+    response = read(Pieces([raw], False), ResponseParser(), RULES[name], "HEAD")
+    assert response.should_close()
+    assert response.is_followed
+
+
+def test_an_invalid_response_after_a_head_response_fails_at_once():
+    parser = ResponseParser()
+    sock = Pieces([head(b"Content-Length: 40"), b"rubbish\r\n\r\n", BODY], False)
+    assert read(sock, parser, RULES["strict"], "HEAD")
+    assert read(sock, parser, RULES["strict"]) is None
+    assert sock.pieces == [BODY]
