Send no body with a refusal of a HEAD request

A caller whose HEAD request was refused got the reason as a body. On a kept connection these bytes stood before the next answer, so the caller read something that is no answer: `no targetHTTP/1.1 503 ...`. The HTTP library sends whatever body an application returns.

The handler of callers' and peers' connections now sends no body for HEAD, whoever makes the answer; Content-Length still is that of the answer to a GET request.

`test_a_refusal_of_a_head_request_has_no_body` failed on the code before.

--- a/packages/entry/hornbeamstand_entry/http_server.py
+++ b/packages/entry/hornbeamstand_entry/http_server.py
@@ -105,6 +105,10 @@
             items = [*items, ("Connection", "close")]
         return super().start_response(status, items, exc_info)
 
+    def write(self, data):
+        """Write a part of the body; the response to a HEAD request has none."""
+        return super().write(b"" if self.command == "HEAD" else data)
+
     def log_request(self):
         """Write no access log, because the decision log covers each request."""
 
--- /dev/null
+++ b/packages/entry/tests/test_caller_answers.py
@@ -0,0 +1,53 @@
+"""Bytes that callers get from a VM's HTTP servers: framing, and answers that fail."""
+
+from contextlib import ExitStack
+
+import pytest
+from gevent import socket as gevent_socket
+from hornbeamstand_core.routes import CallerLimits
+from hornbeamstand_entry.edge.front import respond
+from hornbeamstand_entry.edge.servers import start_server
+
+from tests.caller_front import read_to_end
+
+GET = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+HEAD = GET.replace(b"GET", b"HEAD")
+LAST_GET = GET.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+# Idle time of the callers' connections.
+IDLE_MS = 3000.0
+
+
+@pytest.fixture
+def stack():
+    with ExitStack() as exit_stack:
+        yield exit_stack
+
+
+def connect(stack, app, idle_ms=IDLE_MS):
+    """Return a connection to a server that runs a WSGI application."""
+    limits = CallerLimits(idle_ms=idle_ms)
+    server = start_server("127.0.0.1:0", app, stack, lambda: idle_ms, lambda: limits)
+    address = ("127.0.0.1", server.server_port)
+    sock = gevent_socket.create_connection(address, timeout=5.0)
+    stack.callback(sock.close)
+    return sock
+
+
+def refuse(environ, start_response):
+    return respond(start_response, 503, b"no target", [])
+
+
+def split_answer(raw):
+    """Return the first answer's head, and what follows it."""
+    head, _, rest = raw.partition(b"\r\n\r\n")
+    return head, rest
+
+
+def test_a_refusal_of_a_head_request_has_no_body(stack):
+    sock = connect(stack, refuse)
+    sock.sendall(HEAD + LAST_GET)
+    head, rest = split_answer(read_to_end(sock))
+    assert b"Content-Length: 9" in head
+    head, rest = split_answer(rest)
+    assert head.startswith(b"HTTP/1.1 503 ")
+    assert rest == b"no target"
