Write no second answer into one whose head was cut

When the write of an answer's head timed out half-way, the HTTP library took the answer for not begun, because it counts whole writes, and wrote the body of an error answer. A caller that read on at that moment got `Internal Server Error` inside a header of the cut head, and the connection stayed open for its next request, whose answer would have ended that header.

Once the first write of an answer has begun, an error now ends the connection and nothing more is written. Before, an error answer is sent as it was.

`test_an_answer_whose_head_was_cut_gets_no_bytes_of_another_answer` failed on the code before. That a body which fails behind a whole head ends its connection was right already; a test keeps it so.

--- a/packages/entry/hornbeamstand_entry/http_server.py
+++ b/packages/entry/hornbeamstand_entry/http_server.py
@@ -109,6 +109,17 @@
         """Write a part of the body; the response to a HEAD request has none."""
         return super().write(b"" if self.command == "HEAD" else data)
 
+    def handle_error(self, error_type, error, traceback):
+        """Log an error, and send an error response if no byte of another was sent.
+
+        The library checks only whether the whole head was sent.
+        """
+        if not self.headers_sent:
+            super().handle_error(error_type, error, traceback)
+            return
+        self._log_error(error_type, error, traceback)
+        self.close_connection = True
+
     def log_request(self):
         """Write no access log, because the decision log covers each request."""
 
--- a/packages/entry/tests/test_caller_answers.py
+++ b/packages/entry/tests/test_caller_answers.py
@@ -2,6 +2,7 @@
 
 from contextlib import ExitStack
 
+import gevent
 import pytest
 from gevent import socket as gevent_socket
 from hornbeamstand_core.routes import CallerLimits
@@ -51,3 +52,40 @@
     head, rest = split_answer(rest)
     assert head.startswith(b"HTTP/1.1 503 ")
     assert rest == b"no target"
+
+
+class BrokenBody:
+    """A body that fails after its first piece."""
+
+    def __iter__(self):
+        yield b"half"
+        raise RuntimeError("this body breaks off")
+
+
+def test_an_answer_whose_body_fails_breaks_off_before_its_length(stack):
+    def fail(environ, start_response):
+        start_response("200 OK", [("Content-Length", "8")])
+        return BrokenBody()
+
+    sock = connect(stack, fail)
+    sock.sendall(GET + LAST_GET)
+    head, rest = split_answer(read_to_end(sock))
+    assert b"Content-Length: 8" in head
+    assert rest == b"half"
+
+
+def test_an_answer_whose_head_was_cut_gets_no_bytes_of_another_answer(stack):
+    # Longer than what both sockets buffer.
+    long_value = "v" * (32 << 20)
+
+    def answer(environ, start_response):
+        start_response("200 OK", [("Content-Length", "0"), ("X-Long", long_value)])
+        return []
+
+    sock = connect(stack, answer, idle_ms=300.0)
+    sock.sendall(GET + LAST_GET)
+    # The write of the head times out, and that of an error answer would not.
+    gevent.sleep(0.45)
+    raw = read_to_end(sock)
+    assert raw.startswith(b"HTTP/1.1 200 OK\r\n")
+    assert raw.rstrip(b"v").endswith(b"X-Long: "), raw[-200:]
