Forward a 304 or 204 to a HEAD request without a length

The response to a HEAD request keeps the target's Content-Length. With status 304, where a length is allowed, or 204, where it isn't, the HTTP library refuses such a line, and the caller got `500 Internal Server Error` in place of the target's response.

Responses with a status that has no body now carry no Content-Length, in both modes; a 304 to a GET request no longer states the length 0, which is not that of the target's representation.

Two cases of `test_a_status_without_a_body_is_forwarded_with_any_stated_length` failed on the code before.

--- a/packages/entry/hornbeamstand_entry/edge/front.py
+++ b/packages/entry/hornbeamstand_entry/edge/front.py
@@ -8,7 +8,7 @@
 from ..header_numbers import read_number
 from ..http_server import BodyError, read_body, watch_caller
 from ..performers import drive
-from ..responses import status_line
+from ..responses import length_items, status_line
 from .config_copies import COPY_PATH, compress_copy
 from .context import AnswerBody, EdgeContext
 from .messages import (
@@ -269,14 +269,9 @@
 
 
 def forward_response(start_response, response, extra_items):
-    """Respond with a target's complete response.
-
-    The response to a HEAD request has no body and keeps the target's Content-Length.
-    """
+    """Respond with a target's complete response."""
+    status = response.status_code
     items = response_items(response)
-    length = str(response.n_body_bytes)
-    if response.method == "HEAD":
-        length = response.get("Content-Length", "0")
-    items.append(("Content-Length", length))
-    start_response(status_line(response.status_code), [*items, *extra_items])
+    items += length_items(status, response, response.n_body_bytes)
+    start_response(status_line(status), [*items, *extra_items])
     return response.body_pieces
--- a/packages/entry/hornbeamstand_entry/responses.py
+++ b/packages/entry/hornbeamstand_entry/responses.py
@@ -20,6 +20,8 @@
     504: "Gateway Timeout",
     508: "Loop Detected",
 }
+# Statuses of responses without a body.
+NO_BODY_STATUSES = frozenset([204, 304])
 
 
 def status_line(status):
@@ -27,6 +29,18 @@
     return f"{status} {REASON_PHRASES.get(status, 'Status')}"
 
 
+def length_items(status, response, n_body_bytes):
+    """Return the Content-Length line for a target's response, if it has one.
+
+    The response to a HEAD request has no body and keeps the target's Content-Length.
+    """
+    if status in NO_BODY_STATUSES:
+        return []
+    if response.method == "HEAD":
+        return [("Content-Length", response.get("Content-Length", "0"))]
+    return [("Content-Length", str(n_body_bytes))]
+
+
 def respond_json(start_response, status, body, extra_items=()):
     """Answer with a JSON body."""
     raw = msgspec.json.encode(body)
@@ -69,10 +83,7 @@
         and not name.lower().startswith("hornbeam-")
     ]
     body = bytes(response.body)
-    length = str(len(body))
-    if response.method == "HEAD":
-        length = response.get("content-length", "0")
-    items.append(("Content-Length", length))
+    items += length_items(answer.status, response, len(body))
     items.append((headers.OUTCOME, headers.OUTCOME_RAN))
     items.append((headers.TARGET, answer.target_id))
     start_response(status_line(answer.status), [*items, *extra_items])
--- a/packages/entry/tests/test_caller_answers.py
+++ b/packages/entry/tests/test_caller_answers.py
@@ -6,8 +6,9 @@
 import pytest
 from gevent import socket as gevent_socket
 from hornbeamstand_core.routes import CallerLimits
-from hornbeamstand_entry.edge.front import respond
+from hornbeamstand_entry.edge.front import forward_response, respond
 from hornbeamstand_entry.edge.servers import start_server
+from hornbeamstand_entry.tasks.response_parser import CompleteResponse
 
 from tests.caller_front import read_to_end
 
@@ -89,3 +90,22 @@
     raw = read_to_end(sock)
     assert raw.startswith(b"HTTP/1.1 200 OK\r\n")
     assert raw.rstrip(b"v").endswith(b"X-Long: "), raw[-200:]
+
+
+@pytest.mark.parametrize("status", [204, 304])
+@pytest.mark.parametrize("method", ["GET", "HEAD"])
+def test_a_status_without_a_body_is_forwarded_with_any_stated_length(
+    stack, status, method
+):
+    items = [("Content-Length", "1200"), ("ETag", "e")]
+
+    def forward(environ, start_response):
+        response = CompleteResponse(status, items, [], method, False)
+        return forward_response(start_response, response, [])
+
+    sock = connect(stack, forward)
+    sock.sendall(LAST_GET.replace(b"GET", method.encode()))
+    head, rest = split_answer(read_to_end(sock))
+    assert head.startswith(b"HTTP/1.1 %d " % status)
+    assert b"ETag: e" in head
+    assert rest == b""
