Start the HTTP servers without a name look-up

Operators and trials saw starts in which one or more VMs were ready only after 5.4 to 7 s, the others after 0.3 to 1 s; the slow ones named themselves as serving to their peers all the while, and did not listen.

Cause: gevent's WSGIServer looks up the name of its own address (`getfqdn`) when it starts. The logs of slow VMs have `config: in force` at once and `process: started` 5.0 s later. Nine plain interpreters that call `socket.getfqdn` of nine loopback addresses at once show the same without this project: seven of nine and four of nine took 5.01 s, the resolver's timeout after a datagram that was lost. The look-up also starts a system thread. The environment's SERVER_NAME, which nothing here reads, is now the address, and none is looked up. Nothing waits for peers or the store in this, so no message is added.

The tasks that talk to peers ran during the look-up. Without it, nothing yields between their start and the last listener, so that a VM listens before it serves.

--- a/packages/entry/hornbeamstand_entry/edge/servers.py
+++ b/packages/entry/hornbeamstand_entry/edge/servers.py
@@ -41,7 +41,13 @@
     """
     host, _, port = address.rpartition(":")
     server = WSGIServer(
-        (host, int(port)), app, log=None, error_log=None, handler_class=EdgeHandler
+        (host, int(port)),
+        app,
+        log=None,
+        error_log=None,
+        handler_class=EdgeHandler,
+        # Without a name, the server looks one up for its address, and may wait for it.
+        environ={"SERVER_NAME": host},
     )
     server.caller_idle_s = idle_ms() / MS_PER_S
     server.idle_ms = idle_ms
