Reload after a SIGHUP that comes while the handlers are set

A SIGHUP during the start is noted in a list, and the process reads its settings again once it runs. The list was looked at before the process set its own handlers, which creates gevent's hub first. A SIGHUP in between was noted after that look, so settings changed in that moment stayed unread until the next signal. It is looked at after the handlers are set now.

Found by reading; no operator's report names it. The new test sends SIGHUP just before the first handler is set: on the code before, the reload was not requested (run with its `bool(early_signals)`; the argument's form has changed). The test of the reload that is made up for now goes through `install`, in an interpreter of its own: the handlers that it sets would stay in the test process.

--- a/packages/entry/hornbeamstand_entry/edge/lifecycle.py
+++ b/packages/entry/hornbeamstand_entry/edge/lifecycle.py
@@ -36,7 +36,7 @@
 GC_OLD_THRESHOLD = 100
 
 
-def run_edge(settings, dialect, reload_settings, is_reload_requested=False):
+def run_edge(settings, dialect, reload_settings, early_signals=()):
     """Run one edge process until its planned stop is complete.
 
     Parameters
@@ -47,11 +47,12 @@
         The platform's headers and codecs.
     reload_settings : callable
         Reads the settings again; returns ``Ok`` with them, or ``Err``.
-    is_reload_requested : bool
-        Whether the settings were to be read again after they had been read.
+    early_signals : sequence of int
+        Each SIGHUP that came after the settings had been read. More may be added until
+        this process handles the signal itself.
     """
-    signals = Signals(is_reload_requested)
-    signals.install()
+    signals = Signals()
+    signals.install(early_signals)
     with ExitStack() as stack:
         clock = make_process_clock()
         log = EdgeLog.from_config(settings.vm_id, clock)
--- a/packages/entry/hornbeamstand_entry/edge/signals.py
+++ b/packages/entry/hornbeamstand_entry/edge/signals.py
@@ -16,18 +16,21 @@
 
     __slots__ = ("is_stop_requested", "is_reload_requested", "_received")
 
-    def __init__(self, is_reload_requested=False):
+    def __init__(self):
         self.is_stop_requested = False
-        self.is_reload_requested = is_reload_requested
+        self.is_reload_requested = False
         self._received = Event()
-        if is_reload_requested:
-            self._received.set()
 
-    def install(self):
-        """Handle SIGTERM, SIGINT and SIGHUP from now on."""
+    def install(self, early_signals=()):
+        """Handle SIGTERM, SIGINT and SIGHUP from now on.
+
+        ``early_signals`` holds each SIGHUP that came before that.
+        """
         gevent.signal_handler(signal.SIGTERM, self._note_stop)
         gevent.signal_handler(signal.SIGINT, self._note_stop)
         gevent.signal_handler(signal.SIGHUP, self._note_reload)
+        if early_signals:
+            self._note_reload()
 
     def _note_stop(self):
         self.is_stop_requested = True
--- a/tests/test_platform_starts.py
+++ b/tests/test_platform_starts.py
@@ -7,7 +7,6 @@
 
 import gevent
 import pytest
-from hornbeamstand_entry.edge.signals import Signals
 
 from standins.edge_cell import DOMAINS, EdgeCell
 
@@ -107,7 +106,41 @@
     assert (run.returncode, run.stdout.strip()) == (0, "1")
 
 
+def run_in_interpreter(code, *options):
+    """Return status and output of code in an interpreter of its own."""
+    command = [sys.executable, *options, "-c", code]
+    run = subprocess.run(command, capture_output=True, text=True, timeout=10.0)
+    return run.returncode, run.stdout.strip()
+
+
 def test_a_reload_during_the_start_is_made_up_for():
-    signals = Signals(is_reload_requested=True)
-    assert signals.wait() is False
-    assert signals.is_reload_requested
+    code = (
+        "from hornbeamstand_entry.edge.signals import Signals\n"
+        "signals = Signals()\n"
+        "signals.install([1])\n"
+        "print(signals.wait(), signals.is_reload_requested)"
+    )
+    assert run_in_interpreter(code) == (0, "False True")
+
+
+def test_a_reload_while_the_handlers_are_set_is_made_up_for():
+    """Guards against a SIGHUP that is noted after the early ones were looked at."""
+    code = (
+        "import os, signal, gevent\n"
+        "from hornbeamstand_platform.__main__ import early_signals\n"
+        "from hornbeamstand_entry.edge import lifecycle\n"
+        "set_handler = gevent.signal_handler\n"
+        "def interrupted(number, handler):\n"
+        "    if number == signal.SIGTERM:\n"
+        "        os.kill(os.getpid(), signal.SIGHUP)\n"
+        "    return set_handler(number, handler)\n"
+        "gevent.signal_handler = interrupted\n"
+        "def show(settings, clock, log, signals):\n"
+        "    print(signals.is_reload_requested)\n"
+        "lifecycle.wait_for_addresses = show\n"
+        "class Settings:\n"
+        "    vm_id = 'vm'\n"
+        "lifecycle.run_edge(Settings, None, None, early_signals)"
+    )
+    status, output = run_in_interpreter(code)
+    assert (status, output.splitlines()[0]) == (0, "True")
