Handle SIGHUP from the first line of a file that is run by its path

SIGHUP ends a process (status -1) until the interpreter has run the line that handles it. `python3 -m` first imports runpy and what that needs, and the line came after `import signal`, which imports enum, collections, functools and others. The deploy file now runs `__main__.py` by its path (a program and its arguments, no shell), and its first statement takes `signal` from `_signal`, which the interpreter has loaded already. The rest of the entry point is `start.py`, so that little is compiled first.

A SIGHUP that came before the settings are read asks for nothing more and is forgotten; one that comes while or after they are read leads to a reload as before.

--- a/tests/test_platform_starts.py
+++ b/tests/test_platform_starts.py
@@ -1,15 +1,21 @@
 """Processes that start under difficulties start anyway, once these are over."""
 
+import os
 import signal
 import socket
 import subprocess
 import sys
+import tomllib
+from importlib.util import find_spec
 
 import gevent
 import pytest
+from hornbeamstand_platform import start
+from result import Ok
 
-from standins.edge_cell import DOMAINS, EdgeCell
+from standins.edge_cell import DOMAINS, ROOT, EdgeCell
 
+ENTRY_POINT = find_spec("hornbeamstand_platform.__main__").origin
 PREFIXES = {"/tools/": ("shop", "idempotent")}
 # Time for which a difficulty lasts; a start without one takes less.
 DIFFICULTY_S = 1.0
@@ -144,3 +150,53 @@
     )
     status, output = run_in_interpreter(code)
     assert (status, output.splitlines()[0]) == (0, "True")
+
+
+def test_a_reload_before_the_settings_are_read_needs_no_other(monkeypatch):
+    early_signals = [signal.SIGHUP]
+    monkeypatch.setattr(start, "load_settings", lambda: Ok(list(early_signals)))
+    assert start.wait_for_settings(early_signals).ok_value == []
+
+
+def test_a_reload_while_the_settings_are_read_is_kept(monkeypatch):
+    early_signals = []
+
+    def load():
+        early_signals.append(signal.SIGHUP)
+        return Ok(None)
+
+    monkeypatch.setattr(start, "load_settings", load)
+    start.wait_for_settings(early_signals)
+    assert early_signals == [signal.SIGHUP]
+
+
+def test_no_module_is_imported_before_a_reload_is_handled():
+    """Guards against imports that lengthen the time in which SIGHUP ends the start."""
+    code = (
+        "import sys, _signal\n"
+        f"code = compile(open({ENTRY_POINT!r}).read(), 'main', 'exec')\n"
+        "before = set(sys.modules)\n"
+        "def show(number, handler):\n"
+        "    print(number, sorted(set(sys.modules) - before))\n"
+        "    sys.exit(0)\n"
+        "_signal.signal = show\n"
+        "exec(code, {'__name__': '__main__'})"
+    )
+    expected = f"{signal.SIGHUP.value} []"
+    assert run_in_interpreter(code, "-S", "-P") == (0, expected)
+
+
+def test_the_deploy_file_starts_the_process_by_its_path(cell):
+    """Guards against ``python3 -m``, whose own imports come before the first line."""
+    deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+    words = deploy["roles"]["hornbeamstand"]["run"].split()
+    script = "target/deps/hornbeamstand_platform/__main__.py"
+    assert words == ["python3", "-S", "-P", script]
+    vm = cell.vms[0]
+    env = {**os.environ, "HORNBEAMSTAND_NODE_FILE": str(vm.settings_file)}
+    with open(cell.folder / "by-path.log", "wb") as log:
+        command = [sys.executable, "-P", ENTRY_POINT]
+        vm.process = subprocess.Popen(command, env=env, stdout=log, stderr=log)
+    assert_starts(cell, vm)
+    cell.signal(vm, signal.SIGTERM)
+    assert vm.process.wait(10.0) == 0
