--- a/packages/entry/tests/test_edge_servers.py
+++ b/packages/entry/tests/test_edge_servers.py
@@ -2,6 +2,7 @@
 
 from contextlib import ExitStack
 
+import gevent
 import pytest
 from gevent import pywsgi
 from hornbeamstand_core.routes import CallerLimits
@@ -40,3 +41,27 @@
     server = start(stack)
     assert asked == []
     assert server.environ["SERVER_NAME"] == "127.0.0.1"
+
+
+class NoResolver:
+    """A resolver that notes each look-up and finds nothing."""
+
+    def __init__(self):
+        self.lookups = []
+
+    def __getattr__(self, name):
+        def look_up(*args, **values):
+            self.lookups.append((name, args))
+            raise OSError("name look-ups are not available")
+
+        return look_up
+
+
+@pytest.mark.parametrize("start", [start_plain, start_edge])
+def test_a_server_starts_without_a_name_lookup(stack, monkeypatch, start):
+    """Guards against a start that waits for a name server's timeout of 5 s."""
+    resolver = NoResolver()
+    monkeypatch.setattr(gevent.get_hub(), "resolver", resolver)
+    server = start(stack)
+    assert server.get_environ()["SERVER_NAME"] == "127.0.0.1"
+    assert resolver.lookups == []
--- a/tests/test_platform_starts.py
+++ b/tests/test_platform_starts.py
@@ -1,16 +1,21 @@
 """Processes that start under difficulties start anyway, once these are over."""
 
+import os
 import signal
 import socket
 import subprocess
 import sys
+import tomllib
+from importlib.util import find_spec
 
 import gevent
 import pytest
-from hornbeamstand_entry.edge.signals import Signals
+from hornbeamstand_platform import start
+from result import Ok
 
-from standins.edge_cell import DOMAINS, EdgeCell
+from standins.edge_cell import DOMAINS, ROOT, EdgeCell
 
+ENTRY_POINT = find_spec("hornbeamstand_platform.__main__").origin
 PREFIXES = {"/tools/": ("shop", "idempotent")}
 # Time for which a difficulty lasts; a start without one takes less.
 DIFFICULTY_S = 1.0
@@ -107,7 +112,91 @@
     assert (run.returncode, run.stdout.strip()) == (0, "1")
 
 
+def run_in_interpreter(code, *options):
+    """Return status and output of code in an interpreter of its own."""
+    command = [sys.executable, *options, "-c", code]
+    run = subprocess.run(command, capture_output=True, text=True, timeout=10.0)
+    return run.returncode, run.stdout.strip()
+
+
 def test_a_reload_during_the_start_is_made_up_for():
-    signals = Signals(is_reload_requested=True)
-    assert signals.wait() is False
-    assert signals.is_reload_requested
+    code = (
+        "from hornbeamstand_entry.edge.signals import Signals\n"
+        "signals = Signals()\n"
+        "signals.install([1])\n"
+        "print(signals.wait(), signals.is_reload_requested)"
+    )
+    assert run_in_interpreter(code) == (0, "False True")
+
+
+def test_a_reload_while_the_handlers_are_set_is_made_up_for():
+    """Guards against a SIGHUP that is noted after the early ones were looked at."""
+    code = (
+        "import os, signal, gevent\n"
+        "from hornbeamstand_platform.__main__ import early_signals\n"
+        "from hornbeamstand_entry.edge import lifecycle\n"
+        "set_handler = gevent.signal_handler\n"
+        "def interrupted(number, handler):\n"
+        "    if number == signal.SIGTERM:\n"
+        "        os.kill(os.getpid(), signal.SIGHUP)\n"
+        "    return set_handler(number, handler)\n"
+        "gevent.signal_handler = interrupted\n"
+        "def show(settings, clock, log, signals):\n"
+        "    print(signals.is_reload_requested)\n"
+        "lifecycle.wait_for_addresses = show\n"
+        "class Settings:\n"
+        "    vm_id = 'vm'\n"
+        "lifecycle.run_edge(Settings, None, None, early_signals)"
+    )
+    status, output = run_in_interpreter(code)
+    assert (status, output.splitlines()[0]) == (0, "True")
+
+
+def test_a_reload_before_the_settings_are_read_needs_no_other(monkeypatch):
+    early_signals = [signal.SIGHUP]
+    monkeypatch.setattr(start, "load_settings", lambda: Ok(list(early_signals)))
+    assert start.wait_for_settings(early_signals).ok_value == []
+
+
+def test_a_reload_while_the_settings_are_read_is_kept(monkeypatch):
+    early_signals = []
+
+    def load():
+        early_signals.append(signal.SIGHUP)
+        return Ok(None)
+
+    monkeypatch.setattr(start, "load_settings", load)
+    start.wait_for_settings(early_signals)
+    assert early_signals == [signal.SIGHUP]
+
+
+def test_no_module_is_imported_before_a_reload_is_handled():
+    """Guards against imports that lengthen the time in which SIGHUP ends the start."""
+    code = (
+        "import sys, _signal\n"
+        f"code = compile(open({ENTRY_POINT!r}).read(), 'main', 'exec')\n"
+        "before = set(sys.modules)\n"
+        "def show(number, handler):\n"
+        "    print(number, sorted(set(sys.modules) - before))\n"
+        "    sys.exit(0)\n"
+        "_signal.signal = show\n"
+        "exec(code, {'__name__': '__main__'})"
+    )
+    expected = f"{signal.SIGHUP.value} []"
+    assert run_in_interpreter(code, "-S", "-P") == (0, expected)
+
+
+def test_the_deploy_file_starts_the_process_by_its_path(cell):
+    """Guards against ``python3 -m``, whose own imports come before the first line."""
+    deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+    words = deploy["roles"]["hornbeamstand"]["run"].split()
+    script = "target/deps/hornbeamstand_platform/__main__.py"
+    assert words == ["python3", "-S", "-P", script]
+    vm = cell.vms[0]
+    env = {**os.environ, "HORNBEAMSTAND_NODE_FILE": str(vm.settings_file)}
+    with open(cell.folder / "by-path.log", "wb") as log:
+        command = [sys.executable, "-P", ENTRY_POINT]
+        vm.process = subprocess.Popen(command, env=env, stdout=log, stderr=log)
+    assert_starts(cell, vm)
+    cell.signal(vm, signal.SIGTERM)
+    assert vm.process.wait(10.0) == 0
