Give no request to a connection whose exchange was cancelled late

Callers would see an order answered 504 at its deadline that was never sent to a target, and requests that may be repeated answered only through a hedge; the same loss could hold up a call to the store until its timeout.

Cause: an exchange is cancelled by killing the greenlet of its connection, and the kill takes place with the next callbacks of the event loop. If the response is readable in the same poll as the timer that cancels, the connection still reads it and reports itself idle, and then ends. The pool keeps the ended connection, hands it the next request, the latest connection first, and nobody answers that. A process that did not run for some time finds timers and responses in one poll.

Evidence: the new test makes a timer and a response due while the process does not run. Before, the next request through the pool got no result within its 500 ms; now it goes over a new connection.

Now a connection ends by itself after an exchange that was cancelled, and never reports itself idle: the mark is set before the kill is scheduled, so no order of the two loses a request.

--- a/packages/entry/hornbeamstand_entry/tasks/connections.py
+++ b/packages/entry/hornbeamstand_entry/tasks/connections.py
@@ -175,6 +175,9 @@
                 connection, exchange, address, pool_task, clock, closed
             ):
                 return
+            if exchange.is_cancelled:
+                # The response came before the greenlet could be killed.
+                return
             connection.exchange = None
             connection.last_response_at_ms = clock.now_ms()
             pool_task.post(ConnectionIdle(connection))
--- a/packages/entry/tests/test_connections.py
+++ b/packages/entry/tests/test_connections.py
@@ -1,5 +1,6 @@
 """Connections that stop answering, answer late, break or are closed while idle."""
 
+import time
 from contextlib import ExitStack
 
 import gevent
@@ -22,6 +23,7 @@
     def __init__(self, stack):
         self.n_connections = 0
         self.n_open = 0
+        self.held = []
         self.behave = lambda connection, n_request: "answer"
         self.stream_server = StreamServer(("127.0.0.1", 0), self.serve)
         self.stream_server.start()
@@ -55,6 +57,8 @@
                 sock.sendall(b"HTTP/1.1 200 OK\r\n\r\nall?")
                 sock.close()
                 return
+            elif action == "hold":
+                self.held.append(sock)
             elif action == "close":
                 sock.close()
                 return
@@ -244,3 +248,23 @@
     server.serve_requests = serve_requests
     assert body(send(pool)) == b"01"
     assert body(send(pool)) == b"01"
+
+
+def test_a_connection_whose_exchange_was_cancelled_late_is_not_reused(stack):
+    """Guards against requests that are given to a connection whose task is ending."""
+    server, pool = start(stack)
+    server.behave = lambda connection, n_request: "hold"
+    exchange = Exchange(
+        "GET", REQUEST, pool.clock.now_ms() + 2000.0, False, 1000, SimpleQueue()
+    )
+    pool.task.post(exchange)
+    gevent.sleep(0.05)
+    # The time to cancel and the response come while the process does not run.
+    timer = gevent.get_hub().loop.timer(0.01)
+    timer.start(exchange.cancel)
+    server.held[0]._sock.send(ANSWER + b"01")
+    time.sleep(0.05)
+    gevent.sleep(0.05)
+    timer.close()
+    server.behave = lambda connection, n_request: "answer"
+    assert body(send(pool, timeout_ms=500.0)) == b"02"
