End a planned stop in order when no file descriptor is left

Callers would see every request in progress cut, and operators a process that ended with a traceback: a planned stop accepts the waiting connections before it closes the listener, and an accept that failed, such as with EMFILE, raised out of the stop.

The new test lets the accept fail; before, the OSError came out of stop_accepting. Now the error is printed like that of any other accept, the listener closes and the stop goes on. Connections that could not be accepted are reset with the listener, unread.

--- a/packages/entry/hornbeamstand_entry/edge/servers.py
+++ b/packages/entry/hornbeamstand_entry/edge/servers.py
@@ -59,9 +59,17 @@
     be reset otherwise, with the request that its caller has sent.
     """
     for server in servers:
+        accept_waiting(server)
+        server.close()
+
+
+def accept_waiting(server):
+    """Accept the connections that wait, as far as there are file descriptors."""
+    try:
         while accepted := server.do_read():
             server.do_handle(*accepted)
-        server.close()
+    except OSError as error:
+        server.loop.handle_error(server, type(error), error, error.__traceback__)
 
 
 def has_requests(servers):
--- a/packages/entry/tests/test_caller_limits.py
+++ b/packages/entry/tests/test_caller_limits.py
@@ -1,5 +1,6 @@
 """Callers that send too much, too slowly, or what can be read in two ways."""
 
+import errno
 import socket
 from contextlib import ExitStack
 
@@ -265,3 +266,15 @@
     assert len(read_to_end(sock)) > n_bytes
     gevent.sleep(0.01)
     assert not has_requests([front.server])
+
+
+def test_a_connection_that_cannot_be_accepted_does_not_end_a_stop(stack):
+    """Guards against a process that ends because it has no file descriptor left."""
+    front = Front(stack)
+
+    def fail():
+        raise OSError(errno.EMFILE, "too many open files")
+
+    front.server.do_read = fail
+    stop_accepting([front.server])
+    assert front.server.closed
