Let a planned stop wait for connections that were just accepted

A caller that connected as the listener of a stopping VM closed could get its connection closed without an answer, also after its request was passed on: a stop accepts what waits at the listener, and then looks for open requests before the greenlets of these connections have run. If the VM had no other request, the process ended at once.

The new test accepts a waiting connection and asks at once: before, has_requests said no. The older test of the same case yielded to the event loop first, and stays. The server now counts the connections whose greenlets have not begun, which is exact.

--- a/packages/entry/hornbeamstand_entry/edge/servers.py
+++ b/packages/entry/hornbeamstand_entry/edge/servers.py
@@ -9,11 +9,26 @@
 MS_PER_S = 1000.0
 
 
+class EdgeServer(WSGIServer):
+    """Counts the accepted connections whose greenlets have not begun to run.
+
+    ``open_handlers`` are the EdgeHandlers of the other open connections.
+    """
+
+    n_unstarted = 0
+
+    def do_handle(self, *accepted):
+        """Start the greenlet of a connection."""
+        super().do_handle(*accepted)
+        self.n_unstarted += 1
+
+
 class EdgeHandler(CallerHandler):
     """Serves one connection, which a planned stop may close while it is idle."""
 
     def handle(self):
         """Register the handler with its server while the connection is open."""
+        self.server.n_unstarted -= 1
         self.server.open_handlers.add(self)
         self.is_idle = True
         try:
@@ -40,7 +55,7 @@
     before each request, so that new limits apply to open connections too.
     """
     host, _, port = address.rpartition(":")
-    server = WSGIServer(
+    server = EdgeServer(
         (host, int(port)), app, log=None, error_log=None, handler_class=EdgeHandler
     )
     server.caller_idle_s = idle_ms() / MS_PER_S
@@ -73,9 +88,13 @@
 
 
 def has_requests(servers):
-    """Return whether a request is being received or served on any connection."""
+    """Return whether a request is being received or served on any connection.
+
+    A connection that has just been accepted may have one.
+    """
     return any(
-        not handler.is_idle for server in servers for handler in server.open_handlers
+        server.n_unstarted or not all(h.is_idle for h in server.open_handlers)
+        for server in servers
     )
 
 
--- a/packages/entry/tests/test_caller_limits.py
+++ b/packages/entry/tests/test_caller_limits.py
@@ -268,6 +268,20 @@
     assert not has_requests([front.server])
 
 
+def test_a_connection_without_a_task_yet_keeps_a_stop_waiting(stack):
+    """Guards against a stop that ends before it has served what it accepted."""
+    front = Front(stack)
+    sock = socket.create_connection(front.address, timeout=3.0)
+    stack.callback(sock.close)
+    sock.sendall(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+    stop_accepting([front.server])
+    close_idle_connections([front.server])
+    with gevent.Timeout(2.0):
+        while has_requests([front.server]):
+            gevent.sleep(0.01)
+    assert front.n_requests == 1
+
+
 def test_a_connection_that_cannot_be_accepted_does_not_end_a_stop(stack):
     """Guards against a process that ends because it has no file descriptor left."""
     front = Front(stack)
