Serve a request that crosses the end of its idle connection in a stop

A planned stop ends idle connections with a shutdown for reading. gevent wakes the reader with a callback, and with over about 50 callbacks or 5 ms the event loop looks at sockets first. A request that arrives there is read and served on a socket that has been shut down: its caller counts as gone at once. By the code, its send is then cancelled, an order that a target runs is answered with 499, and the body of an upload breaks off; that was not seen on real processes.

The new test fills the event loop with callbacks and sends a request after the close: before, the request was served and its caller was reported as gone. Now the end is raised in the greenlet of the connection by a callback that looks first, in the same step, whether a request has begun or its bytes are there; the socket is not shut down.

--- a/packages/entry/hornbeamstand_entry/edge/servers.py
+++ b/packages/entry/hornbeamstand_entry/edge/servers.py
@@ -2,6 +2,7 @@
 
 import socket
 
+import gevent
 from gevent.pywsgi import WSGIServer
 
 from ..http_server import CallerHandler
@@ -9,6 +10,10 @@
 MS_PER_S = 1000.0
 
 
+class IdleConnectionEnded(OSError):
+    """Raised in the greenlet of a connection that a planned stop closes."""
+
+
 class EdgeServer(WSGIServer):
     """Counts the accepted connections whose greenlets have not begun to run.
 
@@ -30,6 +35,7 @@
         """Register the handler with its server while the connection is open."""
         self.server.n_unstarted -= 1
         self.server.open_handlers.add(self)
+        self.greenlet = gevent.getcurrent()
         self.is_idle = True
         try:
             super().handle()
@@ -99,25 +105,22 @@
 
 
 def close_idle_connections(servers):
-    """End the servers' connections on which no request has begun to arrive.
-
-    The handler reads the end of the connection and closes it. To close its socket here
-    would have no effect while the handler's file of it is open.
-    """
+    """End the servers' connections on which no request has begun to arrive."""
+    run_callback = gevent.get_hub().loop.run_callback
     for server in servers:
-        for handler in list(server.open_handlers):
-            if handler.is_idle and handler.socket is not None:
-                if not has_bytes(handler.socket):
-                    end_reading(handler.socket)
+        for handler in server.open_handlers:
+            if handler.is_idle:
+                run_callback(end_if_idle, handler)
 
 
-def end_reading(sock):
-    """Let the reader of a socket read the end of the connection."""
-    try:
-        sock.shutdown(socket.SHUT_RD)
-    except OSError:
-        # The other side has closed the connection.
-        return
+def end_if_idle(handler):
+    """End the connection of a handler if it still waits for a request.
+
+    This runs in the hub, so that no request can begin between the check and the end.
+    """
+    is_open = handler in handler.server.open_handlers
+    if is_open and handler.is_idle and not has_bytes(handler.socket):
+        handler.greenlet.throw(IdleConnectionEnded())
 
 
 def has_bytes(sock):
--- a/packages/entry/tests/test_caller_limits.py
+++ b/packages/entry/tests/test_caller_limits.py
@@ -2,22 +2,27 @@
 
 import errno
 import socket
+import time
 from contextlib import ExitStack
 
 import gevent
 import pytest
+from gevent.queue import SimpleQueue
 from hornbeamstand_core.routes import CallerLimits
 from hornbeamstand_entry.edge.servers import (
     close_idle_connections,
     has_requests,
     stop_accepting,
 )
+from hornbeamstand_entry.http_server import watch_caller
 
 from tests.caller_front import LIMITS, Front, connect, exchange, read_to_end
 
 # Maximum number of bytes that a caller can send before an endless request is cut off.
 # It includes what the sockets of both sides buffer.
 ENDLESS_MAX_BYTES = 16 << 20
+# More callbacks than the event loop runs before it looks at sockets again.
+N_CALLBACKS = 2000
 HEAD = b"POST /x HTTP/1.1\r\nHost: h\r\n"
 
 
@@ -268,6 +273,31 @@
     assert not has_requests([front.server])
 
 
+def test_a_request_that_crosses_the_end_of_its_connection_is_served(stack):
+    """Guards against a request whose caller counts as gone because a stop came."""
+    front = Front(stack)
+    mailbox = SimpleQueue()
+    serve = front.server.application
+
+    def watch_and_serve(environ, start_response):
+        watcher = watch_caller(environ["hornbeamstand.socket"], mailbox)
+        gevent.sleep(0.05)
+        watcher.close()
+        return serve(environ, start_response)
+
+    front.server.application = watch_and_serve
+    sock = connect(stack, front)
+    gevent.sleep(0.01)
+    # The event loop reads sockets before it runs all of these.
+    run_callback = gevent.get_hub().loop.run_callback
+    for _ in range(N_CALLBACKS):
+        run_callback(time.sleep, 0.0001)
+    close_idle_connections([front.server])
+    sock._sock.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert sock.recv(65536).startswith(b"HTTP/1.1 200")
+    assert mailbox.empty()
+
+
 def test_a_connection_without_a_task_yet_keeps_a_stop_waiting(stack):
     """Guards against a stop that ends before it has served what it accepted."""
     front = Front(stack)
