--- a/packages/entry/hornbeamstand_entry/edge/servers.py
+++ b/packages/entry/hornbeamstand_entry/edge/servers.py
@@ -2,17 +2,40 @@
 
 import socket
 
+import gevent
+from gevent.pywsgi import WSGIServer
+
 from ..http_server import CallerHandler, make_server
 
 MS_PER_S = 1000.0
 
 
+class IdleConnectionEnded(OSError):
+    """Raised in the greenlet of a connection that a planned stop closes."""
+
+
+class EdgeServer(WSGIServer):
+    """Counts the accepted connections whose greenlets have not begun to run.
+
+    ``open_handlers`` are the EdgeHandlers of the other open connections.
+    """
+
+    n_unstarted = 0
+
+    def do_handle(self, *accepted):
+        """Start the greenlet of a connection."""
+        super().do_handle(*accepted)
+        self.n_unstarted += 1
+
+
 class EdgeHandler(CallerHandler):
     """Serves one connection, which a planned stop may close while it is idle."""
 
     def handle(self):
         """Register the handler with its server while the connection is open."""
+        self.server.n_unstarted -= 1
         self.server.open_handlers.add(self)
+        self.greenlet = gevent.getcurrent()
         self.is_idle = True
         try:
             super().handle()
@@ -37,7 +60,7 @@
     milliseconds, and ``limits`` one that returns the CallerLimits. They are called
     before each request, so that new limits apply to open connections too.
     """
-    server = make_server(address, app, EdgeHandler)
+    server = make_server(address, app, EdgeHandler, EdgeServer)
     server.caller_idle_s = idle_ms() / MS_PER_S
     server.idle_ms = idle_ms
     server.limits = limits
@@ -74,10 +97,11 @@
 def has_requests(servers):
     """Return whether a request has arrived on any connection and is not answered yet.
 
-    Its connection's task may not have begun to read it.
+    Its connection's task may not have begun to run, or to read it.
     """
     return any(
-        is_busy(handler) for server in servers for handler in server.open_handlers
+        server.n_unstarted or any(map(is_busy, server.open_handlers))
+        for server in servers
     )
 
 
@@ -89,24 +113,22 @@
 
 
 def close_idle_connections(servers):
-    """End the servers' connections on which no request has begun to arrive.
-
-    The handler reads the end of the connection and closes it. To close its socket here
-    would have no effect while the handler's file of it is open.
-    """
+    """End the servers' connections on which no request has begun to arrive."""
+    run_callback = gevent.get_hub().loop.run_callback
     for server in servers:
-        for handler in list(server.open_handlers):
-            if handler.socket is not None and not is_busy(handler):
-                end_reading(handler.socket)
+        for handler in server.open_handlers:
+            if handler.is_idle:
+                run_callback(end_if_idle, handler)
 
 
-def end_reading(sock):
-    """Let the reader of a socket read the end of the connection."""
-    try:
-        sock.shutdown(socket.SHUT_RD)
-    except OSError:
-        # The other side has closed the connection.
-        return
+def end_if_idle(handler):
+    """End the connection of a handler if it still waits for a request.
+
+    This runs in the hub, so that no request can begin between the check and the end.
+    """
+    is_open = handler in handler.server.open_handlers
+    if is_open and not is_busy(handler):
+        handler.greenlet.throw(IdleConnectionEnded())
 
 
 def has_bytes(sock):
--- a/packages/entry/hornbeamstand_entry/http_server.py
+++ b/packages/entry/hornbeamstand_entry/http_server.py
@@ -86,11 +86,18 @@
         text = self.head_lines.read_headers().decode("latin-1")
         return Parser(_class=OldMessage).parsestr(text)
 
-    def handle_error(self, t, v, tb):
-        """Respond with status 500 after an exception of the application, and log it."""
-        if not isinstance(v, OSError):
-            report_failure("http-server", v)
-        super().handle_error(t, v, tb)
+    def handle_error(self, error_type, error, traceback):
+        """Log an error, and send an error response if no byte of another was sent.
+
+        The library checks only whether the whole head was sent.
+        """
+        if not isinstance(error, OSError):
+            report_failure("http-server", error)
+        if not self.headers_sent:
+            super().handle_error(error_type, error, traceback)
+            return
+        self._log_error(error_type, error, traceback)
+        self.close_connection = True
 
     def _handle_client_error(self, ex):
         return error_response(ex)
@@ -116,17 +123,6 @@
         """Write a part of the body; the response to a HEAD request has none."""
         return super().write(b"" if self.command == "HEAD" else data)
 
-    def handle_error(self, error_type, error, traceback):
-        """Log an error, and send an error response if no byte of another was sent.
-
-        The library checks only whether the whole head was sent.
-        """
-        if not self.headers_sent:
-            super().handle_error(error_type, error, traceback)
-            return
-        self._log_error(error_type, error, traceback)
-        self.close_connection = True
-
     def log_request(self):
         """Write no access log, because the decision log covers each request."""
 
@@ -252,13 +248,13 @@
     return watcher
 
 
-def make_server(address, app, handler_class):
+def make_server(address, app, handler_class, server_class=WSGIServer):
     """Return a server for a WSGI application, which does not listen yet.
 
     The library would ask a name server for the name of its address.
     """
     host, _, port = address.rpartition(":")
-    return WSGIServer(
+    return server_class(
         (host, int(port)),
         app,
         log=None,
--- a/packages/entry/hornbeamstand_entry/tasks/connections.py
+++ b/packages/entry/hornbeamstand_entry/tasks/connections.py
@@ -190,6 +190,9 @@
             is_kept = False
             fail_exchange(exchange, address, error)
         connection.exchange = None
+        if exchange.is_cancelled:
+            # The response came before the greenlet could be killed.
+            return
         if is_kept:
             connection.last_response_at_ms = clock.now_ms()
             pool_task.post(ConnectionIdle(connection))
--- a/packages/entry/tests/test_caller_limits.py
+++ b/packages/entry/tests/test_caller_limits.py
@@ -1,10 +1,13 @@
 """Callers that send too much, too slowly, or what can be read in two ways."""
 
+import errno
 import socket
+import time
 from contextlib import ExitStack
 
 import gevent
 import pytest
+from gevent.queue import SimpleQueue
 from hornbeamstand_core.routes import CallerLimits
 from hornbeamstand_entry.clock import make_process_clock
 from hornbeamstand_entry.edge.lifecycle import finish_requests
@@ -13,12 +16,15 @@
     has_requests,
     stop_accepting,
 )
+from hornbeamstand_entry.http_server import watch_caller
 
 from tests.caller_front import LIMITS, Front, connect, exchange, read_to_end
 
 # Maximum number of bytes that a caller can send before an endless request is cut off.
 # It includes what the sockets of both sides buffer.
 ENDLESS_MAX_BYTES = 16 << 20
+# More callbacks than the event loop runs before it looks at sockets again.
+N_CALLBACKS = 2000
 HEAD = b"POST /x HTTP/1.1\r\nHost: h\r\n"
 
 
@@ -307,3 +313,57 @@
     assert len(read_to_end(sock)) > n_bytes
     gevent.sleep(0.01)
     assert not has_requests([front.server])
+
+
+def test_a_request_that_crosses_the_end_of_its_connection_is_served(stack):
+    """Guards against a request whose caller counts as gone because a stop came."""
+    front = Front(stack)
+    mailbox = SimpleQueue()
+    serve = front.server.application
+
+    def watch_and_serve(environ, start_response):
+        watcher = watch_caller(environ["hornbeamstand.socket"], mailbox)
+        gevent.sleep(0.05)
+        watcher.close()
+        return serve(environ, start_response)
+
+    front.server.application = watch_and_serve
+    sock = connect(stack, front)
+    gevent.sleep(0.01)
+    # The event loop reads sockets before it runs all of these.
+    run_callback = gevent.get_hub().loop.run_callback
+    for _ in range(N_CALLBACKS):
+        run_callback(time.sleep, 0.0001)
+    close_idle_connections([front.server])
+    sock._sock.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert sock.recv(65536).startswith(b"HTTP/1.1 200")
+    assert mailbox.empty()
+
+
+def test_a_connection_without_a_task_yet_keeps_a_stop_waiting(stack):
+    """Guards against a stop that ends before it has served what it accepted."""
+    front = Front(stack)
+    sock = socket.create_connection(front.address, timeout=3.0)
+    stack.callback(sock.close)
+    sock.sendall(b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+    stop_accepting([front.server])
+    close_idle_connections([front.server])
+    with gevent.Timeout(2.0):
+        while has_requests([front.server]):
+            gevent.sleep(0.01)
+    assert front.n_requests == 1
+
+
+def test_a_connection_that_cannot_be_accepted_does_not_end_a_stop(stack):
+    """Guards against a process that ends because it has no file descriptor left."""
+    front = Front(stack)
+
+    def fail():
+        raise OSError(errno.EMFILE, "too many open files")
+
+    front.server.do_read = fail
+    assert not stop_accepting([front.server])
+    assert not front.server.closed
+    del front.server.do_read
+    assert stop_accepting([front.server])
+    assert front.server.closed
