--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -177,6 +177,25 @@
     assert isinstance(found, InvalidEntry)
 
 
+@pytest.mark.parametrize(
+    ("part", "name", "other"),
+    [
+        ("Info", "Version", 1),
+        ("Info", "Version", None),
+        ("Status", "Seq", "4"),
+        ("Status", "Seq", -1),
+        ("Status", "WarmupLeft", 0),
+    ],
+)
+def test_an_entry_of_another_writer_names_no_target(part, name, other):
+    """Guards against requests to a process that is no target of the platform."""
+    without = {key: value for key, value in SERVER[part].items() if key != name}
+    for fields in (without, {**SERVER[part], name: other}):
+        entry = encoded(SERVER, **{part: fields})
+        found = records.decode_record("servers/i-1", entry)
+        assert isinstance(found, InvalidEntry)
+
+
 @pytest.mark.parametrize("key", ["servers/i-1", "op/config", "hornbeamstand/vm/x"])
 def test_an_entry_that_is_nested_too_deeply_is_invalid(key):
     assert isinstance(records.decode_record(key, b"[" * 5000), InvalidEntry)
