Treat an error with neither the seal nor the request's id as a broken answer

Callers saw: a 404 of a process that is no target as the answer to an order, after which they don't retry. Cause: only a success was checked for its seal and id. What says that the request did not run still says so.

--- a/packages/entry/hornbeamstand_entry/edge/messages.py
+++ b/packages/entry/hornbeamstand_entry/edge/messages.py
@@ -92,7 +92,8 @@
     A success is valid only with the target's seal, without a content encoding and with
     the caller's id of this request. Status 421 (Misdirected Request) states that the
     target did not run the request, as its header does. Neither holds if further bytes
-    follow the response: one of the two may be a copy of an earlier one.
+    follow the response: one of the two may be a copy of an earlier one. Any other error
+    with neither the seal nor the id was written by a process that is no target.
     """
     names = dialect.headers
     status = response.status_code
@@ -101,14 +102,14 @@
     did_not_run = response.get(names.did_not_run) is not None or status == 421
     if response.is_followed:
         did_not_run = False
+    has_seal = response.get(names.seal) is not None
+    has_own_id = response.get(names.request_id) == context.caller_request_id
     if status in SUCCESS_STATUSES:
-        if (
-            response.get(names.seal) is None
-            or response.get("Content-Encoding") is not None
-        ):
-            return None
-        if response.get(names.request_id) != context.caller_request_id:
+        is_encoded = response.get("Content-Encoding") is not None
+        if is_encoded or not has_seal or not has_own_id:
             return None
+    elif not (did_not_run or has_seal or has_own_id):
+        return None
     return UpstreamResponse(status, response, report, did_not_run=did_not_run)
 
 
