Let what a target says of itself take effect with the next decision

What callers and targets saw: a target that leaves, asks for a pause or became cold went on to get requests until its entry in the store said so, which comes later by a heartbeat and more.

A target's notice is decoded once from its answer, to requests and load probes alike, and changes its state where it was heard: no new request to a target that leaves, whatever its entry says, until a newer start of it is registered; none, and no probe, during a pause; the cold rate from the next decision on, where the sends of the last second count, and an entry does not shorten it. If every target pauses, callers are refused at once, waiting ones too, with the time until the first pause ends. The VM that relayed a request learns the notice as well. Values that can't be used are bounded and logged.

When callers may retry is a module of its own now.

--- a/packages/core/hornbeamstand_core/controllers/capacity.py
+++ b/packages/core/hornbeamstand_core/controllers/capacity.py
@@ -9,7 +9,12 @@
 from ..edge_messages import FIRST, HEDGE
 from ..messages import CANCELLED, NOT_RUN, Permit, Refusal, SendFailure
 from .learning import learn
-from .load_probing import probes_for_waiting, request_probes, targets_to_probe
+from .load_probing import (
+    cold_check,
+    probes_for_waiting,
+    request_probes,
+    targets_to_probe,
+)
 from .placing import (
     FAST,
     SLOW,
@@ -18,6 +23,7 @@
     send_cost,
     speed_class,
 )
+from .retry_delay import expected_wait_ms, retry_delay_ms
 from .retry_window import RetryWindow
 
 # Typical slowdown of a service's targets that is assumed until they have reported
@@ -39,15 +45,6 @@
 # Share of the usable slots in flight at which no more hedges are sent, because a hedge
 # would take its slot from other requests.
 HEDGE_LOAD_MAX = 0.75
-# Limits of the delay after which a refused caller is told to retry. The delay is the
-# expected wait, lengthened at random by up to the share of RETRY_AFTER_SPREAD so
-# that refused callers don't return all at once.
-RETRY_AFTER_MIN_MS = 30.0
-RETRY_AFTER_MAX_MS = 2000.0
-RETRY_AFTER_SPREAD = 0.6
-# Retry delay for a service without usable targets: the time for which it is expected
-# to have none.
-NO_TARGET_RETRY_MS = 400.0
 # Slowdown that is assumed of a target that does not answer a load probe.
 UNANSWERED_SLOWDOWN = 6.0
 
@@ -196,15 +193,23 @@
         is_owner = self._owns(self.name, self.local_domain, now_ms)
         self.retry_window.note_owner(is_owner, now_ms)
 
-    def usable_targets(self, now_ms):
-        """Return the targets that accept requests and whose domain is in service."""
+    def offered_targets(self):
+        """Return the targets that are not leaving and whose domain is in service."""
         return [
             target
             for target in self.targets.values()
-            if target.is_open
+            if target.is_offered
             and target.entry.failure_domain not in self.out_of_service_domains
         ]
 
+    def usable_targets(self, now_ms):
+        """Return the offered targets that take new requests of this VM now."""
+        return [
+            target
+            for target in self.offered_targets()
+            if now_ms >= target.paused_until_ms
+        ]
+
     def _eligible_targets(self, message, now_ms):
         return eligible_targets(
             self.usable_targets(now_ms),
@@ -257,7 +262,7 @@
         if not self._owns(self.name, target.entry.failure_domain, now_ms):
             all_share = NON_OWNERS_COLD_SHARE / self._count_vms()
             rate *= min(NON_OWNER_COLD_SHARE, all_share)
-        return target.n_cold_sent(now_ms) + 1 <= rate
+        return target.n_recent_sent(now_ms) + 1 <= rate
 
     # Load probes.
 
@@ -273,11 +278,23 @@
             target.slowdown = UNANSWERED_SLOWDOWN
             target.slowdown_at_ms = now_ms
             return []
+        target.checked_at_ms = now_ms
         if message.report is None:
             target.note_no_load()
         else:
             target.note_load(message.report, 0, now_ms)
-        return self.drain(now_ms) if self.waiting else []
+        return self.take_notice(message.target_id, message.notice, now_ms)
+
+    def take_notice(self, target_id, notice, now_ms):
+        """Apply a target's notice, if any; serve or refuse the waiting requests.
+
+        Returns state changes for the log and the messages of these requests.
+        """
+        out = []
+        target = self.targets.get(target_id)
+        if notice is not None and target is not None:
+            out += target.take_notice(notice, now_ms)
+        return out + (self.drain(now_ms) if self.waiting else [])
 
     # Outcomes of a decision.
 
@@ -302,10 +319,11 @@
         return [
             DeferredReply(message.request_id, permit),
             Decision(self.name, message.request_id, "send", entry.target_id, detail),
+            *cold_check(self, target, now_ms),
         ]
 
     def _refuse(self, message, reason, now_ms):
-        retry_ms = self._retry_after_ms(now_ms)
+        retry_ms = retry_delay_ms(self, self._rng, now_ms)
         refusal = Refusal(reason, NOT_RUN, 503, "choose", self.name, retry_ms)
         action = "refuse" if message.kind == FIRST else "no repeat"
         return [
@@ -313,28 +331,8 @@
             Decision(self.name, message.request_id, action, "", reason),
         ]
 
-    def _retry_after_ms(self, now_ms):
-        wait_ms = self.expected_wait_ms(now_ms)
-        if wait_ms == float("inf"):
-            wait_ms = NO_TARGET_RETRY_MS
-        spread = 1.0 + RETRY_AFTER_SPREAD * self._rng.random()
-        return min(RETRY_AFTER_MAX_MS, max(RETRY_AFTER_MIN_MS, wait_ms) * spread)
-
     # Waiting.
 
-    def expected_wait_ms(self, now_ms):
-        """Return the expected wait of a request that is queued now.
-
-        It is infinite if no target is usable or all usable ones are ejected.
-        """
-        n_slots = 0
-        for target in self.usable_targets(now_ms):
-            if now_ms >= target.ejected_until_ms:
-                n_slots += target.n_usable_slots
-        if n_slots == 0:
-            return float("inf")
-        return (self.mean_ms or 0.0) * (len(self.waiting) + 1) / n_slots
-
     def _wait_max_ms(self, message, now_ms):
         reserve_ms = LATENCY_RESERVE_FACTOR * (self.mean_ms or 0.0)
         in_time_ms = message.objective_at_ms - now_ms - reserve_ms
@@ -343,7 +341,7 @@
 
     def _enqueue(self, message, now_ms):
         wait_max_ms = self._wait_max_ms(message, now_ms)
-        expected_ms = self.expected_wait_ms(now_ms)
+        expected_ms = expected_wait_ms(self, now_ms)
         if expected_ms == float("inf"):
             if not self.is_awaiting_targets:
                 return self._refuse(message, "no target", now_ms)
@@ -370,10 +368,13 @@
     def drain(self, now_ms):
         """Grant free slots to waiting requests and refuse those that waited too long.
 
-        Returns the replies, the decisions for the log, and load probes if requests
-        are still waiting.
+        All are refused at once if no target is left that takes requests. Returns the
+        replies, the decisions for the log, and load probes if requests are still
+        waiting.
         """
         out = []
+        if self.waiting and not self._may_have_targets(now_ms):
+            return self._refuse_waiting(now_ms)
         for waiting in list(self.waiting):
             served = self._serve(waiting, now_ms)
             if served:
@@ -383,6 +384,16 @@
             out += probes_for_waiting(self, now_ms)
         return out
 
+    def _may_have_targets(self, now_ms):
+        return self.is_awaiting_targets or bool(self.usable_targets(now_ms))
+
+    def _refuse_waiting(self, now_ms):
+        out = []
+        for waiting in self.waiting:
+            out += self._refuse(waiting.message, "no target", now_ms)
+        self.waiting.clear()
+        return out
+
     def _serve(self, waiting, now_ms):
         message = waiting.message
         eligible = self._eligible_targets(message, now_ms)
--- a/packages/core/hornbeamstand_core/controllers/discovered_target.py
+++ b/packages/core/hornbeamstand_core/controllers/discovered_target.py
@@ -3,6 +3,7 @@
 from collections import deque
 from math import exp
 
+from ..edge_messages import StateChange
 from .placing import usable_slots
 
 # Time constant of the exponential decay of a slowdown figure towards the service's
@@ -32,31 +33,39 @@
 ABORT_LINGER_MS = 30.0
 # Time after which a new target that was never sent a request gets the next one.
 UNUSED_MS = 1500.0
-# Length of the window in which the sends to a target in cold start are counted.
+# Length of the window in which the sends to a target are counted for its cold start.
 COLD_WINDOW_MS = 1000.0
 
 
 class DiscoveredTarget:
     """The load, slowdown and recent failures of one start of one target.
 
-    ``is_open`` is set while it accepts new requests. ``started_at_ms`` maps the
-    dispatch id of each send in flight to its start, and ``lingering_until_ms`` holds
-    the times until which aborted requests still take a slot. ``may_report`` is False
-    for a target that is known not to report its slowdown. ``slowdown`` is its work time
-    divided by its usual one as last reported, or None; ``latency_ratio`` is the moving
-    average of its latencies divided by the service's mean, and ``error_share`` that of
-    its results, where an error counts as 1 and a success as 0. ``n_others`` is the
-    number of requests of other VMs at the target at ``others_at_ms``. Until
-    ``full_until_ms`` the target counts as full. ``cold_sent_at_ms`` holds the times of
-    the last second's sends in cold start. ``sent_at_ms`` is the time of the last send,
-    or at first that at which this VM learned of the target. ``ejection_ms`` is the
-    duration of the last ejection for failures, or 0 after a success. ``n_usable_slots``
-    is the number of slots that are used at most; see ``placing.usable_slots``.
+    ``is_open`` is set while its entry offers it, and ``is_leaving`` once it has said
+    that it leaves. It wants no requests of this VM until ``paused_until_ms``.
+    ``ignored_notice`` is the last value of a notice that could not be used, and
+    ``checked_at_ms`` the time of the last probe for a cold start. ``started_at_ms``
+    maps the dispatch id of each send in flight to its start, and ``lingering_until_ms``
+    holds the times until which aborted requests still take a slot. ``may_report`` is
+    False for a target that is known not to report its slowdown. ``slowdown`` is its
+    work time divided by its usual one as last reported, or None; ``latency_ratio`` is
+    the moving average of its latencies divided by the service's mean, and
+    ``error_share`` that of its results, where an error counts as 1 and a success as 0.
+    ``n_others`` is the number of requests of other VMs at the target at
+    ``others_at_ms``. Until ``full_until_ms`` the target counts as full.
+    ``recent_sent_at_ms`` holds the times of the last second's sends. ``sent_at_ms`` is
+    the time of the last send, or at first that at which this VM learned of the target.
+    ``ejection_ms`` is the duration of the last ejection for failures, or 0 after a
+    success. ``n_usable_slots`` is the number of slots that are used at most; see
+    ``placing.usable_slots``.
     """
 
     __slots__ = (
         "entry",
         "is_open",
+        "is_leaving",
+        "paused_until_ms",
+        "ignored_notice",
+        "checked_at_ms",
         "started_at_ms",
         "lingering_until_ms",
         "may_report",
@@ -73,7 +82,7 @@
         "ejection_ms",
         "full_until_ms",
         "cold_until_ms",
-        "cold_sent_at_ms",
+        "recent_sent_at_ms",
         "sent_at_ms",
         "probed_at_ms",
         "n_usable_slots",
@@ -83,6 +92,10 @@
     def __init__(self, entry, now_ms):
         self.entry = entry
         self.is_open = True
+        self.is_leaving = False
+        self.paused_until_ms = float("-inf")
+        self.ignored_notice = ""
+        self.checked_at_ms = now_ms
         self.started_at_ms = {}
         self.lingering_until_ms = deque()
         self.may_report = True
@@ -99,7 +112,7 @@
         self.ejection_ms = 0.0
         self.full_until_ms = float("-inf")
         self.cold_until_ms = float("-inf")
-        self.cold_sent_at_ms = deque()
+        self.recent_sent_at_ms = deque()
         self.sent_at_ms = now_ms
         self.probed_at_ms = float("-inf")
         self.n_usable_slots = usable_slots(entry.n_slots)
@@ -127,8 +140,8 @@
         self.started_at_ms[dispatch_id] = now_ms
         self.sent_at_ms = now_ms
         self.n_sent += 1
-        if now_ms < self.cold_until_ms:
-            self.cold_sent_at_ms.append(now_ms)
+        self.n_recent_sent(now_ms)
+        self.recent_sent_at_ms.append(now_ms)
 
     def end(self, dispatch_id, is_aborted, now_ms):
         """Record the end of one send; return its start time, or None if unknown."""
@@ -153,13 +166,51 @@
         """Return whether the target is in cold start."""
         return now_ms < self.cold_until_ms
 
-    def n_cold_sent(self, now_ms):
-        """Return the number of sends in cold start within the last second."""
-        while self.cold_sent_at_ms:
-            if self.cold_sent_at_ms[0] > now_ms - COLD_WINDOW_MS:
+    def n_recent_sent(self, now_ms):
+        """Return the number of sends within the last second.
+
+        Those before a cold start count too: the target may have been cold already.
+        """
+        while self.recent_sent_at_ms:
+            if self.recent_sent_at_ms[0] > now_ms - COLD_WINDOW_MS:
                 break
-            self.cold_sent_at_ms.popleft()
-        return len(self.cold_sent_at_ms)
+            self.recent_sent_at_ms.popleft()
+        return len(self.recent_sent_at_ms)
+
+    # Notices.
+
+    @property
+    def is_offered(self):
+        """Return whether the target takes new requests, apart from pauses."""
+        return self.is_open and not self.is_leaving
+
+    def take_notice(self, notice, now_ms):
+        """Apply a TargetNotice; return state changes for the log.
+
+        A target that leaves stays closed until a newer start of it is registered.
+        """
+        out = []
+        if notice.is_leaving and not self.is_leaving:
+            self.is_leaving = True
+            out.append(self._change("leaving", "it said so in an answer"))
+        if notice.pause_ms > 0.0:
+            self.paused_until_ms = max(self.paused_until_ms, now_ms + notice.pause_ms)
+            out.append(self._change("paused", f"for_ms={notice.pause_ms:.0f}"))
+        if notice.cold_ms > 0.0:
+            if not self.is_cold(now_ms):
+                out.append(self._change("cold", f"for_ms={notice.cold_ms:.0f}"))
+            self.extend_cold(notice.cold_ms, now_ms)
+        if notice.ignored and notice.ignored != self.ignored_notice:
+            self.ignored_notice = notice.ignored
+            out.append(self._change("notice ignored", notice.ignored))
+        return out
+
+    def extend_cold(self, cold_ms, now_ms):
+        """Let the cold start last for at least ``cold_ms`` from now."""
+        self.cold_until_ms = max(self.cold_until_ms, now_ms + cold_ms)
+
+    def _change(self, event, detail):
+        return StateChange("target", event, self.entry.target_id, detail)
 
     # Learning.
 
--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -20,6 +20,7 @@
     CheckPeerAlive,
     FindRoute,
     LoadProbeResult,
+    NoticeRelayed,
     Routed,
     StateChange,
 )
@@ -115,6 +116,7 @@
             FindRoute: self._find_route,
             AcquireSlot: self._acquire,
             LoadProbeResult: self._note_load,
+            NoticeRelayed: self._take_relayed_notice,
             Release: self._release,
             Withdraw: self._withdraw,
             CheckPeerAlive: self._check_peer_alive,
@@ -183,6 +185,10 @@
         service = self.find_service(message.service_name)
         return service.note_load(message, now_ms)
 
+    def _take_relayed_notice(self, message, now_ms):
+        service = self.find_service(message.service_name)
+        return service.take_notice(message.target_id, message.notice, now_ms)
+
     def _release(self, message, now_ms):
         service = self.find_service(message.permit.service_name)
         return service.release(message, now_ms)
--- a/packages/core/hornbeamstand_core/controllers/learning.py
+++ b/packages/core/hornbeamstand_core/controllers/learning.py
@@ -41,6 +41,15 @@
 
 def learn_response(service, target, response, latency_ms, now_ms):
     """Learn from a complete response."""
+    out = []
+    # A misdirected request was answered by another target.
+    if response.notice is not None and response.status != MISDIRECTED_STATUS:
+        out += target.take_notice(response.notice, now_ms)
+    return out + learn_outcome(service, target, response, latency_ms, now_ms)
+
+
+def learn_outcome(service, target, response, latency_ms, now_ms):
+    """Learn from the load and the status of a complete response."""
     if response.report is not None:
         target.note_load(response.report, 1, now_ms)
         learn_slowdown(service, response.report)
--- a/packages/core/hornbeamstand_core/controllers/load_probing.py
+++ b/packages/core/hornbeamstand_core/controllers/load_probing.py
@@ -18,6 +18,11 @@
 # Interval of the load probes of a target while requests wait. It counts from the
 # target's last slowdown figure or its last probe, whichever is later.
 PROBE_INTERVAL_MS = 50.0
+# Multiple of the cold start rate below which a target gets no more requests a second
+# than it bears in cold start, so that it need not be asked whether it is cold.
+COLD_CHECK_RATE_FACTOR = 2.0
+# Interval of the probes that ask a busier target whether it has become cold.
+COLD_CHECK_INTERVAL_MS = 100.0
 # Path of the load probes of a service that is not in the configuration.
 HEALTH_PATH_DEFAULT = "/health"
 
@@ -86,6 +91,24 @@
     ]
 
 
+def cold_check(service, target, now_ms):
+    """Return a probe of a busy target that may have become cold since the last one.
+
+    Only the answer to a probe says so at once; the entry in the store follows later.
+    """
+    if service.rules is None or target.is_cold(now_ms):
+        return []
+    limit = COLD_CHECK_RATE_FACTOR * service.rules.cold_rate_per_s
+    if target.n_recent_sent(now_ms) < limit:
+        return []
+    if now_ms - target.checked_at_ms < COLD_CHECK_INTERVAL_MS:
+        return []
+    target.checked_at_ms = now_ms
+    entry = target.entry
+    path = health_path(service)
+    return [SendProbe(service.name, entry.target_id, entry.address, path)]
+
+
 def is_probe_due(target, now_ms):
     """Return whether a target has a free slot and its slowdown figure is too old."""
     if not target.may_report:
--- a/packages/core/hornbeamstand_core/controllers/target_table.py
+++ b/packages/core/hornbeamstand_core/controllers/target_table.py
@@ -83,7 +83,7 @@
         target.entry = entry
         target.is_open = entry.state != DRAINING
         if entry.cold_remaining_ms > 0.0:
-            target.cold_until_ms = now_ms + entry.cold_remaining_ms
+            target.extend_cold(entry.cold_remaining_ms, now_ms)
         if was_open == target.is_open:
             return []
         return [StateChange("target", entry.state, entry.target_id)]
@@ -111,7 +111,7 @@
         target = self.by_key.get(key)
         if target is None:
             return []
-        if now_ms < self._suspect_until_ms and target.is_open:
+        if now_ms < self._suspect_until_ms and target.is_offered:
             self._suspect_keys.add(key)
             return [
                 StateChange("target", "doubted", target.entry.target_id, "store away")
@@ -164,8 +164,7 @@
                 continue
             service = self._find_service(target.entry.service_name)
             if service.rules is not None:
-                until_ms = now_ms + service.rules.cold_ms
-                target.cold_until_ms = max(target.cold_until_ms, until_ms)
+                target.extend_cold(service.rules.cold_ms, now_ms)
 
 
 def is_same_start(old, new):
--- a/packages/core/hornbeamstand_core/edge_messages.py
+++ b/packages/core/hornbeamstand_core/edge_messages.py
@@ -215,20 +215,50 @@
         self.needed = needed
 
 
+class TargetNotice(Record):
+    """What a target says of itself in an answer, beside its load.
+
+    ``is_leaving`` is set if it wants no new requests. It wants none from this VM for
+    ``pause_ms``, and stays in cold start for ``cold_ms``; both may be 0. ``ignored``
+    describes a value that could not be used, for the log.
+    """
+
+    __slots__ = ("is_leaving", "pause_ms", "cold_ms", "ignored")
+
+    def __init__(self, is_leaving=False, pause_ms=0.0, cold_ms=0.0, ignored=""):
+        self.is_leaving = is_leaving
+        self.pause_ms = pause_ms
+        self.cold_ms = cold_ms
+        self.ignored = ignored
+
+
+class NoticeRelayed(Record):
+    """A target's notice, in an answer that a peer relayed."""
+
+    __slots__ = ("service_name", "target_id", "notice")
+
+    def __init__(self, service_name, target_id, notice):
+        self.service_name = service_name
+        self.target_id = target_id
+        self.notice = notice
+
+
 class LoadProbeResult(Record):
     """The result of a load probe.
 
     ``report`` is None if no load figures came; ``is_answered`` distinguishes a target
-    that answered without them from one that did not answer.
+    that answered without them from one that did not answer. ``notice`` is the
+    TargetNotice of the answer, or None.
     """
 
-    __slots__ = ("service_name", "target_id", "report", "is_answered")
+    __slots__ = ("service_name", "target_id", "report", "is_answered", "notice")
 
-    def __init__(self, service_name, target_id, report, is_answered=True):
+    def __init__(self, service_name, target_id, report, is_answered=True, notice=None):
         self.service_name = service_name
         self.target_id = target_id
         self.report = report
         self.is_answered = is_answered
+        self.notice = notice
 
 
 class StartSend(Record):
--- a/packages/core/hornbeamstand_core/messages.py
+++ b/packages/core/hornbeamstand_core/messages.py
@@ -255,7 +255,7 @@
     A target's response may carry its ``report``, a TargetReport or LoadReport;
     ``did_not_run`` is set if the target states that it did not run the request. A
     peer's response carries its ``refusal``, or the ``target_id`` of the target that ran
-    the request.
+    the request. ``notice`` is the TargetNotice of a target, or None.
     """
 
     __slots__ = (
@@ -265,6 +265,7 @@
         "did_not_run",
         "refusal",
         "target_id",
+        "notice",
     )
 
     def __init__(
@@ -275,6 +276,7 @@
         did_not_run=False,
         refusal=None,
         target_id="",
+        notice=None,
     ):
         self.status = status
         self.payload = payload
@@ -282,6 +284,7 @@
         self.did_not_run = did_not_run
         self.refusal = refusal
         self.target_id = target_id
+        self.notice = notice
 
 
 class TargetReport(Record):
--- a/packages/entry/hornbeamstand_entry/edge/dialect.py
+++ b/packages/entry/hornbeamstand_entry/edge/dialect.py
@@ -91,6 +91,11 @@
         self.operator_prefix = operator_prefix
 
 
+def no_notice(status, get):
+    """Return None: targets of this platform say nothing of themselves."""
+    return None
+
+
 class Dialect(Record):
     """The headers, paths and codecs of one platform.
 
@@ -98,7 +103,8 @@
     returns the host name and the failure domain in the query of a lookup, and
     ``encode_lookup`` the response body for addresses and a time to live in
     milliseconds. ``vm_item`` returns the key and value of a VM's entry in the store,
-    given its id and IP address.
+    given its id and IP address. ``decode_notice`` returns the TargetNotice of a
+    target's answer, or None, given its status and a function that returns a header.
     """
 
     __slots__ = (
@@ -110,6 +116,7 @@
         "read_lookup",
         "encode_lookup",
         "vm_item",
+        "decode_notice",
     )
 
     def __init__(
@@ -122,6 +129,7 @@
         read_lookup,
         encode_lookup,
         vm_item,
+        decode_notice=no_notice,
     ):
         self.headers = headers
         self.store = store
@@ -131,6 +139,7 @@
         self.read_lookup = read_lookup
         self.encode_lookup = encode_lookup
         self.vm_item = vm_item
+        self.decode_notice = decode_notice
 
 
 class StoreRequest(Record):
--- a/packages/entry/hornbeamstand_entry/edge/load_probes.py
+++ b/packages/entry/hornbeamstand_entry/edge/load_probes.py
@@ -119,7 +119,8 @@
         return unanswered_result(probe)
     load = result.get(dialect.headers.load)
     report = dialect.decode_load(load) if load is not None else None
-    return LoadProbeResult(probe.service_name, probe.target_id, report)
+    notice = dialect.decode_notice(result.status_code, result.get)
+    return LoadProbeResult(probe.service_name, probe.target_id, report, True, notice)
 
 
 def unanswered_result(probe):
--- a/packages/entry/hornbeamstand_entry/edge/messages.py
+++ b/packages/entry/hornbeamstand_entry/edge/messages.py
@@ -110,7 +110,10 @@
             return None
     elif not (did_not_run or has_seal or has_own_id):
         return None
-    return UpstreamResponse(status, response, report, did_not_run=did_not_run)
+    notice = dialect.decode_notice(status, response.get)
+    return UpstreamResponse(
+        status, response, report, did_not_run=did_not_run, notice=notice
+    )
 
 
 def peer_response(response, peer_id):
--- a/packages/entry/hornbeamstand_entry/edge/performers.py
+++ b/packages/entry/hornbeamstand_entry/edge/performers.py
@@ -14,6 +14,7 @@
     CheckStop,
     ExchangeEnded,
     FindRoute,
+    NoticeRelayed,
     ProbeLoads,
     Relay,
     ReportError,
@@ -230,6 +231,7 @@
         if type(key) is Relay:
             response = peer_response(result, key.peer_id)
             sender = key.peer_id
+            post_relayed_notice(key, result, response)
         else:
             response = target_response(result, context, dialect)
             sender = key.target_id
@@ -237,6 +239,15 @@
             return SendFailure(BROKEN_RESPONSE, True, sender)
         return response
 
+    def post_relayed_notice(relayed, result, response):
+        # This VM may send to the target itself once the peer is gone.
+        if response is None or response.refusal is not None:
+            return
+        notice = dialect.decode_notice(result.status_code, result.get)
+        if notice is not None:
+            service_name = relayed.policy.service_name
+            control_task.post(NoticeRelayed(service_name, response.target_id, notice))
+
     def abort(effect, context):
         for exchange, key in list(context.key_by_exchange.items()):
             if key is effect.key:
--- a/standins/server.py
+++ b/standins/server.py
@@ -57,8 +57,10 @@
     (runs them and returns 500), ``cut`` (runs them and closes the connection without
     a response), ``extra`` (sends a second response), ``hang`` (never answers a request,
     nor any that follows on its connection) or ``early`` (answers before it reads the
-    body). ``speed`` is the factor of the
-    work time over ``work_ms``: 2.0 takes twice as long. ``started_wall_ms`` is the
+    body). ``is_leaving`` is set if it says in all answers that it leaves. It asks for a
+    pause of ``pause_s`` in each rejection, and states ``cold_ms`` in its health
+    answers, if these are not 0. ``speed`` is the factor of the work time over
+    ``work_ms``: 2.0 takes twice as long. ``started_wall_ms`` is the
     start time in the server's entry; a change of it stands for a restart. ``runs``
     counts runs by attempt id. ``arrivals`` has the time and attempt id of each request,
     also of those that did not run. ``received_requests`` has the request target and
@@ -72,6 +74,9 @@
         "n_slots",
         "work_ms",
         "mode",
+        "is_leaving",
+        "pause_s",
+        "cold_ms",
         "speed",
         "state",
         "started_wall_ms",
@@ -92,6 +97,9 @@
         self.n_slots = n_slots
         self.work_ms = work_ms
         self.mode = "ok"
+        self.is_leaving = False
+        self.pause_s = 0.0
+        self.cold_ms = 0.0
         self.speed = 1.0
         self.state = "ready"
         self.started_wall_ms = 1
@@ -143,6 +151,10 @@
         """
         return f"{self.n_running},0,{self.n_slots},{int(self.speed * 100)}"
 
+    def notice_items(self):
+        """Return the header lines that all answers have."""
+        return [("Server-Leaving", "1")] if self.is_leaving else []
+
     def serve(self, environ, start_response):
         """Serve one request (a WSGI application)."""
         if environ["PATH_INFO"] == "/health":
@@ -150,7 +162,10 @@
             items = [
                 ("Instance-Id", self.server_id),
                 ("Server-Load", self.load_figures()),
+                *self.notice_items(),
             ]
+            if self.cold_ms:
+                items.append(("Warmup-Ms", str(int(self.cold_ms))))
             return respond(start_response, 200, b"", items)
         attempt_id = environ.get("HTTP_ATTEMPT_ID", "")
         expected_id = environ.get("HTTP_EXPECT_INSTANCE", self.server_id)
@@ -165,7 +180,10 @@
                 ("Attempt-Id", attempt_id),
                 ("Not-Executed", "1"),
                 ("Server-Load", self.load_figures()),
+                *self.notice_items(),
             ]
+            if self.pause_s:
+                items.append(("Retry-After", str(self.pause_s)))
             return respond(start_response, 503, b"", items)
         body = b"" if self.mode == "early" else environ["wsgi.input"].read()
         self.received_requests.append(
@@ -186,6 +204,7 @@
             ("Attempt-Id", attempt_id),
             ("Server-Seal", f"seal-{self.server_id}"),
             ("Server-Load", self.load_figures()),
+            *self.notice_items(),
         ]
         self.n_running -= 1
         if self.mode == "cut":
--- a/tests/edge_parts.py
+++ b/tests/edge_parts.py
@@ -71,7 +71,12 @@
         """
         self.n_requests += 1
         request_id = request_id or f"r{self.n_requests}"
-        message = AcquireSlot(
+        message = self.make_acquire(request_id, kind, n_probe_rounds, **values)
+        return self.first_reply(self.service.acquire(message, self.now_ms))
+
+    def make_acquire(self, request_id, kind=FIRST, n_probe_rounds=2, **values):
+        """Return the message that requests a slot; see ``acquire``."""
+        return AcquireSlot(
             "shop",
             request_id,
             f"{request_id}#{kind}",
@@ -83,7 +88,6 @@
             values.get("excluded_ids", ()),
             n_probe_rounds,
         )
-        return self.first_reply(self.service.acquire(message, self.now_ms))
 
     def first_reply(self, messages):
         """Return the reply of the first DeferredReply message, or None."""
