--- a/packages/entry/hornbeamstand_entry/edge/metrics.py
+++ b/packages/entry/hornbeamstand_entry/edge/metrics.py
@@ -26,16 +26,18 @@
     reason of an answered call is its status. ``latencies`` maps a service to the
     histogram of its answered calls. ``gauges`` maps a name to a function that returns
     the value. ``n_load_probes`` is the number of load probes that requests sent and
-    that were answered or failed.
+    that were answered or failed. ``state_changes`` maps (component, event) to the
+    number of such changes.
     """
 
-    __slots__ = ("calls", "latencies", "gauges", "n_load_probes")
+    __slots__ = ("calls", "latencies", "gauges", "n_load_probes", "state_changes")
 
     def __init__(self):
         self.calls = {}
         self.latencies = {}
         self.gauges = {}
         self.n_load_probes = 0
+        self.state_changes = {}
 
     def count_edge_call(self, call, outcome, now_ms):
         """Count a finished call by its outcome; record its latency if it was answered.
@@ -55,6 +57,11 @@
         elapsed_ms = int(now_ms - call.request.arrived_at_ms)
         histogram.record_value(min(HISTOGRAM_MAX_MS, max(1, elapsed_ms)))
 
+    def count_state_change(self, change):
+        """Count a StateChange, such as a target that says that it leaves."""
+        key = (change.component, change.event)
+        self.state_changes[key] = self.state_changes.get(key, 0) + 1
+
     def _count(self, service, outcome, reason):
         key = (service, outcome, reason)
         if key not in self.calls and len(self.calls) >= N_LABEL_SETS_MAX:
@@ -74,6 +81,14 @@
         )
         for key, count in self.calls.items():
             calls.labels(*key).set(count)
+        changes = Gauge(
+            "hornbeamstand_state_changes_total",
+            "Changes of state that were noticed",
+            ["component", "event"],
+            registry=registry,
+        )
+        for key, count in self.state_changes.items():
+            changes.labels(*key).set(count)
         latency = Gauge(
             "hornbeamstand_latency_ms",
             "Latency of answered calls",
--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -5,6 +5,7 @@
 from hornbeamstand_core.balancer_messages import SendProbe
 from hornbeamstand_core.controllers.edge import EdgeNode
 from hornbeamstand_core.controllers.stop_limit import StopLimit
+from hornbeamstand_core.edge_messages import StateChange
 from hornbeamstand_core.edge_node_messages import (
     FetchConfig,
     Resync,
@@ -128,6 +129,7 @@
             settings.ip, settings.peer_port, self.control_task, self.log
         )
         self.control_task.connect(SendEdgeHeartbeat, heartbeats.post)
+        self.control_task.connect(StateChange, self.note_state_change)
         self.control_task.connect(Resync, self.store_watcher.resync)
         self.control_task.connect(SetWatch, self.set_watch)
         self.control_task.connect(SendContacts, heartbeats.post)
@@ -146,6 +148,11 @@
         self.registration.start(stack)
         self.store_watcher.start(stack)
 
+    def note_state_change(self, change):
+        """Log and count a StateChange."""
+        self.metrics.count_state_change(change)
+        self.log.state_change(change)
+
     def set_watch(self, message):
         """Pass a SetWatch to the tasks that depend on what is watched."""
         self.store_watcher.set_watch(message)
--- a/tests/test_platform_notices.py
+++ b/tests/test_platform_notices.py
@@ -102,3 +102,15 @@
         for at_s in times_s
     ]
     return max(counts)
+
+
+def test_what_targets_say_is_counted(cell):
+    cell.servers[0].is_leaving = True
+    cell.wait_for(lambda: log_has(cell, "target: leaving"))
+    vm = cell.vms[0]
+    cell.wait_for(lambda: 'event="leaving"' in metrics_of(cell, vm))
+
+
+def metrics_of(cell, vm):
+    cell.send(vm, "/tools/x")
+    return cell.call(vm, "metrics", "GET", "/metrics").body.decode()
