Serve a request that came on an idle connection before its time ran out

Callers saw a kept connection closed without an answer, although their request had come long before the end of the idle time: in a soak of 9 processes with freezes and short idle times, connections of a VM that ran again after 2 s were closed 1.1 to 1.8 s after whole requests had been sent on them.

Cause: the wait for a request was limited by the timeout of the socket. After a freeze the system call of the event loop is interrupted and reports no sockets, the timeouts that have passed meanwhile come first, and the connection closes with the request in it.

At the end of the idle time the connection now looks for bytes and closes only without them. The timeout is no longer one of the socket, because the file of a socket can't be read any more after that.

--- a/packages/entry/hornbeamstand_entry/edge/servers.py
+++ b/packages/entry/hornbeamstand_entry/edge/servers.py
@@ -11,7 +11,7 @@
 
 
 class IdleConnectionEnded(OSError):
-    """Raised in the greenlet of a connection that a planned stop closes."""
+    """Raised in the greenlet of an idle connection that is closed."""
 
 
 class EdgeServer(WSGIServer):
@@ -45,12 +45,22 @@
     def wait_for_request(self):
         """Mark the connection as idle until the next request begins to arrive.
 
-        The wait is limited by the current maximum idle time.
+        The wait is limited by the current maximum idle time. A request that arrived
+        before its end is served, also if this process notices it later.
         """
         self.is_idle = True
-        self.socket.settimeout(self.server.idle_ms() / MS_PER_S)
-        super().wait_for_request()
-        self.is_idle = False
+        idle_s = self.server.idle_ms() / MS_PER_S
+        # The file of a socket can't be read any more after a timeout of the socket.
+        self.socket.settimeout(None)
+        while self.is_idle:
+            try:
+                with gevent.Timeout(idle_s, IdleConnectionEnded("idle for too long")):
+                    super().wait_for_request()
+                self.is_idle = False
+            except IdleConnectionEnded:
+                if not has_bytes(self.socket):
+                    raise
+        self.socket.settimeout(idle_s)
 
 
 def start_server(address, app, stack, idle_ms, limits):
--- /dev/null
+++ b/tests/test_platform_freezes.py
@@ -0,0 +1,55 @@
+"""A VM that did not run for a while serves the requests that came meanwhile."""
+
+import signal
+
+import gevent
+import msgspec
+from gevent import socket as gevent_socket
+
+from standins.edge_cell import HOST, EdgeCell
+
+PREFIXES = {"/tools/": ("shop", "idempotent"), "/orders/": ("shop", "non_idempotent")}
+# The VM closes idle connections 2 s later than it tells callers.
+IDLE_LIMIT_S = 2.1
+IDLE_BEFORE_S = 1.0
+FREEZE_S = 2.0
+REQUEST = (
+    f"GET /tools/x HTTP/1.1\r\nHost: {HOST}\r\n"
+    "Attempt-Id: a\r\nDeadline-Ms: 5000\r\n\r\n"
+).encode()
+BODY = b"ran /tools/x "
+
+
+def shorten_idle_time(cell):
+    """Publish the configuration once more, with a shorter IdleTimeout."""
+    raw = msgspec.json.decode(cell.store.items["op/config"].value)
+    raw["Limits"]["IdleTimeout"] = "100ms"
+    cell.store.put("op/config", {**raw, "Version": "r2"})
+
+
+def read_answer(sock):
+    """Return the answer to one request, or what came before the connection's end."""
+    data = b""
+    while not data.endswith(BODY) and (chunk := sock.recv(65536)):
+        data += chunk
+    return data
+
+
+def test_a_request_that_came_on_an_idle_connection_in_a_freeze_is_served(tmp_path):
+    """Guards against a kept connection that is closed with a request in it."""
+    with EdgeCell(tmp_path, n_vms=1) as cell:
+        cell.add_server("shop-0", n_slots=6)
+        cell.set_config(1, PREFIXES, timeout_ms=5000)
+        shorten_idle_time(cell)
+        cell.start_all()
+        vm = cell.vms[0]
+        sock = gevent_socket.create_connection((vm.ip, vm.ports["front"]), timeout=6.0)
+        cell.stack.callback(sock.close)
+        sock.sendall(REQUEST)
+        assert read_answer(sock).startswith(b"HTTP/1.1 200")
+        gevent.sleep(IDLE_BEFORE_S)
+        cell.signal(vm, signal.SIGSTOP)
+        sock.sendall(REQUEST)
+        gevent.sleep(FREEZE_S)
+        cell.signal(vm, signal.SIGCONT)
+        assert read_answer(sock).startswith(b"HTTP/1.1 200")
