--- a/packages/entry/tests/test_response_cuts.py
+++ b/packages/entry/tests/test_response_cuts.py
@@ -81,6 +81,7 @@
 cut_places = st.lists(st.integers(0, 250), max_size=6)
 
 
+@pytest.mark.fuzz
 @given(
     rules_names,
     st.sampled_from(sorted(FRAMED)),
@@ -101,6 +102,7 @@
     assert read(pieces_of(cut, cuts, is_reset), parser, RULES[name]) is None
 
 
+@pytest.mark.fuzz
 @given(
     rules_names,
     st.sampled_from(sorted(FRAMED | UNFRAMED)),
