Close idle connections when no descriptor is left to accept another one

Idle kept connections held the descriptors, nothing freed them, and new connections, of peers too, waited in the backlog.

An accept that finds no descriptor now closes the idle connections of all servers of the process; the library accepts again shortly after. A connection with bytes is not idle.

--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -226,9 +226,15 @@
 
         self.caller_servers = [listen_at(settings.front_address, front.serve_caller)]
         self.peer_server = listen_at(peer_address, front.serve_peer, self.peer_limits)
-        listen_at(settings.ready_address, front.serve_ready)
-        listen_at(settings.lookup_address, front.serve_lookup)
-        listen_at(settings.admin_address, self.serve_admin)
+        servers = [
+            *self.caller_servers,
+            self.peer_server,
+            listen_at(settings.ready_address, front.serve_ready),
+            listen_at(settings.lookup_address, front.serve_lookup),
+            listen_at(settings.admin_address, self.serve_admin),
+        ]
+        for server in servers:
+            server.siblings = servers
 
     def caller_limits(self):
         """Return the CallerLimits in force."""
--- a/packages/entry/hornbeamstand_entry/edge/servers.py
+++ b/packages/entry/hornbeamstand_entry/edge/servers.py
@@ -1,5 +1,6 @@
 """WSGI servers of an edge process that keep track of their open connections."""
 
+import errno
 import socket
 
 import gevent
@@ -8,6 +9,8 @@
 from ..http_server import CallerHandler, make_server
 
 MS_PER_S = 1000.0
+# Errors of an accept for which the process or the system has no descriptor left.
+NO_DESCRIPTOR_ERRORS = frozenset([errno.EMFILE, errno.ENFILE])
 
 
 class IdleConnectionEnded(OSError):
@@ -18,9 +21,21 @@
     """Counts the accepted connections whose greenlets have not begun to run.
 
     ``open_handlers`` are the EdgeHandlers of the other open connections.
+    ``siblings`` are all servers of the process, whose idle connections are closed when
+    no descriptor is left to accept another one.
     """
 
     n_unstarted = 0
+    siblings = ()
+
+    def do_read(self):
+        """Accept a connection; return its socket and address, or None."""
+        try:
+            return super().do_read()
+        except OSError as error:
+            if error.errno in NO_DESCRIPTOR_ERRORS:
+                close_idle_connections(self.siblings)
+            raise
 
     def do_handle(self, *accepted):
         """Start the greenlet of a connection."""
