Don't take a target without load figures for slow when a probe goes unanswered

What callers saw: idempotent requests to a busy service whose targets report no load were sent twice early, after a tenth of their latency objective.

Cause: a busy target is now asked every 100 ms whether it is cold, also one that is known to report no load. Such a target lets the probe wait for a slot like any other request, so it is often not answered in time, and the target then counted as slow.

Evidence: the new test fails without the change: the target's speed class was SLOW after one probe without an answer.

The slowdown that an unanswered probe stands for is now noted only of targets that may report one. Those were the only ones probed before.

--- a/packages/core/hornbeamstand_core/controllers/capacity.py
+++ b/packages/core/hornbeamstand_core/controllers/capacity.py
@@ -275,8 +275,10 @@
         if target is None:
             return []
         if not message.is_answered:
-            target.slowdown = UNANSWERED_SLOWDOWN
-            target.slowdown_at_ms = now_ms
+            # A target that reports no load may let a probe wait for a slot.
+            if target.may_report:
+                target.slowdown = UNANSWERED_SLOWDOWN
+                target.slowdown_at_ms = now_ms
             return []
         target.checked_at_ms = now_ms
         if message.report is None:
--- a/packages/core/tests/test_load_probing.py
+++ b/packages/core/tests/test_load_probing.py
@@ -3,6 +3,7 @@
 from tests.edge_parts import ServiceHarness, is_permit, make_entry, needs_probes
 
 from hornbeamstand_core.balancer_messages import SendProbe
+from hornbeamstand_core.controllers.placing import UNKNOWN
 from hornbeamstand_core.edge_messages import LoadReport
 
 
@@ -104,3 +105,14 @@
     harness.report_no_load("t1", is_answered=False)
     harness.report_load("t2", 1.2)
     assert harness.acquire(n_probe_rounds=2).target_id == "t2"
+
+
+def test_a_target_that_reports_no_load_is_not_slow_when_it_answers_no_probe():
+    """Guards against hedges sent early because a busy target left a probe unanswered.
+
+    Busy targets are asked whether they are cold, also those without load figures.
+    """
+    harness = ServiceHarness([make_entry("t1")])
+    harness.release(harness.acquire())
+    harness.report_no_load("t1", is_answered=False)
+    assert harness.acquire().speed_class == UNKNOWN
