Count a connection as started also if its handler can't be made

What callers saw: a planned stop that lasted until the end of the grace period.

Cause: a connection left the count of those that have not begun to run only in its handler's ``handle``. The making of a handler opens a file of the socket, and may find no memory; the count then stayed above 0 for good.

Evidence: the new test fails without the change: the server had requests after its only connection was closed.

The server now lowers the count in its own ``handle``, which is the first thing that the connection's greenlet calls. Nothing else runs between that and the entry of the handler in ``open_handlers``.

--- a/packages/entry/hornbeamstand_entry/edge/servers.py
+++ b/packages/entry/hornbeamstand_entry/edge/servers.py
@@ -27,13 +27,17 @@
         super().do_handle(*accepted)
         self.n_unstarted += 1
 
+    def handle(self, sock, address):
+        """Serve a connection; its greenlet calls this as it begins to run."""
+        self.n_unstarted -= 1
+        super().handle(sock, address)
+
 
 class EdgeHandler(CallerHandler):
     """Serves one connection, which a planned stop may close while it is idle."""
 
     def handle(self):
         """Register the handler with its server while the connection is open."""
-        self.server.n_unstarted -= 1
         self.server.open_handlers.add(self)
         self.greenlet = gevent.getcurrent()
         self.is_idle = True
--- a/packages/entry/tests/test_edge_servers.py
+++ b/packages/entry/tests/test_edge_servers.py
@@ -4,7 +4,7 @@
 
 import gevent
 import pytest
-from gevent import pywsgi
+from gevent import pywsgi, socket
 from hornbeamstand_core.routes import CallerLimits
 from hornbeamstand_entry import http_server
 from hornbeamstand_entry.edge import servers as edge_servers
@@ -65,3 +65,16 @@
     server = start(stack)
     assert server.get_environ()["SERVER_NAME"] == "127.0.0.1"
     assert resolver.lookups == []
+
+
+def test_a_connection_that_is_not_served_does_not_hold_up_a_stop(stack, monkeypatch):
+    """Guards against a stop that waits for a connection whose handler failed."""
+    server = start_edge(stack)
+
+    def fail(*args):
+        raise MemoryError
+
+    monkeypatch.setattr(server, "handler_class", fail)
+    with socket.create_connection(("127.0.0.1", server.server_port)) as caller:
+        assert caller.recv(1) == b""
+    assert not edge_servers.has_requests([server])
