Outlive an accepted connection for whose greenlet there is no memory

What callers saw: every request of the process was cut when one new connection found no memory.

Cause: the event loop reports such an error with a tuple of the connection's address and the server. Only a server by itself counted as one that handles its errors, so the process ended with status 70 as if the loop could not call back.

Evidence: the new case of the test fails without the change, with status 70.

The server has closed the connection by then and accepts again after a delay. The error is logged as that of the acceptor.

--- a/packages/entry/hornbeamstand_entry/tasks/task.py
+++ b/packages/entry/hornbeamstand_entry/tasks/task.py
@@ -58,6 +58,9 @@
     handle_error = hub.handle_error
 
     def handle_loop_error(context, kind, error, trace):
+        if isinstance(context, tuple) and isinstance(context[-1], BaseServer):
+            # A connection that was accepted, with its server; it is closed already.
+            context = context[-1]
         is_contained = isinstance(context, (gevent.Greenlet, BaseServer, dict))
         if issubclass(kind, MemoryError) and not is_contained:
             exit_on_failure("event-loop", error or MemoryError())
--- a/packages/entry/tests/test_task_failures.py
+++ b/packages/entry/tests/test_task_failures.py
@@ -112,6 +112,17 @@
 lifecycle.run_edge(settings, None, None)
 raise SystemExit(0)
 """
+FAIL_ACCEPTED = """
+from gevent.server import StreamServer
+server = StreamServer(("127.0.0.1", 0), fail, spawn=lambda *args: fail())
+lifecycle.wait_for_stop = lambda *args: gevent.sleep(0.2)
+lifecycle.stop = lambda process: None
+server.start()
+address = ("127.0.0.1", server.server_port)
+gevent.socket.create_connection(address)
+lifecycle.run_edge(settings, None, None)
+raise SystemExit(0)
+"""
 FAIL_GREENLET = """
 lifecycle.wait_for_stop = lambda *args: gevent.sleep(0.2)
 lifecycle.stop = lambda process: None
@@ -229,7 +240,12 @@
 
 
 @pytest.mark.parametrize(
-    "part, body", [("acceptor", FAIL_ACCEPT), ("greenlet", FAIL_GREENLET)]
+    "part, body",
+    [
+        ("acceptor", FAIL_ACCEPT),
+        ("acceptor", FAIL_ACCEPTED),
+        ("greenlet", FAIL_GREENLET),
+    ],
 )
 def test_error_that_only_the_event_loop_learns_of_is_logged(part, body):
     status, lines = run_process(START_EDGE + body)
