Register a connection pool only once its task has started

What callers could see, from the code: after one request that found no memory, each further one to the same target or peer waited for its whole deadline.

Cause: the pool of an address was registered before its task started. If the start failed, it stayed: later exchanges went to a mailbox that nobody read, and the pool was never removed, because its mailbox was not empty.

Evidence: the new test fails without the change: the second exchange has no result.

The pool is now registered after its start, so the next exchange makes a new one.

--- a/packages/entry/hornbeamstand_entry/tasks/pools.py
+++ b/packages/entry/hornbeamstand_entry/tasks/pools.py
@@ -200,9 +200,10 @@
 
     def _open(self, address):
         pool = ConnectionPool(address, self.clock, self.rules)
+        with ExitStack() as stack:
+            pool.start(stack)
+            self._stacks[address] = stack.pop_all()
         self._pools[address] = pool
-        self._stacks[address] = ExitStack()
-        pool.start(self._stacks[address])
         return pool
 
     def _sweep_loop(self):
--- a/packages/entry/tests/test_connections.py
+++ b/packages/entry/tests/test_connections.py
@@ -330,3 +330,27 @@
     timer.close()
     server.behave = lambda connection, n_request: "answer"
     assert body(send(pool, timeout_ms=500.0)) == b"02"
+
+
+def fail_once(monkeypatch, owner, name):
+    """Let the next call of a function find no memory."""
+    function = getattr(owner, name)
+
+    def fail(*args):
+        monkeypatch.setattr(owner, name, function)
+        raise MemoryError
+
+    monkeypatch.setattr(owner, name, fail)
+
+
+def test_an_address_is_used_again_after_its_pool_found_no_memory(stack, monkeypatch):
+    """Guards against requests that are given to a pool whose task never started."""
+    server = ScriptedServer(stack)
+    pools = Pools(make_process_clock(), stack)
+    not_after_ms = pools.clock.now_ms() + 1000.0
+    exchange = Exchange("GET", REQUEST, not_after_ms, False, 1000, SimpleQueue())
+    fail_once(monkeypatch, ConnectionPool, "start")
+    with pytest.raises(MemoryError):
+        pools.post(server.address, exchange)
+    pools.post(server.address, exchange)
+    assert body(exchange.receive_result(500.0)) == b"01"
