Fail only its request when a connection finds no memory to open

What callers could see, from the code: every request of the process was cut when one exchange needed a new connection and the process had reached a limit of its memory.

Cause: the pool's task makes the connection with its parser and greenlet, and a failed task ends the process. The connection was also noted before it started, so a pool that is closed would have met a task without a greenlet.

Evidence: the new test fails without the change: the pool's task asked for the end of the process.

The pool now replies to that exchange that it was not sent, as for an address at which nobody listens, so the request may go to another target.

--- a/packages/entry/hornbeamstand_entry/tasks/pools.py
+++ b/packages/entry/hornbeamstand_entry/tasks/pools.py
@@ -9,6 +9,7 @@
     Connection,
     ConnectionIdle,
     ConnectionRules,
+    fail_exchange,
     start_connection,
 )
 from .exchange import Exchange
@@ -83,9 +84,11 @@
     def _assign(self, exchange):
         if exchange.is_cancelled:
             return
-        connection = self._take_idle(exchange)
-        if connection is None:
-            connection = self._open()
+        try:
+            connection = self._take_idle(exchange) or self._open()
+        except Exception as error:
+            fail_exchange(exchange, self.address, error)
+            return
         exchange.connection = connection
         connection.exchange = exchange
         connection.task.post(exchange)
@@ -119,8 +122,8 @@
 
     def _open(self):
         connection = Connection(f"connection {self.address}", self.rules)
-        self._connection_tasks.add(connection.task)
         start_connection(connection, self.address, self.task, self.clock)
+        self._connection_tasks.add(connection.task)
         return connection
 
     def _note_idle(self, connection):
--- a/packages/entry/tests/test_connections.py
+++ b/packages/entry/tests/test_connections.py
@@ -12,6 +12,8 @@
 from gevent.server import StreamServer
 from hornbeamstand_core.messages import SendFailure
 from hornbeamstand_entry.clock import make_process_clock
+from hornbeamstand_entry.tasks import pools as pools_module
+from hornbeamstand_entry.tasks import task
 from hornbeamstand_entry.tasks.connections import ConnectionRules
 from hornbeamstand_entry.tasks.exchange import Exchange, ExchangeResult
 from hornbeamstand_entry.tasks.pools import ConnectionPool, Pools
@@ -354,3 +356,15 @@
         pools.post(server.address, exchange)
     pools.post(server.address, exchange)
     assert body(exchange.receive_result(500.0)) == b"01"
+
+
+def test_a_connection_that_finds_no_memory_fails_only_its_request(stack, monkeypatch):
+    """Guards against the end of the process for one connection that can't be opened."""
+    ends = []
+    monkeypatch.setattr(task, "exit_on_failure", lambda *args: ends.append(args))
+    _, pool = start(stack)
+    fail_once(monkeypatch, pools_module, "start_connection")
+    result = send(pool, timeout_ms=500.0)
+    assert ends == []
+    assert isinstance(result, SendFailure) and not result.may_have_run
+    assert body(send(pool, timeout_ms=500.0)) == b"01"
