Keep what a target said of itself while its entry is away

What targets could see, from the code: requests of a VM to which they had said that they leave, or that they want a pause. The case needs the entry to go and come back for the same start: the VM stops watching targets and watches them again, a read of the store that is seconds old names a removed target, or an entry lapses while the store is down. With a notice of leaving the last one got likelier, because such a target is removed at once and not kept as suspect.

Cause: a removed target was forgotten with its notices, and its entry, which says "ready", made a new one. TARGETS.md promises that nothing is sent until a newer start.

Evidence: the new test fails without the change for both notices and both ways in which an entry goes. That a newer start is used is tested too.

The table keeps removed targets that said that they leave or pause, 1000 at most, and a target of the same start takes their notices over.

--- a/packages/core/hornbeamstand_core/controllers/discovered_target.py
+++ b/packages/core/hornbeamstand_core/controllers/discovered_target.py
@@ -205,6 +205,16 @@
             out.append(self._change("notice ignored", notice.ignored))
         return out
 
+    @property
+    def has_notices(self):
+        """Whether the target has said that it leaves or wants a pause."""
+        return self.is_leaving or self.paused_until_ms > float("-inf")
+
+    def adopt_notices(self, earlier):
+        """Take over the notices of this start of the target, as it was known before."""
+        self.is_leaving = earlier.is_leaving
+        self.paused_until_ms = earlier.paused_until_ms
+
     def extend_cold(self, cold_ms, now_ms):
         """Let the cold start last for at least ``cold_ms`` from now."""
         self.cold_until_ms = max(self.cold_until_ms, now_ms + cold_ms)
--- a/packages/core/hornbeamstand_core/controllers/target_table.py
+++ b/packages/core/hornbeamstand_core/controllers/target_table.py
@@ -12,6 +12,8 @@
 # Time for which suspect targets are kept after the store is available again. Targets
 # whose entries lapsed while it was unavailable register again within this time.
 REREGISTER_MS = 2000.0
+# Maximum number of removed targets whose notices are kept.
+N_REMOVED_MAX = 1000
 
 
 class TargetTable:
@@ -30,6 +32,7 @@
         "_find_service",
         "_suspect_until_ms",
         "_suspect_keys",
+        "_removed",
         "is_filled",
     )
 
@@ -38,6 +41,9 @@
         self._find_service = find_service
         self._suspect_until_ms = float("-inf")
         self._suspect_keys = set()
+        # Maps a key to its removed target. The entry of the same start may come back,
+        # and what the target said of itself still holds.
+        self._removed = {}
         self.is_filled = False
 
     def note_store_unavailable(self, now_ms):
@@ -70,6 +76,9 @@
             # A target that appears after the first read counts as just started.
             cold_ms = max(cold_ms, service.rules.cold_ms)
         target.cold_until_ms = now_ms + cold_ms
+        removed = self._removed.pop(entry.key, None)
+        if removed is not None and is_same_start(removed.entry, entry):
+            target.adopt_notices(removed)
         self.by_key[entry.key] = target
         service.targets[entry.target_id] = target
         detail = (
@@ -93,6 +102,14 @@
         if service.targets.get(target.entry.target_id) is target:
             del service.targets[target.entry.target_id]
 
+    def _keep_notices(self, target):
+        """Keep a removed target if it wants no requests, at most ``N_REMOVED_MAX``."""
+        if not target.has_notices:
+            return
+        self._removed[target.entry.key] = target
+        if len(self._removed) > N_REMOVED_MAX:
+            del self._removed[next(iter(self._removed))]
+
     def close(self, key):
         """Send nothing more to the target of a key until its entry is written again.
 
@@ -118,6 +135,7 @@
             ]
         del self.by_key[key]
         self._remove_from_service(target)
+        self._keep_notices(target)
         return [StateChange("target", "gone", target.entry.target_id)]
 
     def expire_suspects(self, now_ms):
@@ -138,6 +156,7 @@
         """Remove every target, because this VM no longer watches them."""
         for target in self.by_key.values():
             self._remove_from_service(target)
+            self._keep_notices(target)
         self.by_key.clear()
         self._suspect_keys.clear()
         self.is_filled = False
--- a/packages/core/tests/test_target_notices.py
+++ b/packages/core/tests/test_target_notices.py
@@ -57,6 +57,36 @@
     assert isinstance(harness.acquire(), Refusal)
 
 
+def remove_entry(harness):
+    harness.table.remove(make_entry("t1").key, harness.now_ms)
+
+
+def clear_entries(harness):
+    harness.table.clear()
+
+
+@pytest.mark.parametrize("lose", [remove_entry, clear_entries])
+@pytest.mark.parametrize(
+    "notice", [TargetNotice(True), TargetNotice(pause_ms=PAUSE_MS)]
+)
+def test_a_notice_holds_when_the_entry_of_the_same_start_comes_back(lose, notice):
+    """Guards against requests to a leaving target whose entry was away for a moment."""
+    harness = ServiceHarness([make_entry("t1")])
+    report(harness, "t1", notice)
+    lose(harness)
+    harness.table.replace_all([make_entry("t1")], harness.now_ms)
+    assert isinstance(harness.acquire(), Refusal)
+
+
+@pytest.mark.parametrize("lose", [remove_entry, clear_entries])
+def test_a_newer_start_is_used_after_the_entry_of_a_leaving_target_went(lose):
+    harness = ServiceHarness([make_entry("t1")])
+    report(harness, "t1", TargetNotice(True))
+    lose(harness)
+    harness.table.replace_all([make_entry("t1", started_wall_ms=2)], harness.now_ms)
+    assert is_permit(harness.acquire())
+
+
 def test_a_newer_start_of_a_leaving_target_is_used_again():
     harness = ServiceHarness([make_entry("t1")])
     report(harness, "t1", TargetNotice(True))
