--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -4,16 +4,10 @@
 
 from ..balancer_messages import DeferredReply
 from ..discovery import (
-    ConfigEntry,
-    DomainOutOfService,
-    InvalidEntry,
-    KeyRemoved,
     StoreAvailable,
     StoreChanges,
     StoreSnapshot,
     StoreUnavailable,
-    TargetEntry,
-    VmEntry,
 )
 from ..edge_messages import (
     AcquireSlot,
@@ -41,6 +35,7 @@
 from .overload import OverloadDetector
 from .peer_view import PeerView
 from .routing import Routing
+from .store_records import StoreRecords
 from .target_table import TargetTable
 from .watch_scope import WatchScope
 
@@ -53,9 +48,8 @@
 class EdgeNode:
     """The routes, targets, service capacities and peers of one VM.
 
-    ``out_of_service_domains`` maps the store's key of each domain that is out of
-    service to the domain. ``revision`` is the latest revision of the store that this VM
-    has seen, and ``config_raw`` the encoded configuration, which peers copy.
+    ``revision`` is the latest revision of the store that this VM has seen, and
+    ``config_raw`` the encoded configuration, which peers copy.
 
     Parameters
     ----------
@@ -79,11 +73,11 @@
         "overload",
         "table",
         "services",
-        "out_of_service_domains",
         "revision",
         "config_raw",
         "is_store_unavailable",
         "_available_to_peer_at_ms",
+        "_records",
         "_rng",
         "_next_round_ms",
         "_fetch_sent_at_ms",
@@ -101,7 +95,6 @@
         self.overload = OverloadDetector(me.started_at_ms)
         self.services = {}
         self.table = TargetTable(self.find_service)
-        self.out_of_service_domains = {}
         self.revision = 0
         self.config_raw = b""
         self.is_store_unavailable = False
@@ -110,6 +103,9 @@
         self._available_to_peer_at_ms = None
         self._rng = Random(f"{me.vm_id}{me.start_id}")
         self.routing = Routing(self._rng)
+        self._records = StoreRecords(
+            self.routing, self.table, self.services, self.peers, self._note_config
+        )
         self._next_round_ms = 0.0
         self._fetch_sent_at_ms = float("-inf")
         self._handlers = {
@@ -149,7 +145,7 @@
             )
             if self.routing.config is not None:
                 service.rules = self.routing.config.services.get(name)
-            service.out_of_service_domains = self._out_of_service_set()
+            service.out_of_service_domains = self._records.out_of_service_domains()
             self.services[name] = service
         return service
 
@@ -211,28 +207,11 @@
     # The store.
 
     def _apply_changes(self, message, now_ms):
-        out = []
-        for record in message.records:
-            out += self._apply_record(record, now_ms)
+        out = self._records.apply_changes(message, now_ms)
         return out + self._finish_update(message.revision, now_ms)
 
     def _apply_snapshot(self, message, now_ms):
-        out = []
-        entries = []
-        out_of_service_keys = []
-        for record in message.records:
-            if type(record) is TargetEntry:
-                entries.append(record)
-                continue
-            if type(record) is DomainOutOfService:
-                out_of_service_keys.append(record.key)
-            out += self._apply_record(record, now_ms)
-        for key in [
-            key for key in self.out_of_service_domains if key not in out_of_service_keys
-        ]:
-            out += self._note_domain_in_service(key, now_ms)
-        if message.has_targets:
-            out += self.table.replace_all(entries, now_ms)
+        out = self._records.apply_snapshot(message, now_ms)
         return out + self._finish_update(message.revision, now_ms)
 
     def _finish_update(self, revision, now_ms):
@@ -269,58 +248,13 @@
                 out += service.drain(now_ms)
         return out
 
-    def _apply_record(self, record, now_ms):
-        if type(record) is TargetEntry:
-            return self.table.put(record, now_ms)
-        if type(record) is ConfigEntry:
-            return self._adopt_config(record, now_ms)
-        if type(record) is DomainOutOfService:
-            return self._note_domain_out_of_service(record)
-        if type(record) is VmEntry:
-            self.peers.note_contact(record.ip)
-            return []
-        if type(record) is InvalidEntry:
-            self.table.close(record.key)
-            return [StateChange("store", "unreadable entry", record.key, record.detail)]
-        return self._apply_removal(record, now_ms)
-
-    def _apply_removal(self, record: KeyRemoved, now_ms):
-        if record.key in self.out_of_service_domains:
-            return self._note_domain_in_service(record.key, now_ms)
-        return self.table.remove(record.key, now_ms)
-
-    def _adopt_config(self, record, now_ms):
-        out = self.routing.adopt(record.config)
-        if not out:
-            return []
+    def _note_config(self, record, now_ms):
+        """Keep a new configuration for the peers, and announce it to them."""
         self.config_raw = record.raw
         if self.watch_scope.scope != WATCH_NOTHING:
             # Peers that watch nothing learn of the new version from heartbeats.
             self.peers.expedite_local()
             self._next_round_ms = now_ms
-        for service in self.services.values():
-            service.rules = self.routing.config.services.get(service.name)
-        return out
-
-    def _note_domain_out_of_service(self, record):
-        if record.key in self.out_of_service_domains:
-            return []
-        self.out_of_service_domains[record.key] = record.failure_domain
-        self._publish_out_of_service_domains()
-        return [StateChange("domain", "out", record.failure_domain)]
-
-    def _note_domain_in_service(self, key, now_ms):
-        failure_domain = self.out_of_service_domains.pop(key)
-        self.table.begin_cold(failure_domain, now_ms)
-        self._publish_out_of_service_domains()
-        return [StateChange("domain", "in", failure_domain)]
-
-    def _out_of_service_set(self):
-        return frozenset(self.out_of_service_domains.values())
-
-    def _publish_out_of_service_domains(self):
-        for service in self.services.values():
-            service.out_of_service_domains = self._out_of_service_set()
 
     def _note_store_unavailable(self, message, now_ms):
         if self.is_store_unavailable:
