Move the waiting requests of a service into a module of their own

Change: waiting.py has the waiting requests and the functions that add, serve, refuse and withdraw them, in the manner of load_probing and learning. ServiceCapacity still grants every slot.

--- a/packages/core/hornbeamstand_core/controllers/capacity.py
+++ b/packages/core/hornbeamstand_core/controllers/capacity.py
@@ -2,19 +2,14 @@
 
 The controller counts the requests in flight, selects a target for each request,
 lets requests wait within their latency objective and refuses those that can't be
-served. The slots of all sends are granted in one place, ``_grant``.
+served. The slots of all sends are granted in one place, ``grant``.
 """
 
 from ..balancer_messages import Decision, DeferredReply
 from ..edge_messages import FIRST, HEDGE
-from ..messages import CANCELLED, NOT_RUN, Permit, Refusal, SendFailure
+from ..messages import NOT_RUN, Permit, Refusal, SendFailure
 from .learning import learn
-from .load_probing import (
-    cold_check,
-    probes_for_waiting,
-    request_probes,
-    targets_to_probe,
-)
+from .load_probing import cold_check, request_probes, targets_to_probe
 from .placing import (
     FAST,
     SLOW,
@@ -23,21 +18,13 @@
     send_cost,
     speed_class,
 )
-from .retry_delay import expected_wait_ms, retry_delay_ms
+from .retry_delay import retry_delay_ms
 from .retry_window import RetryWindow
+from .waiting import drain, enqueue, withdraw
 
 # Typical slowdown of a service's targets that is assumed until they have reported
 # their own.
 SLOWDOWN_PRIOR = 1.5
-# Maximum wait for a target that is known to be fast, as a share of the time left
-# until the request's latency objective. After that it takes any target.
-FAST_WAIT_SHARE = 0.4
-# Maximum wait of a request that misses its latency objective anyway, as a share of
-# the time left until its deadline.
-LATE_WAIT_SHARE = 0.1
-# Time that must be left to run a request after its wait, as a multiple of the mean
-# latency.
-LATENCY_RESERVE_FACTOR = 1.3
 # Share of a target's cold start rate that a VM uses if it is not the owner of the
 # service, and that all such VMs use together.
 NON_OWNER_COLD_SHARE = 0.15
@@ -49,22 +36,6 @@
 UNANSWERED_SLOWDOWN = 6.0
 
 
-class WaitingRequest:
-    """One request that waits for a slot.
-
-    Until ``fast_until_ms`` it does not take a target that can report its load and
-    is not known to be fast. It is refused if it has no slot at ``until_ms``.
-    """
-
-    __slots__ = ("message", "since_ms", "fast_until_ms", "until_ms")
-
-    def __init__(self, message, since_ms, fast_until_ms, until_ms):
-        self.message = message
-        self.since_ms = since_ms
-        self.fast_until_ms = fast_until_ms
-        self.until_ms = until_ms
-
-
 class ServiceCapacity:
     """Decides for one service which request is sent to which target, and when.
 
@@ -149,33 +120,33 @@
         if message.n_probe_rounds == 0:
             self.retry_window.note_first(now_ms)
         if self.waiting:
-            return self._enqueue(message, now_ms)
+            return enqueue(self, message, now_ms)
         eligible = self._eligible_targets(message, now_ms)
         to_probe = targets_to_probe(self, eligible, message, now_ms)
         if to_probe:
             return request_probes(self, message, to_probe)
         target = self._choose(eligible, message, now_ms)
         if target is None or speed_class(target, now_ms) == SLOW:
-            return self._enqueue(message, now_ms)
-        return self._grant(message, target, now_ms)
+            return enqueue(self, message, now_ms)
+        return self.grant(message, target, now_ms)
 
     def _acquire_retry(self, message, now_ms):
         n_owners = self.retry_limits.n_owners
         if self.retry_window.n_left(n_owners, self._count_vms(), now_ms) < 1.0:
-            return self._refuse(message, "retry budget spent", now_ms)
+            return self.refuse(message, "retry budget spent", now_ms)
         if message.kind == HEDGE and self._is_busy(now_ms):
-            return self._refuse(message, "no capacity for a second send", now_ms)
+            return self.refuse(message, "no capacity for a second send", now_ms)
         eligible = self._eligible_targets(message, now_ms)
         to_probe = targets_to_probe(self, eligible, message, now_ms)
         if to_probe:
             return request_probes(self, message, to_probe)
         target = self._choose(eligible, message, now_ms)
         if target is None:
-            return self._refuse(message, "no free target", now_ms)
+            return self.refuse(message, "no free target", now_ms)
         if message.kind == HEDGE and speed_class(target, now_ms) == SLOW:
-            return self._refuse(message, "no fast target", now_ms)
+            return self.refuse(message, "no fast target", now_ms)
         self.retry_window.note_retry(now_ms)
-        return self._grant(message, target, now_ms)
+        return self.grant(message, target, now_ms)
 
     def _is_busy(self, now_ms):
         """Return whether a hedge would take its slot from other requests."""
@@ -210,6 +181,10 @@
             if now_ms >= target.paused_until_ms
         ]
 
+    def find_target(self, message, now_ms):
+        """Return the target that a request is sent to if it is sent now, or None."""
+        return self._choose(self._eligible_targets(message, now_ms), message, now_ms)
+
     def _eligible_targets(self, message, now_ms):
         return eligible_targets(
             self.usable_targets(now_ms),
@@ -298,7 +273,8 @@
 
     # Outcomes of a decision.
 
-    def _grant(self, message, target, now_ms):
+    def grant(self, message, target, now_ms):
+        """Take a slot of a target for a request; return the reply and decisions."""
         target.start(message.dispatch_id, now_ms)
         entry = target.entry
         current_class = speed_class(target, now_ms)
@@ -322,7 +298,8 @@
             *cold_check(self, target, now_ms),
         ]
 
-    def _refuse(self, message, reason, now_ms):
+    def refuse(self, message, reason, now_ms):
+        """Return the refusal of a request that did not run, and the decision."""
         retry_ms = retry_delay_ms(self, self._rng, now_ms)
         refusal = Refusal(reason, NOT_RUN, 503, "choose", self.name, retry_ms)
         action = "refuse" if message.kind == FIRST else "no repeat"
@@ -333,79 +310,13 @@
 
     # Waiting.
 
-    def _wait_max_ms(self, message, now_ms):
-        reserve_ms = LATENCY_RESERVE_FACTOR * (self.mean_ms or 0.0)
-        in_time_ms = message.objective_at_ms - now_ms - reserve_ms
-        late_ms = LATE_WAIT_SHARE * (message.deadline_at_ms - now_ms - reserve_ms)
-        return max(in_time_ms, late_ms)
-
-    def _enqueue(self, message, now_ms):
-        wait_max_ms = self._wait_max_ms(message, now_ms)
-        expected_ms = expected_wait_ms(self, now_ms)
-        if expected_ms == float("inf"):
-            if not self.is_awaiting_targets:
-                return self._refuse(message, "no target", now_ms)
-        elif expected_ms > wait_max_ms:
-            return self._refuse(message, "wait exceeds objective", now_ms)
-        objective_ms = message.objective_at_ms - now_ms
-        fast_wait_ms = min(wait_max_ms, FAST_WAIT_SHARE * max(0.0, objective_ms))
-        waiting = WaitingRequest(
-            message, now_ms, now_ms + fast_wait_ms, now_ms + wait_max_ms
-        )
-        self.waiting.append(waiting)
-        self.waiting.sort(key=lambda item: (item.message.priority, item.since_ms))
-        waits = Decision(self.name, message.request_id, "wait", "", "no fast slot")
-        return [waits, *probes_for_waiting(self, now_ms)]
-
     def withdraw(self, request_id, now_ms):
         """Refuse a waiting request whose caller has disconnected."""
-        for waiting in self.waiting:
-            if waiting.message.request_id == request_id:
-                self.waiting.remove(waiting)
-                return self._refuse(waiting.message, CANCELLED, now_ms)
-        return []
+        return withdraw(self, request_id, now_ms)
 
     def drain(self, now_ms):
-        """Grant free slots to waiting requests and refuse those that waited too long.
-
-        All are refused at once if no target is left that takes requests. Returns the
-        replies, the decisions for the log, and load probes if requests are still
-        waiting.
-        """
-        out = []
-        if self.waiting and not self._may_have_targets(now_ms):
-            return self._refuse_waiting(now_ms)
-        for waiting in list(self.waiting):
-            served = self._serve(waiting, now_ms)
-            if served:
-                self.waiting.remove(waiting)
-                out += served
-        if self.waiting:
-            out += probes_for_waiting(self, now_ms)
-        return out
-
-    def _may_have_targets(self, now_ms):
-        return self.is_awaiting_targets or bool(self.usable_targets(now_ms))
-
-    def _refuse_waiting(self, now_ms):
-        out = []
-        for waiting in self.waiting:
-            out += self._refuse(waiting.message, "no target", now_ms)
-        self.waiting.clear()
-        return out
-
-    def _serve(self, waiting, now_ms):
-        message = waiting.message
-        eligible = self._eligible_targets(message, now_ms)
-        target = self._choose(eligible, message, now_ms)
-        if target is not None:
-            current_class = speed_class(target, now_ms)
-            may_become_fast = target.may_report and current_class != FAST
-            if not may_become_fast or now_ms >= waiting.fast_until_ms:
-                return self._grant(message, target, now_ms)
-        if now_ms >= waiting.until_ms:
-            return self._refuse(message, "waited too long", now_ms)
-        return []
+        """Serve or refuse waiting requests; see ``waiting.drain``."""
+        return drain(self, now_ms)
 
     # Ends of sends.
 
