Split the tests of the platform adapter by what is decoded

Change: a module each for entries, the configuration, the store's calls, load figures and lookups, and settings; platform_samples.py has what they share. Names and bodies of all tests are unchanged.

--- a/tests/test_platform_fuzz.py
+++ b/tests/test_platform_fuzz.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from .fuzz_values import changed_bytes, json_like
-from .test_platform_decoding import CONFIG, SERVER, SETTINGS
+from .platform_samples import CONFIG, SERVER, SETTINGS
 
 pytestmark = pytest.mark.fuzz
 VM = {"ip": "10.0.0.7"}
