Play in the soak what servers say of themselves, under the settings' limits

A stream of its own draws servers that leave, ask for a pause or become cold, and foreign entries; the draws of existing seeds stay. VMs run under the memory and descriptors of the settings. A process that ended by itself was hidden if a fault restarted it; it is a finding at the next fault too, and so is a planned stop with another status than 0 or that of SIGTERM.

--- a/soak/cell.py
+++ b/soak/cell.py
@@ -3,6 +3,7 @@
 import gevent
 
 from standins.edge_cell import DOMAINS, EdgeCell
+from standins.process_limits import ProcessLimits
 
 from .proxy import Proxy
 
@@ -19,7 +20,8 @@
 
     ``store_proxies`` has one proxy for each VM, ``server_proxies`` maps a server id to
     its proxy. ``claimed_vms`` has the names of the VMs whose process a fault has
-    killed, paused or told to stop. ``start_counts`` maps a VM's name to the number of
+    killed, paused or told to stop, and ``claimed_servers`` the ids of the servers that
+    say something of themselves. ``start_counts`` maps a VM's name to the number of
     starts of its process. ``version`` is the last published configuration version.
     """
 
@@ -28,6 +30,7 @@
         self.store_proxies = []
         self.server_proxies = {}
         self.claimed_vms = set()
+        self.claimed_servers = set()
         self.start_counts = {}
         self.version = 0
 
@@ -68,10 +71,15 @@
         self.set_config(self.version, {**PREFIXES, **probe_route})
 
     def start_vm(self, vm):
-        """Start one edge process and count the start."""
+        """Start one edge process under the settings' limits and count the start."""
+        vm.limits = ProcessLimits.from_settings()
         self.start_counts[vm.name] = self.start_counts.get(vm.name, 0) + 1
         super().start_vm(vm)
 
+    def is_usable(self, server):
+        """Return whether a server is ready and says nothing else of itself."""
+        return server.state == "ready" and server.server_id not in self.claimed_servers
+
     def wait_for_exit(self, vm, timeout_s):
         """Wait until a process exits; returns whether it exited in time."""
         with gevent.Timeout(timeout_s, False):
@@ -79,3 +87,10 @@
                 gevent.sleep(0.02)
             return True
         return False
+
+
+def find_exit(vm):
+    """Return a list with a finding if a VM's process has ended, else an empty one."""
+    if vm.process.poll() is None:
+        return []
+    return [f"{vm.name} exited unexpectedly with status {vm.process.returncode}"]
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -210,14 +210,22 @@
 
 def check_cold(journal, servers):
     """Check that a cold server gets no more than its rate from all VMs together."""
+    return find_over_cold_rate(journal, servers, journal.cold, COLD_APPLY_S)
+
+
+def find_over_cold_rate(journal, servers, spans, apply_s):
+    """Return findings for cold servers that got more than their rate.
+
+    ``apply_s`` is the time after the start of each span from which on the rate holds.
+    """
     limit = COLD_RATE_PER_S * COLD_OVERAGE_FACTOR + COLD_SLACK
     findings = []
-    for span in journal.cold:
+    for span in spans:
         server = next(s for s in servers if s.server_id == span.subject)
         times = [
             at_s
             for at_s, _ in server.arrivals
-            if span.start_s + COLD_APPLY_S <= at_s < span.end_s
+            if span.start_s + apply_s <= at_s < span.end_s
         ]
         for i, at_s in enumerate(times):
             n_within = bisect_right(times, at_s + COLD_WINDOW_S) - i
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,6 +6,8 @@
 
 from standins.edge_cell import DOMAINS, GRACE_MS
 
+from .cell import find_exit
+from .notices import become_cold, leave, pause, write_foreign_entry
 from .proxy import DELAY, ONE_WAY, PASS, SILENT
 from .records import Span
 from .schedule import PLANNED_KINDS
@@ -13,6 +15,8 @@
 MS_PER_S = 1000.0
 # Time allowed for a planned stop beyond the grace period; a longer stop is a finding.
 STOP_MARGIN_S = 0.7
+# Exit statuses of a planned stop; the second one if the process has just started.
+STOPPED_STATUSES = (0, -signal.SIGTERM)
 # Delay before the processes start again after all of them were killed.
 RESTART_DELAY_S = 0.1
 # Time for which a server drains before its entry is removed, and time until the entry
@@ -71,6 +75,10 @@
             "server-drains": self._drain_server,
             "domain-out": self._take_domain_out,
             "config": self._publish,
+            "notice-leaving": self._make_notice(leave),
+            "notice-pause": self._make_notice(pause),
+            "notice-cold": self._make_notice(become_cold),
+            "foreign-entry": lambda fault: write_foreign_entry(cell, fault.duration_s),
         }
         for mode in ("busy", "many", "silent", "lost"):
             self._handlers[f"store-{mode}"] = self._make_store_mode(mode)
@@ -104,9 +112,13 @@
     # Faults of VM processes.
 
     def _claim(self, vm):
-        """Claim a VM's process; returns False if another fault has it."""
+        """Claim a VM's process; returns False if another fault has it.
+
+        A process that has already ended by itself is a finding.
+        """
         if vm.name in self.cell.claimed_vms:
             return False
+        self.journal.findings += find_exit(vm)
         self.cell.claimed_vms.add(vm.name)
         return True
 
@@ -143,6 +155,8 @@
         vm = self._vm(fault)
         if not self._claim(vm):
             return
+        span = Span(vm.name, self.now_s())
+        self.journal.stops.append(span)
         self.cell.signal(vm, signal.SIGTERM)
         if not self.cell.wait_for_exit(vm, GRACE_MS / MS_PER_S + STOP_MARGIN_S):
             if not self._has_active_fault():
@@ -150,7 +164,10 @@
                     f"{vm.name} did not stop within its grace period of {GRACE_MS} ms"
                 )
             self.cell.kill(vm)
+        elif vm.process.returncode not in STOPPED_STATUSES:
+            self.journal.findings += find_exit(vm)
         self._restart(vm)
+        span.end_s = self.now_s()
 
     def _has_active_fault(self):
         return any(span.end_s == float("inf") for span in self.journal.unplanned_faults)
@@ -214,7 +231,7 @@
 
     def _restart_server(self, fault):
         server = self._server(fault)
-        if server.state != "ready":
+        if not self.cell.is_usable(server):
             return
         self.cell.server_proxies[server.server_id].reset_all()
         server.started_wall_ms += 1
@@ -222,7 +239,7 @@
 
     def _start_cold(self, fault):
         server = self._server(fault)
-        if server.state == "ready":
+        if self.cell.is_usable(server):
             self._write_cold_entry(server)
 
     def _write_cold_entry(self, server):
@@ -231,11 +248,22 @@
         span = Span(server.server_id, now_s, now_s + COLD_MS / MS_PER_S)
         self.journal.cold.append(span)
 
+    def _make_notice(self, play):
+        def inject(fault):
+            server = self._server(fault)
+            if not self.cell.is_usable(server):
+                return
+            self.cell.claimed_servers.add(server.server_id)
+            play(self.cell, self.journal, server, fault.duration_s)
+            self.cell.claimed_servers.discard(server.server_id)
+
+        return inject
+
     # Planned work of servers and operators.
 
     def _drain_server(self, fault):
         server = self._server(fault)
-        if server.state != "ready":
+        if not self.cell.is_usable(server):
             return
         server.state = "draining"
         self.cell.write_entry(server)
--- a/soak/records.py
+++ b/soak/records.py
@@ -69,7 +69,10 @@
 
     ``unplanned_faults`` has the spans of unplanned faults, ``drained`` those in which
     servers were draining or removed, ``cold`` those of their cold starts, and
-    ``out_of_service`` those in which failure domains were out of service.
+    ``out_of_service`` those in which failure domains were out of service. ``stops`` has
+    the spans of planned stops and the restarts after them, ``leaving`` those in which
+    servers said that they leave, and ``cold_notices`` those in which servers were cold
+    and only their health answers said so.
     ``published_s`` maps a configuration version to the time at which the store
     acknowledged it. ``findings`` has the findings made during the run.
     """
@@ -81,6 +84,9 @@
         "drained",
         "out_of_service",
         "cold",
+        "stops",
+        "leaving",
+        "cold_notices",
         "published_s",
         "findings",
     )
@@ -92,5 +98,8 @@
         self.drained = []
         self.out_of_service = []
         self.cold = []
+        self.stops = []
+        self.leaving = []
+        self.cold_notices = []
         self.published_s = {}
         self.findings = []
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,11 +9,12 @@
 from hornbeamstand_core.records import Record
 
 from .callers import Caller, probe_versions
-from .cell import SoakCell
+from .cell import SoakCell, find_exit
 from .checks import check_all
 from .faults import FaultInjector
+from .notice_checks import check_notices
 from .records import Journal
-from .schedule import draw_faults
+from .schedule import draw_all
 
 # Number of callers that send requests during a run.
 N_CALLERS = 6
@@ -43,7 +44,7 @@
     Logs go to the folder, by default a new temporary one.
     """
     folder = folder or tempfile.mkdtemp(prefix=f"soak-{seed}-")
-    faults = draw_faults(seed, length_s)
+    faults = draw_all(seed, length_s)
     journal = Journal()
     with SoakCell(folder, n_vms) as cell:
         cell.add_servers()
@@ -68,7 +69,10 @@
         gevent.killall(jobs)
         gevent.sleep(END_WAIT_S)
         journal.findings += find_unexpected_exits(cell)
-        findings = check_all(journal, cell.servers, end_s)
+        findings = [
+            *check_all(journal, cell.servers, end_s),
+            *check_notices(journal, cell.servers, n_vms),
+        ]
     statuses = Counter(attempt.status for attempt in journal.attempts)
     return Report(seed, findings, statuses, len(faults), folder)
 
@@ -98,9 +102,10 @@
 def find_unexpected_exits(cell):
     """Return findings for processes that exited without a fault that stopped them."""
     return [
-        f"{vm.name} exited unexpectedly with status {vm.process.returncode}"
+        finding
         for vm in cell.vms
-        if vm.process.poll() is not None and vm.name not in cell.claimed_vms
+        if vm.name not in cell.claimed_vms
+        for finding in find_exit(vm)
     ]
 
 
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -17,6 +17,8 @@
 FAULT_MIN_S = 0.3
 # Mean time between the starts of two series. Faults may overlap.
 MEAN_INTERVAL_S = 0.9
+# Mean time between the starts of two notices.
+NOTICE_MEAN_INTERVAL_S = 1.5
 
 # Kinds of faults, by what they affect. Planned work must not harm any caller.
 VM_KINDS = ("kill", "pause", "kill-many")
@@ -48,8 +50,15 @@
 )
 PLANNED_SERVER_KINDS = ("server-drains",)
 PLANNED_OPERATOR_KINDS = ("domain-out", "config")
+# What servers say of themselves, and entries that name no server.
+NOTICE_KINDS = ("notice-leaving", "notice-pause", "notice-cold", "foreign-entry")
 PLANNED_KINDS = frozenset(
-    [*PLANNED_VM_KINDS, *PLANNED_SERVER_KINDS, *PLANNED_OPERATOR_KINDS]
+    [
+        *PLANNED_VM_KINDS,
+        *PLANNED_SERVER_KINDS,
+        *PLANNED_OPERATOR_KINDS,
+        *NOTICE_KINDS,
+    ]
 )
 # Groups of kinds with their weights in the draw.
 GROUPS = (
@@ -94,6 +103,27 @@
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def draw_notices(seed, length_s):
+    """Return the notices of a run, from a random stream of their own."""
+    rng = Random(f"{seed}-notices")
+    notices = []
+    at_s = FAULT_FREE_START_S
+    end_s = length_s - FAULT_FREE_END_S
+    while True:
+        at_s += rng.expovariate(1.0 / NOTICE_MEAN_INTERVAL_S)
+        if at_s >= end_s:
+            return notices
+        duration_s = min(rng.uniform(FAULT_MIN_S, FAULT_MAX_S), end_s - at_s)
+        kind = rng.choice(NOTICE_KINDS)
+        notices.append(Fault(at_s, kind, rng.randrange(1000), duration_s))
+
+
+def draw_all(seed, length_s):
+    """Return the faults and notices of a run, ordered by time."""
+    faults = draw_faults(seed, length_s) + draw_notices(seed, length_s)
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
 def draw_series(rng, kind, at_s, end_s):
     """Return a series of faults of one kind, all of which end by ``end_s``."""
     faults = []
--- a/standins/server.py
+++ b/standins/server.py
@@ -64,7 +64,8 @@
     start time in the server's entry; a change of it stands for a restart. ``runs``
     counts runs by attempt id. ``arrivals`` has the time and attempt id of each request,
     also of those that did not run. ``received_requests`` has the request target and
-    header lines of each request that ran.
+    header lines of each request that ran. ``pauses`` has the time, attempt id and pause
+    in seconds of each rejection that asked for a pause.
     """
 
     __slots__ = (
@@ -88,6 +89,7 @@
         "run_started_at_s",
         "arrivals",
         "received_requests",
+        "pauses",
     )
 
     def __init__(self, server_id, service, domain, n_slots=3, work_ms=20.0):
@@ -111,6 +113,7 @@
         self.run_started_at_s = []
         self.arrivals = []
         self.received_requests = []
+        self.pauses = []
 
     def start(self, stack):
         """Start listening; the stack stops it."""
@@ -183,6 +186,8 @@
                 *self.notice_items(),
             ]
             if self.pause_s:
+                now_s = gevent.get_hub().loop.now()
+                self.pauses.append((now_s, attempt_id, self.pause_s))
                 items.append(("Retry-After", str(self.pause_s)))
             return respond(start_response, 503, b"", items)
         body = b"" if self.mode == "early" else environ["wsgi.input"].read()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,10 +2,19 @@
 
 import pytest
 
-from soak import checks
+from soak import checks, notice_checks
+from soak.cell import SoakCell
+from soak.faults import FaultInjector
+from soak.notices import FOREIGN_BODY
 from soak.records import Attempt, Journal, Span, VersionProbe
-from soak.run import run_seed
-from soak.schedule import FAULT_FREE_END_S, FAULT_FREE_START_S, draw_faults
+from soak.run import find_unexpected_exits, run_seed
+from soak.schedule import (
+    FAULT_FREE_END_S,
+    FAULT_FREE_START_S,
+    Fault,
+    draw_all,
+    draw_faults,
+)
 from standins.edge_cell import RETRY_SLACK
 from standins.server import Server
 
@@ -30,13 +39,20 @@
     assert draw_faults(5, 30.0) != draw_faults(6, 30.0)
 
 
+def test_notices_leave_the_other_faults_of_a_seed_as_they_are():
+    faults = [slot_values(f) for f in draw_faults(5, 30.0)]
+    everything = [slot_values(f) for f in draw_all(5, 30.0)]
+    assert [values for values in everything if values in faults] == faults
+    assert len(everything) > len(faults)
+
+
 def slot_values(fault):
     return [getattr(fault, name) for name in fault.__slots__]
 
 
 @pytest.mark.parametrize("seed", range(1, 20))
 def test_both_ends_of_a_run_are_free_of_faults(seed):
-    for fault in draw_faults(seed, 20.0):
+    for fault in draw_all(seed, 20.0):
         assert fault.at_s >= FAULT_FREE_START_S
         assert fault.at_s + fault.duration_s <= 20.0 - FAULT_FREE_END_S + 1e-9
 
@@ -172,3 +188,82 @@
     assert checks.check_recovered(journal, 20.0)
     journal = journal_of(*[attempt(f"a{i}", 200, 19.5) for i in range(5)])
     assert checks.check_recovered(journal, 20.0) == []
+
+
+# Records of servers that say something of themselves.
+
+
+def leaving_journal(server, sent_s):
+    """Return a journal in which edge-0 knows at 10.1 s and sends one request later."""
+    journal = journal_of(attempt("a"), attempt("b", sent_s=sent_s))
+    journal.leaving.append(Span("desk-0", 9.0, 30.0))
+    server.arrivals += [(10.0, "a"), (sent_s, "b")]
+    return journal
+
+
+def test_a_late_request_to_a_leaving_server_is_caught_unless_a_vm_stopped():
+    bound_s = 10.1 + notice_checks.LEAVING_APPLY_S
+    early, late = server(), server()
+    journal = leaving_journal(early, bound_s - 0.05)
+    assert notice_checks.check_leaving(journal, [early]) == []
+    journal = leaving_journal(late, bound_s + 0.05)
+    assert notice_checks.check_leaving(journal, [late])
+    journal.stops.append(Span("edge-1", 11.0, 12.0))
+    assert notice_checks.check_leaving(journal, [late]) == []
+
+
+def test_a_vm_that_passed_on_no_answer_of_a_leaving_server_is_not_judged():
+    one = server()
+    journal = leaving_journal(one, 20.0)
+    journal.attempts[0].vm = "edge-1"
+    journal.attempts[1].seal = "seal-desk-1"
+    assert notice_checks.check_leaving(journal, [one]) == []
+
+
+def paused_journal(server, n_arrivals, at_s):
+    """Return a journal of a pause of 2 s from 10 s on, with arrivals at one time."""
+    names = [f"a{i}" for i in range(n_arrivals)]
+    server.arrivals += [(10.0, "a"), *((at_s, name) for name in names)]
+    server.pauses.append((10.0, "a", 2.0))
+    return journal_of(attempt("a"), *map(attempt, names))
+
+
+@pytest.mark.parametrize(
+    ("n_arrivals", "at_s", "is_caught"),
+    [(5, 10.6, True), (4, 10.6, False), (5, 10.4, False), (5, 12.1, False)],
+)
+def test_too_many_requests_in_a_pause_are_caught(n_arrivals, at_s, is_caught):
+    one = server()
+    journal = paused_journal(one, n_arrivals, at_s)
+    assert bool(notice_checks.check_paused(journal, [one], 2)) == is_caught
+    journal.unplanned_faults.append(Span("pause", 8.0, 8.5))
+    assert notice_checks.check_paused(journal, [one], 2) == []
+
+
+def test_too_much_for_a_server_that_says_that_it_is_cold_is_caught():
+    journal, one = Journal(), server()
+    journal.cold_notices.append(Span("desk-0", 10.0, 13.0))
+    limit = int(checks.COLD_RATE_PER_S * checks.COLD_OVERAGE_FACTOR + checks.COLD_SLACK)
+    start_s = 10.0 + notice_checks.COLD_NOTICE_APPLY_S
+    one.arrivals += [(start_s + i * 0.01, f"a{i}") for i in range(limit)]
+    assert notice_checks.check_notices(journal, [one], 1) == []
+    one.arrivals.append((start_s + 0.9, "b"))
+    assert notice_checks.check_notices(journal, [one], 1)
+
+
+def test_an_answer_of_a_foreign_entry_is_caught():
+    assert notice_checks.check_foreign(journal_of(attempt("a"))) == []
+    journal = journal_of(attempt("a", 404, body=FOREIGN_BODY))
+    assert notice_checks.check_foreign(journal)
+
+
+def test_a_process_that_ended_by_itself_is_found(tmp_path):
+    with SoakCell(tmp_path, 1) as cell:
+        vm = cell.vms[0]
+        cell.start_vm(vm)
+        assert find_unexpected_exits(cell) == []
+        cell.kill(vm)
+        assert find_unexpected_exits(cell)
+        journal = Journal()
+        FaultInjector(cell, journal, lambda: 0.0).inject(Fault(0.0, "kill", 0, 0.1))
+        assert journal.findings == ["edge-0 exited unexpectedly with status -9"]
