Take an answer of the store that has another shape for a failed call

What operators could see: `hornbeamstand run` ended with status 70 after one answer of the store with status 200 and JSON of another shape, such as an empty object. From the code: the tasks that call the store are supervised, and the watcher of the configuration is one of them only since failed greenlets end the process.

Cause: the client read the fields of the JSON outside of the part that turns errors into results, though it promises to raise none.

The fields are now read in one place that returns a PlatformError.

--- a/packages/wire/hornbeamstand_wire/platform.py
+++ b/packages/wire/hornbeamstand_wire/platform.py
@@ -6,6 +6,7 @@
 """
 
 import secrets
+from operator import itemgetter
 
 import msgspec
 from geventhttpclient import HTTPClient
@@ -31,6 +32,11 @@
         self.revision = revision
 
 
+def read_stored(raw):
+    """Return the StoredValue of a key's JSON object."""
+    return StoredValue(raw["value"], raw["revision"])
+
+
 class PlatformClient:
     """A client of the platform's store.
 
@@ -86,10 +92,20 @@
             detail = f"answer is not valid JSON: {error}"
             return Err(PlatformError(step, self.address, detail))
 
+    def _read(self, step, response, read):
+        """Return Ok of what ``read`` makes of a decoded response, or Err."""
+        if response.is_err():
+            return response
+        try:
+            return Ok(read(response.ok_value))
+        except (LookupError, TypeError) as error:
+            detail = f"answer is JSON of another shape: {error!r}"
+            return Err(PlatformError(step, self.address, detail))
+
     def get(self, key):
         """Read one key; returns Ok of a StoredValue."""
         response = self._call("platform.get", "GET", f"/v1/kv/{key}")
-        return response.map(lambda raw: StoredValue(raw["value"], raw["revision"]))
+        return self._read("platform.get", response, read_stored)
 
     def put(self, key, value, expected_revision):
         """Write one key if its revision is the expected one.
@@ -98,7 +114,7 @@
         """
         body = {"value": value, "expected_revision": expected_revision}
         response = self._call("platform.put", "PUT", f"/v1/kv/{key}", body)
-        return response.map(lambda raw: raw["revision"])
+        return self._read("platform.put", response, itemgetter("revision"))
 
     def put_and_verify(self, key, value, expected_revision):
         """Write like ``put``, and find out whether a failed write took effect.
@@ -137,13 +153,13 @@
         response = self._call(
             "platform.lease", "POST", "/v1/leases", {"ttl_ms": ttl_ms}
         )
-        return response.map(lambda raw: raw["lease_id"])
+        return self._read("platform.lease", response, itemgetter("lease_id"))
 
     def renew_leases(self, renew_ids, check_ids):
         """Renew some leases and check others; returns Ok of the lapsed ids."""
         body = {"renew": renew_ids, "check": check_ids}
         response = self._call("platform.renew", "POST", "/v1/leases/renew", body)
-        return response.map(lambda raw: raw["lapsed"])
+        return self._read("platform.renew", response, itemgetter("lapsed"))
 
     def watch(self, key, after_revision, wait_ms):
         """Wait for a revision above the given one; returns Ok of a StoredValue.
@@ -152,4 +168,4 @@
         """
         path = f"/v1/watch/{key}?after={after_revision}&wait_ms={int(wait_ms)}"
         response = self._call("platform.watch", "GET", path)
-        return response.map(lambda raw: StoredValue(raw["value"], raw["revision"]))
+        return self._read("platform.watch", response, read_stored)
