Finish a planned stop also when a waiting connection finds no memory

What callers could see, from the code: a planned stop that cut all requests in progress.

Cause: a stop accepts the connections that wait, and outlives only the errors of a system that lacks descriptors. Without memory for the socket or for the connection's greenlet, the MemoryError ended the task of the stop, and with it the process.

Evidence: both cases of the new test fail without the change, with MemoryError.

It is now handled like a lack of descriptors: the listener stays open, and the loop of the stop tries again until its end.

--- a/packages/entry/hornbeamstand_entry/edge/servers.py
+++ b/packages/entry/hornbeamstand_entry/edge/servers.py
@@ -117,8 +117,8 @@
     try:
         while accepted := server.do_read():
             server.do_handle(*accepted)
-    except OSError:
-        # The process has no free descriptor, or the caller has left.
+    except (OSError, MemoryError):
+        # The process has no free descriptor or memory, or the caller has left.
         return False
     return True
 
--- a/packages/entry/tests/test_edge_servers.py
+++ b/packages/entry/tests/test_edge_servers.py
@@ -78,3 +78,20 @@
     with socket.create_connection(("127.0.0.1", server.server_port)) as caller:
         assert caller.recv(1) == b""
     assert not edge_servers.has_requests([server])
+
+
+@pytest.mark.parametrize("step", ["do_read", "do_handle"])
+def test_a_stop_goes_on_when_a_waiting_connection_finds_no_memory(
+    stack, monkeypatch, step
+):
+    """Guards against the end of the process, with requests in progress, in a stop."""
+    server = start_edge(stack)
+
+    def fail(*args):
+        raise MemoryError
+
+    with socket.create_connection(("127.0.0.1", server.server_port)):
+        with monkeypatch.context() as patch:
+            patch.setattr(server, step, fail)
+            assert not edge_servers.stop_accepting([server])
+    assert edge_servers.stop_accepting([server])
