Show the limits of the process also when no descriptor is left

What operators could see: the page of metrics, and the status of `hornbeamstand run`, failed with 500 over an open connection while the process was at its limit of descriptors, which is when they want to read it.

Cause: the use of resources is read from files, and an error of that failed the page.

Evidence: the new test fails without the change, with OSError (EMFILE).

What can't be read is now left out; the limits are known without a file.

--- a/packages/entry/hornbeamstand_entry/process_use.py
+++ b/packages/entry/hornbeamstand_entry/process_use.py
@@ -6,6 +6,7 @@
 
 import os
 import resource
+from contextlib import suppress
 from math import inf
 
 # Limit of the resource that a gauge shows, and the name under which it is shown.
@@ -45,16 +46,28 @@
 
 
 def read_process_gauges():
-    """Return the use of each resource and its limit by name."""
+    """Return the use of each resource and its limit by name.
+
+    What can't be read is left out: a process without a free descriptor can't read its
+    use, but its limits.
+    """
     gauges = read_limits()
+    with suppress(OSError):
+        gauges |= read_status()
+        # Listing the directory opens a descriptor of its own.
+        gauges["descriptors"] = len(os.listdir(DESCRIPTORS_PATH)) - 1
+    return gauges
+
+
+def read_status():
+    """Return the gauges of the status file by name."""
+    gauges = {}
     with open(STATUS_PATH, "rb") as file:
         for line in file:
             label, _, value = line.partition(b":")
             name = STATUS_GAUGES.get(label)
             if name is not None:
                 gauges[name] = read_status_value(value)
-    # Listing the directory opens a descriptor of its own.
-    gauges["descriptors"] = len(os.listdir(DESCRIPTORS_PATH)) - 1
     return gauges
 
 
--- a/packages/entry/tests/test_process_use.py
+++ b/packages/entry/tests/test_process_use.py
@@ -1,11 +1,13 @@
 """The limits of the process and what it uses of them."""
 
+import errno
 import os
 import resource
 import subprocess
 import sys
 from math import inf
 
+from hornbeamstand_entry import process_use
 from hornbeamstand_entry.edge.metrics import EdgeMetrics
 from hornbeamstand_entry.process_use import read_process_gauges
 
@@ -45,3 +47,14 @@
         assert f"\nhornbeamstand_{name}_limit " in text
     if read_process_gauges()["address_space_limit_bytes"] == inf:
         assert "hornbeamstand_address_space_limit_bytes +Inf" in text
+
+
+def test_the_gauges_show_the_limits_when_no_descriptor_is_left(monkeypatch):
+    """Guards against a page of metrics that fails while a limit is reached."""
+
+    def fail(*args):
+        raise OSError(errno.EMFILE, "Too many open files")
+
+    monkeypatch.setattr(process_use, "open", fail, raising=False)
+    monkeypatch.setattr(process_use.os, "listdir", fail)
+    assert process_use.read_process_gauges() == process_use.read_limits()
