Read datagrams on also after a read that Python finds no memory for

What callers could see, from the code: every request of the process was cut when one read of a datagram found no memory for its buffer, which is 64 KB in `hornbeamstand run`.

Cause: both receivers outlived the errors of the system (ENOBUFS) and not Python's own MemoryError, which ended the process.

Evidence: the two new cases of the test end the test run without the change, as the receiver exits the process.

Both receivers had the same loop. It is now one function, which reports either error and reads again after 100 ms.

--- a/packages/entry/hornbeamstand_entry/edge/heartbeats.py
+++ b/packages/entry/hornbeamstand_entry/edge/heartbeats.py
@@ -2,18 +2,15 @@
 
 from ipaddress import AddressValueError, IPv4Address
 
-import gevent
 import msgspec
 from gevent import socket
 from hornbeamstand_core.edge_node_messages import Contacts, EdgeHeartbeat, SendContacts
 
-from ..tasks.task import Task, report_failure, spawn_supervised
+from ..tasks.datagram_reads import read_datagram
+from ..tasks.task import Task, spawn_supervised
 
 # Maximum size of a received datagram.
 DATAGRAM_MAX_BYTES = 2048
-# Delay before the next read after one that failed: the system may lack memory for it.
-RECEIVE_RETRY_MS = 100.0
-MS_PER_S = 1000.0
 # Size of an IPv4 address in a datagram.
 IP_BYTES = 4
 # Fields on the wire, in order. The receiver takes the sender's address from the socket.
@@ -128,16 +125,9 @@
 
     def _receive_loop(self):
         while True:
-            try:
-                raw, sender = self._sock.recvfrom(DATAGRAM_MAX_BYTES)
-            except ConnectionError:
-                # The error concerns an earlier datagram that was refused; the socket
-                # can still be used.
-                continue
-            except OSError as error:
-                report_failure("heartbeat-receiver", error)
-                gevent.sleep(RECEIVE_RETRY_MS / MS_PER_S)
-                continue
+            raw, sender = read_datagram(
+                self._sock, DATAGRAM_MAX_BYTES, "heartbeat-receiver"
+            )
             message = decode_heartbeat(raw, sender[0]) or decode_contacts(raw)
             if message is None:
                 self.log.info("peer: unreadable datagram", peer=sender[0])
--- a/packages/entry/hornbeamstand_entry/tasks/datagrams.py
+++ b/packages/entry/hornbeamstand_entry/tasks/datagrams.py
@@ -4,17 +4,14 @@
 replaced by newer ones.
 """
 
-import gevent
 from gevent import socket
 
 from ..peer_codec import datagram_of, decode_datagram
-from .task import Task, report_failure, spawn_supervised
+from .datagram_reads import read_datagram
+from .task import Task, spawn_supervised
 
 # Maximum size of a UDP payload over IPv4.
 DATAGRAM_MAX_BYTES = 65507
-# Delay before the next read after one that failed: the system may lack memory for it.
-RECEIVE_RETRY_MS = 100.0
-MS_PER_S = 1000.0
 
 
 class Datagrams:
@@ -57,16 +54,7 @@
 
     def _receive_loop(self):
         while True:
-            try:
-                raw, _ = self._sock.recvfrom(DATAGRAM_MAX_BYTES)
-            except ConnectionError:
-                # The error concerns an earlier datagram that was refused; the socket
-                # can still be used.
-                continue
-            except OSError as error:
-                report_failure("datagram-receiver", error)
-                gevent.sleep(RECEIVE_RETRY_MS / MS_PER_S)
-                continue
+            raw, _ = read_datagram(self._sock, DATAGRAM_MAX_BYTES, "datagram-receiver")
             message = decode_datagram(raw)
             if message is not None:
                 self.control_task.task.post(message)
--- a/packages/entry/tests/test_unexpected_errors.py
+++ b/packages/entry/tests/test_unexpected_errors.py
@@ -15,7 +15,7 @@
 from hornbeamstand_entry.edge import heartbeats, store_client
 from hornbeamstand_entry.edge.config_copies import ConfigCopies, compress_copy
 from hornbeamstand_entry.edge.store_client import StoreClient
-from hornbeamstand_entry.tasks import connections, datagrams
+from hornbeamstand_entry.tasks import connections, datagram_reads, datagrams
 from hornbeamstand_entry.tasks.exchange import Exchange
 from hornbeamstand_entry.tasks.pools import ConnectionPool
 from hornbeamstand_entry.tasks.response_parser import CompleteResponse
@@ -71,11 +71,12 @@
     """Fails its first reads, and then reads one datagram."""
 
     n_reads = 0
+    error = None
 
     def recvfrom(self, *args):
         self.n_reads += 1
         if self.n_reads <= N_FAILURES:
-            raise OSError(errno.ENOBUFS, "no buffer space available")
+            raise self.error
         if self.n_reads == N_FAILURES + 1:
             return b"x", ("127.0.0.1", 1)
         gevent.sleep(60)
@@ -164,10 +165,14 @@
     assert exchange.receive_result(AT_ONCE_MS).status_code == 200
 
 
+@pytest.mark.parametrize(
+    "error", [OSError(errno.ENOBUFS, "no buffer space available"), MemoryError()]
+)
 @pytest.mark.parametrize("module", [heartbeats, datagrams])
 def test_receiver_of_datagrams_outlives_a_lack_of_memory_without_spinning(
-    stack, reports, monkeypatch, module
+    stack, reports, monkeypatch, module, error
 ):
+    monkeypatch.setattr(FailingSocket, "error", error)
     received = []
     address = ("127.0.0.1", 0)
     if module is heartbeats:
@@ -178,14 +183,14 @@
         post = SimpleNamespace(post=received.append)
         task = datagrams.Datagrams("127.0.0.1:0", SimpleNamespace(task=post))
         monkeypatch.setattr(datagrams, "decode_datagram", lambda raw: raw)
-    monkeypatch.setattr(module, "RECEIVE_RETRY_MS", 1.0)
+    monkeypatch.setattr(datagram_reads, "RETRY_DELAY_MS", 1.0)
     monkeypatch.setattr(module.socket, "socket", FailingSocket)
     task.start(stack)
     with gevent.Timeout(AT_ONCE_MS / 1000.0):
         while not received:
             gevent.sleep(0.01)
     assert received[0] == b"x"
-    assert [error.errno for _, error, _ in reports] == [errno.ENOBUFS] * N_FAILURES
+    assert [reported for _, reported, _ in reports] == [error] * N_FAILURES
 
 
 def test_answer_of_the_store_that_finds_no_memory_is_a_failed_call(
