Let notices return with an entry only if it says when the target started

What callers could see, from the code: a target that is never used again, if it left, started again under its id and address, and its entries don't say when it started.

Cause: two entries without a start time count as of the same start, so the notice of the earlier one was taken over when the entry came back.

Evidence: the two new cases of the test fail without the change.

An entry without a start time now begins without notices.

--- a/packages/core/hornbeamstand_core/controllers/target_table.py
+++ b/packages/core/hornbeamstand_core/controllers/target_table.py
@@ -77,8 +77,10 @@
             cold_ms = max(cold_ms, service.rules.cold_ms)
         target.cold_until_ms = now_ms + cold_ms
         removed = self._removed.pop(entry.key, None)
-        if removed is not None and is_same_start(removed.entry, entry):
-            target.adopt_notices(removed)
+        # Without the time of its start, the target may have started again.
+        if removed is not None and entry.started_wall_ms:
+            if is_same_start(removed.entry, entry):
+                target.adopt_notices(removed)
         self.by_key[entry.key] = target
         service.targets[entry.target_id] = target
         detail = (
--- a/packages/core/tests/test_target_notices.py
+++ b/packages/core/tests/test_target_notices.py
@@ -79,11 +79,16 @@
 
 
 @pytest.mark.parametrize("lose", [remove_entry, clear_entries])
-def test_a_newer_start_is_used_after_the_entry_of_a_leaving_target_went(lose):
-    harness = ServiceHarness([make_entry("t1")])
+@pytest.mark.parametrize("starts_ms", [(1, 2), (0, 0)])
+def test_a_newer_start_is_used_after_the_entry_of_a_leaving_target_went(
+    lose, starts_ms
+):
+    """Without the time of its start, an entry that comes back may be a newer one."""
+    earlier, later = (make_entry("t1", started_wall_ms=ms) for ms in starts_ms)
+    harness = ServiceHarness([earlier])
     report(harness, "t1", TargetNotice(True))
     lose(harness)
-    harness.table.replace_all([make_entry("t1", started_wall_ms=2)], harness.now_ms)
+    harness.table.replace_all([later], harness.now_ms)
     assert is_permit(harness.acquire())
 
 
