Move the history of lost orders out of the order book

Change: OrderHistory answers whether a key's history is lost, and order_holders stands beside the other assignments of members.

Tests: packages/core passes.

--- a/packages/core/hornbeamstand_core/assignment.py
+++ b/packages/core/hornbeamstand_core/assignment.py
@@ -1,4 +1,4 @@
-"""Assignment of entry VMs to services, and of owners to targets.
+"""Assignment of entry VMs to services and orders, and of owners to targets.
 
 These are pure functions of the view and the configuration, so that every VM at the
 same epoch computes the same owners without communication.
@@ -57,3 +57,23 @@
     for target_id, member_id in owners.items():
         weights[member_id] += spec.targets[target_id].slots or 1
     return weights
+
+
+def order_holders(view, service_name, spec, key):
+    """Return the ids of a key's primary, then of its possible backups by preference.
+
+    VMs in other failure domains than the primary's come first, then members of the
+    serving set.
+    """
+    domains = {m.member_id: m.failure_domain for m in view.active_members()}
+    serving = serving_set(view, service_name, spec.serving_set_size)
+    if not serving:
+        return []
+    primary = rank(serving, key)[0]
+    others = [m for m in rank(domains, key) if m != primary]
+
+    def preference(member_id):
+        is_same_domain = domains[member_id] == domains[primary]
+        return is_same_domain, member_id not in serving
+
+    return [primary, *sorted(others, key=preference)]
--- a/packages/core/hornbeamstand_core/controllers/orders.py
+++ b/packages/core/hornbeamstand_core/controllers/orders.py
@@ -11,9 +11,8 @@
 caller states that it is the first attempt.
 """
 
-from ..assignment import serving_set
+from ..assignment import order_holders
 from ..balancer_messages import DeferredReply
-from ..hashing import rank
 from ..messages import (
     NOT_RUN,
     OUTCOME_UNKNOWN,
@@ -24,6 +23,7 @@
 )
 from ..order_messages import DONE, DROPPED, OPEN, SendOrders, StoredOrder
 from ..view import View
+from .order_history import OrderHistory
 
 # Time for which an order is kept, so that resends get its outcome.
 RETENTION_MS = 600_000.0
@@ -31,26 +31,6 @@
 N_ORDERS_MAX = 100_000
 
 
-def order_holders(view, service_name, spec, key):
-    """Return the ids of a key's primary, then of its possible backups by preference.
-
-    VMs in other failure domains than the primary's come first, then members of the
-    serving set.
-    """
-    domains = {m.member_id: m.failure_domain for m in view.active_members()}
-    serving = serving_set(view, service_name, spec.serving_set_size)
-    if not serving:
-        return []
-    primary = rank(serving, key)[0]
-    others = [m for m in rank(domains, key) if m != primary]
-
-    def preference(member_id):
-        is_same_domain = domains[member_id] == domains[primary]
-        return is_same_domain, member_id not in serving
-
-    return [primary, *sorted(others, key=preference)]
-
-
 class Order:
     """One order at one of its holders.
 
@@ -103,12 +83,6 @@
     ``_transferred_versions`` maps each member to the version of its last transfer, and
     ``_transferred_view`` is the latest view whose transfer is complete. Until it is,
     ``_held_messages`` keeps the ReserveOrder messages with an unknown key.
-
-    If more than one member crashed between two transfers, ``_lost_member_ids`` holds
-    their ids and ``_view_before_loss`` the view before, from which follow the keys
-    whose history is lost. If ``_is_all_history_lost`` is set, the history of any key
-    may be lost. The loss ends at ``_history_lost_until_ms``, when the lost orders would
-    have expired.
     """
 
     __slots__ = (
@@ -121,10 +95,7 @@
         "_transferred_view",
         "_transferred_versions",
         "_orders_with_waiters",
-        "_lost_member_ids",
-        "_view_before_loss",
-        "_history_lost_until_ms",
-        "_is_all_history_lost",
+        "_history",
     )
 
     def __init__(self, member_id, now_ms, retention_ms=RETENTION_MS):
@@ -137,10 +108,7 @@
         self._transferred_view = View.empty()
         self._transferred_versions = {}
         self._orders_with_waiters = {}
-        self._lost_member_ids = frozenset()
-        self._view_before_loss = View.empty()
-        self._history_lost_until_ms = float("-inf")
-        self._is_all_history_lost = False
+        self._history = OrderHistory(retention_ms)
 
     def __len__(self):
         return len(self._orders)
@@ -294,8 +262,7 @@
         self._transferred_versions[message.sender_id] = message.transfer_version
         # A VM that joined after the loss does not know which keys it concerns.
         if message.is_history_lost and not self._transferred_view.members:
-            self._is_all_history_lost = True
-            self._history_lost_until_ms = now_ms + self.retention_ms
+            self._history.note_all_lost(now_ms)
         return out + self._release_held(now_ms)
 
     def _store_copy(self, stored, now_ms):
@@ -328,20 +295,11 @@
         is_new_view = message.view.version != self.view.version
         self.configuration = message.configuration
         if is_new_view:
-            self._note_lost_members(message.view, now_ms)
+            self._history.note_view(self._transferred_view, message.view, now_ms)
             self.view = message.view
         out = self._send_transfers(now_ms)
         return out + self._release_held(now_ms)
 
-    def _note_lost_members(self, view, now_ms):
-        removed = set(self._transferred_view.members) - set(view.members)
-        lost = removed - set(view.clean_exits)
-        # Each order is held by two members, so the loss of one member loses no history.
-        if len(lost) > 1:
-            self._lost_member_ids = self._lost_member_ids | lost
-            self._view_before_loss = self._transferred_view
-            self._history_lost_until_ms = now_ms + self.retention_ms
-
     def _send_transfers(self, now_ms):
         orders_by_peer = {
             member_id: []
@@ -354,7 +312,7 @@
                 if holder_id in orders_by_peer:
                     copied = self._copy(order, now_ms)
                     orders_by_peer[holder_id].append(copied)
-        is_history_lost = now_ms < self._history_lost_until_ms
+        is_history_lost = self._history.is_any_lost(now_ms)
         return [
             SendOrders(peer_id, orders, self.view.version, is_history_lost)
             for peer_id, orders in orders_by_peer.items()
@@ -379,15 +337,10 @@
         return out
 
     def _is_history_lost(self, message, now_ms):
-        if message.is_first_attempt or now_ms >= self._history_lost_until_ms:
+        if message.is_first_attempt:
             return False
-        if self._is_all_history_lost:
-            return True
         spec = self.configuration.services[message.service_name]
-        holders = order_holders(
-            self._view_before_loss, message.service_name, spec, message.key
-        )[:2]
-        return bool(holders) and self._lost_member_ids.issuperset(holders)
+        return self._history.is_lost(message.service_name, spec, message.key, now_ms)
 
     # Time.
 
--- a/packages/core/tests/test_orders.py
+++ b/packages/core/tests/test_orders.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from hornbeamstand_core.assignment import order_holders
 from hornbeamstand_core.balancer_messages import DeferredReply
 from hornbeamstand_core.config import (
     Configuration,
@@ -9,7 +10,7 @@
     ServiceSpec,
     TargetSpec,
 )
-from hornbeamstand_core.controllers.orders import OrderBook, order_holders
+from hornbeamstand_core.controllers.orders import OrderBook
 from hornbeamstand_core.messages import (
     NOT_RUN,
     OUTCOME_UNKNOWN,
