Move the targets that a VM passed on out of Ownership

Cause: ownership.py had grown to 411 lines; beside the targets that a VM owns or waits for it kept those that it had passed on, with their hand-over records.

Change: FormerTargets holds these, and the heartbeats, releases and the planned stop ask it. No decision changes. ownership.py has 327 lines now.

Tests: packages/core passes. In test_cell_faults, test_traces, test_cell_machine and test_orders, all 1,466,449 calls of Node.handle and of the order book returned the same messages in the same order before and after.

--- a/packages/core/hornbeamstand_core/controllers/membership.py
+++ b/packages/core/hornbeamstand_core/controllers/membership.py
@@ -172,8 +172,8 @@
             self._platform_echoes.get(peer_id),
             self._silent_ms(now_ms),
             list(self.ownership.pending),
-            self.ownership.records_for(peer_id),
-            self.ownership.draining_for(peer_id, now_ms),
+            self.ownership.former_targets.records_for(peer_id),
+            self.ownership.former_targets.draining_for(peer_id, now_ms),
             self._capacity_reports(now_ms),
         )
 
--- a/packages/core/hornbeamstand_core/controllers/node.py
+++ b/packages/core/hornbeamstand_core/controllers/node.py
@@ -116,7 +116,7 @@
         if handler is not None:
             return self._handle_control(handler, message, now_ms)
         if type(message) is Release:
-            self.ownership.note_release(message, now_ms)
+            self.ownership.former_targets.note_release(message, now_ms)
         out = self.balancer.handle(message, now_ms)
         return out + self._capacity_changes(message, now_ms)
 
--- a/packages/core/hornbeamstand_core/controllers/ownership.py
+++ b/packages/core/hornbeamstand_core/controllers/ownership.py
@@ -1,4 +1,4 @@
-"""The targets that this VM owns, waits for or has passed to other VMs.
+"""The targets that this VM owns or waits for.
 
 A target that is newly assigned to the VM is pending until it may be used. It may be
 used once the old owner's hand-over record for the same epoch has arrived. Without a
@@ -8,16 +8,10 @@
 
 from ..assignment import assign_owners, serving_set
 from ..balancer_messages import CapacityReport, OwnershipChange
-from ..peer_messages import HandOverRecord
 from ..records import Record
 from ..view import Epoch, View
 from .fence import DRIFT_RATIO
-from .service import may_still_run
-
-
-def target_key(service_name, target_id):
-    """Return the key of a target in the messages between entry VMs."""
-    return f"{service_name}/{target_id}"
+from .former_targets import FormerTargets, target_key
 
 
 class PendingTarget(Record):
@@ -30,21 +24,6 @@
         self.target_id = target_id
 
 
-class FormerTarget:
-    """A target that this VM no longer owns, and its requests still in flight there.
-
-    ``owner_id`` is the new owner, or None if the target has none. ``state`` is the
-    TargetState at the end of the ownership, in which this VM still counts its requests.
-    """
-
-    __slots__ = ("service_name", "owner_id", "state")
-
-    def __init__(self, service_name, owner_id, state):
-        self.service_name = service_name
-        self.owner_id = owner_id
-        self.state = state
-
-
 class CrashedMember(Record):
     """A member that was removed from the view without a clean exit.
 
@@ -87,9 +66,10 @@
     ownership_changes : list of OwnershipChange
         Changes that have not been logged yet.
 
-    ``_heartbeats`` maps a member id to the member's latest heartbeat. ``_records`` maps
-    ``service/target`` to a HandOverRecord that its new owner has not accepted yet, and
-    ``_former_targets`` to a FormerTarget.
+    former_targets : FormerTargets
+        The targets that this VM has passed on.
+
+    ``_heartbeats`` maps a member id to the member's latest heartbeat.
     """
 
     __slots__ = (
@@ -103,10 +83,9 @@
         "pending",
         "crashed",
         "ownership_changes",
+        "former_targets",
         "_joined_at_ms",
         "_heartbeats",
-        "_records",
-        "_former_targets",
     )
 
     def __init__(self, member_id, balancer, lease_ms, configuration, joined_at_ms):
@@ -120,10 +99,9 @@
         self.pending = {}
         self.crashed = {}
         self.ownership_changes = []
+        self.former_targets = FormerTargets()
         self._joined_at_ms = joined_at_ms
         self._heartbeats = {}
-        self._records = {}
-        self._former_targets = {}
 
     @property
     def epoch(self):
@@ -169,10 +147,10 @@
         }
 
     def _reassign(self, changed, now_ms):
-        self._records = {}
+        self.former_targets.drop_records()
         next_owners = self._compute_owners(changed)
         self._release_targets(next_owners, now_ms)
-        self._update_former_owners(next_owners, now_ms)
+        self.former_targets.update_owners(next_owners, now_ms)
         self.owners = next_owners
         self.pending = {}
         for name, spec in self.configuration.services.items():
@@ -205,34 +183,10 @@
                     state = service.lose_target(target_id)
                     to = new_owners.get(target_id) or "nobody"
                     self._note_ownership_change(name, target_id, "release", f"to {to}")
-                    self._record_hand_over(
-                        name, state, new_owners.get(target_id), now_ms
+                    self.former_targets.add(
+                        name, state, new_owners.get(target_id), self.epoch, now_ms
                     )
 
-    def _update_former_owners(self, next_owners, now_ms):
-        for key, former in list(self._former_targets.items()):
-            owners = next_owners.get(former.service_name, {})
-            former.owner_id = owners.get(former.state.target_id)
-            if former.state.n_own(now_ms) == 0 and key not in self._records:
-                del self._former_targets[key]
-
-    def _record_hand_over(self, name, state, new_owner_id, now_ms):
-        key = target_key(name, state.target_id)
-        self._former_targets[key] = FormerTarget(name, new_owner_id, state)
-        epoch = self.epoch
-        self._records[key] = HandOverRecord(
-            name,
-            state.target_id,
-            epoch.view_version,
-            epoch.config_version,
-            state.n_own(now_ms),
-            dict(state.inherited_counts),
-            state.phase,
-            state.limit,
-            state.latency_ms,
-            state.start_id,
-        )
-
     def _update_peers(self, service, spec):
         members = [m for m in self.serving_sets[service.name] if m != self.member_id]
         service.peers.keep_only(members)
@@ -254,7 +208,8 @@
     def note_heartbeat(self, heartbeat, now_ms):
         """Record the epoch, hand-over records and counts in a peer's heartbeat."""
         self._heartbeats[heartbeat.sender_id] = heartbeat
-        self._remove_accepted_records(heartbeat)
+        if self._is_current(heartbeat):
+            self.former_targets.remove_accepted(heartbeat)
         for member_id, silent_ms in heartbeat.silent_ms.items():
             self._note_last_echo(member_id, now_ms - silent_ms)
         if self._is_current(heartbeat):
@@ -311,50 +266,15 @@
         self._note_ownership_change(
             pending.service_name, pending.target_id, "own", detail
         )
-        former = self._former_targets.pop(key, None)
-        if former is not None:
-            state.started_at_ms = former.state.started_at_ms
-            state.lingering_until_ms = former.state.lingering_until_ms
+        former_state = self.former_targets.take_state(key)
+        if former_state is not None:
+            state.started_at_ms = former_state.started_at_ms
+            state.lingering_until_ms = former_state.lingering_until_ms
         for member_id, heartbeat in self._heartbeats.items():
             if self._is_current(heartbeat):
                 state.set_inherited(member_id, heartbeat.draining.get(key, 0))
         return state
 
-    def _remove_accepted_records(self, heartbeat):
-        if not self._is_current(heartbeat):
-            return
-        for key in list(self._records):
-            owner_id = self._former_targets[key].owner_id
-            if owner_id == heartbeat.sender_id and key not in heartbeat.pending:
-                del self._records[key]
-
-    def records_for(self, member_id):
-        """Return the hand-over records that the new owner has not accepted yet."""
-        return [
-            record
-            for key, record in self._records.items()
-            if self._former_targets[key].owner_id == member_id
-        ]
-
-    def draining_for(self, member_id, now_ms):
-        """Return the counts of this VM's requests in flight on a peer's targets."""
-        draining = {}
-        for key, former in self._former_targets.items():
-            n_left = former.state.n_own(now_ms)
-            if former.owner_id == member_id and n_left > 0:
-                draining[key] = n_left
-        return draining
-
-    def note_release(self, message, now_ms):
-        """Record the Release of a request on a target that this VM no longer owns."""
-        permit = message.permit
-        former = self._former_targets.get(
-            target_key(permit.service_name, permit.target_id)
-        )
-        if former is not None:
-            is_abandoned = may_still_run(message.result)
-            former.state.end_request(permit.request_id, is_abandoned, now_ms)
-
     # Activation of pending targets.
 
     def activate_pending(self, now_ms):
@@ -405,7 +325,3 @@
         last_ms.append(self._joined_at_ms)
         wait_ms = self.lease_ms * (1.0 + DRIFT_RATIO) + deadline_max_ms
         return max(last_ms) + wait_ms
-
-    def has_records(self):
-        """Return whether a new owner has yet to accept a hand-over record."""
-        return any(self._former_targets[key].owner_id for key in self._records)
--- a/packages/core/hornbeamstand_core/controllers/stopping.py
+++ b/packages/core/hornbeamstand_core/controllers/stopping.py
@@ -86,7 +86,7 @@
     def _end_draining(self, now_ms):
         if now_ms < self.lookups_expire_at_ms or self.n_requests > 0:
             return
-        if self.membership.ownership.has_records():
+        if self.membership.ownership.former_targets.has_records():
             return
         self.phase = EXITING
         self.membership.start_exit()
