Move what a target's results teach out of the service controller

Change: results.py does that with plain functions, as learning.py does for discovered targets.

Tests: packages/core passes. In test_cell_faults, test_traces, test_cell_machine and test_orders, all 1,466,449 calls of Node.handle and of the order book returned the same messages in the same order before and after.

--- a/packages/core/hornbeamstand_core/controllers/former_targets.py
+++ b/packages/core/hornbeamstand_core/controllers/former_targets.py
@@ -1,7 +1,7 @@
 """The targets that a VM has passed to other VMs, with its requests still in flight."""
 
 from ..peer_messages import HandOverRecord
-from .service import may_still_run
+from .results import may_still_run
 
 
 def target_key(service_name, target_id):
--- a/packages/core/hornbeamstand_core/controllers/service.py
+++ b/packages/core/hornbeamstand_core/controllers/service.py
@@ -6,28 +6,16 @@
 """
 
 from ..balancer_messages import CapacityReport, Decision, DeferredReply, SendProbe
-from ..messages import (
-    CANCELLED,
-    NOT_RUN,
-    STATUS_ERROR,
-    TIMED_OUT,
-    ForwardTo,
-    Permit,
-    Refusal,
-    SendFailure,
-)
+from ..messages import NOT_RUN, ForwardTo, Permit, Refusal
 from .baseline_latency import BaselineLatency
 from .budgets import RateBudget, RatioBudget
-from .cold_start import count_good_completion, enter_cold, note_start
-from .health import note_failure, note_latency, note_success
+from .cold_start import enter_cold
+from .health import note_failure
 from .peer_capacity import PeerCapacity
 from .queueing import WaitQueue
-from .target_state import COLD, DRAINING, READY, TargetState
+from .results import learn_result, may_still_run, note_report
+from .target_state import TargetState
 
-# Minimum time that a timed-out request must have run to count as a failure of its
-# target, as a multiple of the baseline latency. With less, its deadline may have been
-# too short.
-TARGET_TIMEOUT_FACTOR = 3.0
 # Minimum time that a request must have left when it is sent from the queue, as a
 # multiple of the baseline latency. With less it would probably time out and waste its
 # slot, so it is refused.
@@ -80,8 +68,8 @@
         "fence_end_at_ms",
         "retry_budget",
         "probe_budget",
+        "adjust_limit",
         "_choose",
-        "_adjust_limit",
         "_reported_capacity",
     )
 
@@ -97,7 +85,7 @@
         self.retry_budget = RatioBudget(spec.retry.budget_ratio)
         self.probe_budget = RateBudget(0.0, 0.0)
         self._choose = choose
-        self._adjust_limit = adjust_limit
+        self.adjust_limit = adjust_limit
         self._reported_capacity = None
 
     # Ownership and configuration.
@@ -229,7 +217,7 @@
         if not state.end_request(permit.request_id, is_abandoned, now_ms):
             return []
         latency_ms = now_ms - permit.granted_at_ms
-        self._learn(state, message.result, latency_ms, now_ms)
+        learn_result(self, state, message.result, latency_ms, now_ms)
         return self.drain(now_ms)
 
     def drain(self, now_ms):
@@ -275,50 +263,6 @@
             out += self._forward_or_refuse(waiting.acquire, "lease lapsed", now_ms)
         return out
 
-    # Learning.
-
-    def _learn(self, state, result, latency_ms, now_ms):
-        rules = self.spec.cold_start
-        if isinstance(result, SendFailure):
-            self._learn_failure(state, result, latency_ms, now_ms)
-            return
-        if result.report is not None:
-            self.note_report(state, result.report)
-        if result.did_not_run:
-            self._adjust_limit(state, latency_ms, self.baseline, True)
-            return
-        if result.status >= STATUS_ERROR:
-            note_failure(state, now_ms, rules)
-            return
-        note_success(state)
-        if note_latency(state, latency_ms, now_ms) and state.phase == READY:
-            enter_cold(state, rules)
-            return
-        self.baseline.note(latency_ms)
-        if state.phase == COLD:
-            count_good_completion(state, rules)
-        else:
-            self._adjust_limit(state, latency_ms, self.baseline, False)
-
-    def _learn_failure(self, state, failure, latency_ms, now_ms):
-        if failure.kind == CANCELLED:
-            return
-        if failure.kind == TIMED_OUT:
-            if latency_ms < TARGET_TIMEOUT_FACTOR * self.baseline.mean_or_zero_ms():
-                return
-            note_latency(state, latency_ms, now_ms)
-            self._adjust_limit(state, latency_ms, self.baseline, True)
-        note_failure(state, now_ms, self.spec.cold_start)
-
-    def note_report(self, state, report):
-        """Update a target's phase from the state and start id that it reports."""
-        if report.state == DRAINING:
-            state.phase = DRAINING
-            return
-        if state.phase == DRAINING:
-            enter_cold(state, self.spec.cold_start)
-        note_start(state, report, self.spec.cold_start)
-
     # Estimates and capacity reports.
 
     def n_free(self, now_ms):
@@ -392,12 +336,7 @@
         if message.report is None:
             note_failure(state, now_ms, self.spec.cold_start)
             return []
-        self.note_report(state, message.report)
+        note_report(state, message.report, self.spec.cold_start)
         if now_ms < state.ejected_until_ms:
             state.ejected_until_ms = now_ms
         return self.drain(now_ms)
-
-
-def may_still_run(result):
-    """Return whether the target may still work on a request with this result."""
-    return isinstance(result, SendFailure) and result.may_have_run
