--- a/packages/core/hornbeamstand_core/controllers/load_probing.py
+++ b/packages/core/hornbeamstand_core/controllers/load_probing.py
@@ -2,7 +2,8 @@
 
 A target's slowdown determines how long a request takes, and it changes several times
 a second. Targets whose last slowdown figure is too old are therefore probed right
-before a send.
+before a send, and while requests wait. A busy target is also probed to learn whether
+it has become cold.
 """
 
 from heapq import nsmallest
