Keep foreign entries in the soak long enough to be used

Cause: an entry new to the VMs is taken for cold and gets its first requests late; entries of 0.3 to 3 s that overlapped under one key got none, so the check could not fail. Each has a key of its own and stays 5 s. An ended process that is told to stop is one finding, not two.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -78,7 +78,7 @@
             "notice-leaving": self._make_notice(leave),
             "notice-pause": self._make_notice(pause),
             "notice-cold": self._make_notice(become_cold),
-            "foreign-entry": lambda fault: write_foreign_entry(cell, fault.duration_s),
+            "foreign-entry": lambda fault: write_foreign_entry(cell),
         }
         for mode in ("busy", "many", "silent", "lost"):
             self._handlers[f"store-{mode}"] = self._make_store_mode(mode)
@@ -163,6 +163,7 @@
         vm = self._vm(fault)
         if not self._claim(vm):
             return
+        has_ended = vm.process.poll() is not None
         self.cell.signal(vm, signal.SIGTERM)
         if not self.cell.wait_for_exit(vm, GRACE_MS / MS_PER_S + STOP_MARGIN_S):
             if not self._has_active_fault():
@@ -170,7 +171,7 @@
                     f"{vm.name} did not stop within its grace period of {GRACE_MS} ms"
                 )
             self.cell.kill(vm)
-        elif vm.process.returncode not in STOPPED_STATUSES:
+        elif not has_ended and vm.process.returncode not in STOPPED_STATUSES:
             self.journal.findings += find_exit(vm)
         self._restart(vm)
 
--- a/soak/notices.py
+++ b/soak/notices.py
@@ -26,7 +26,8 @@
 # Interval at which the rest of the cold start is updated.
 COLD_UPDATE_S = 0.05
 MS_PER_S = 1000.0
-FOREIGN_KEY = "servers/foreign"
+# Time for which a foreign entry stays.
+FOREIGN_S = 5.0
 FOREIGN_BODY = b"foreign"
 
 
@@ -83,16 +84,17 @@
     server.cold_ms = 0.0
 
 
-def write_foreign_entry(cell, duration_s):
+def write_foreign_entry(cell):
     """Write an entry of another program, whose address answers 404, for a time."""
     with ExitStack() as stack:
         server = WSGIServer(("127.0.0.1", 0), serve_not_found, log=None, error_log=None)
         server.start()
         stack.callback(server.stop, timeout=0)
         # The stack removes the entry before the server stops.
-        cell.store.put(FOREIGN_KEY, foreign_entry(server.server_port))
-        stack.callback(cell.store.delete, FOREIGN_KEY)
-        gevent.sleep(duration_s)
+        key = f"servers/foreign-{server.server_port}"
+        cell.store.put(key, foreign_entry(server.server_port))
+        stack.callback(cell.store.delete, key)
+        gevent.sleep(FOREIGN_S)
 
 
 def foreign_entry(port):
--- a/soak/records.py
+++ b/soak/records.py
@@ -71,12 +71,11 @@
     servers were draining or removed, ``cold`` those of their cold starts, and
     ``out_of_service`` those in which failure domains were out of service. ``outages``
     has the spans in which the process of a VM was paused, stopped or killed, until it
-    ran again, ``leaving`` those in which
-    servers said that they leave, and ``cold_notices`` those in which servers were cold
-    and only their health answers said so. ``senders`` maps a server id and the port of
-    a connection to the name of the VM that opened it.
-    ``published_s`` maps a configuration version to the time at which the store
-    acknowledged it. ``findings`` has the findings made during the run.
+    ran again, ``leaving`` those in which servers said that they leave, and
+    ``cold_notices`` those in which servers were cold and only their health answers said
+    so. ``senders`` maps a server id and the port of a connection to the name of the VM
+    that opened it. ``published_s`` maps a configuration version to the time at which
+    the store acknowledged it. ``findings`` has the findings made during the run.
     """
 
     __slots__ = (
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -289,7 +289,8 @@
     assert notice_checks.check_foreign(journal)
 
 
-def test_a_process_that_ended_by_itself_is_found(tmp_path):
+@pytest.mark.parametrize("kind", ["kill", "stop"])
+def test_a_process_that_ended_by_itself_is_found(kind, tmp_path):
     with SoakCell(tmp_path, 1) as cell:
         vm = cell.vms[0]
         cell.start_vm(vm)
@@ -297,5 +298,5 @@
         cell.kill(vm)
         assert find_unexpected_exits(cell)
         journal = Journal()
-        FaultInjector(cell, journal, lambda: 0.0).inject(Fault(0.0, "kill", 0, 0.1))
+        FaultInjector(cell, journal, lambda: 0.0).inject(Fault(0.0, kind, 0, 0.1))
         assert journal.findings == ["edge-0 exited unexpectedly with status -9"]
