--- a/soak/faults.py
+++ b/soak/faults.py
@@ -78,7 +78,7 @@
             "notice-leaving": self._make_notice(leave),
             "notice-pause": self._make_notice(pause),
             "notice-cold": self._make_notice(become_cold),
-            "foreign-entry": lambda fault: write_foreign_entry(cell, fault.duration_s),
+            "foreign-entry": lambda fault: write_foreign_entry(cell),
         }
         for mode in ("busy", "many", "silent", "lost"):
             self._handlers[f"store-{mode}"] = self._make_store_mode(mode)
@@ -120,11 +120,19 @@
             return False
         self.journal.findings += find_exit(vm)
         self.cell.claimed_vms.add(vm.name)
+        self.journal.outages.append(Span(vm.name, self.now_s()))
         return True
 
+    def _release(self, vm):
+        """End a VM's claim; its process runs again."""
+        self.cell.claimed_vms.discard(vm.name)
+        for span in self.journal.outages:
+            if span.subject == vm.name:
+                span.end_s = min(span.end_s, self.now_s())
+
     def _restart(self, vm):
         self.cell.start_vm(vm)
-        self.cell.claimed_vms.discard(vm.name)
+        self._release(vm)
 
     def _kill(self, fault):
         vm = self._vm(fault)
@@ -149,14 +157,13 @@
         self.cell.signal(vm, signal.SIGSTOP)
         gevent.sleep(fault.duration_s)
         self.cell.signal(vm, signal.SIGCONT)
-        self.cell.claimed_vms.discard(vm.name)
+        self._release(vm)
 
     def _stop(self, fault):
         vm = self._vm(fault)
         if not self._claim(vm):
             return
-        span = Span(vm.name, self.now_s())
-        self.journal.stops.append(span)
+        has_ended = vm.process.poll() is not None
         self.cell.signal(vm, signal.SIGTERM)
         if not self.cell.wait_for_exit(vm, GRACE_MS / MS_PER_S + STOP_MARGIN_S):
             if not self._has_active_fault():
@@ -164,10 +171,9 @@
                     f"{vm.name} did not stop within its grace period of {GRACE_MS} ms"
                 )
             self.cell.kill(vm)
-        elif vm.process.returncode not in STOPPED_STATUSES:
+        elif not has_ended and vm.process.returncode not in STOPPED_STATUSES:
             self.journal.findings += find_exit(vm)
         self._restart(vm)
-        span.end_s = self.now_s()
 
     def _has_active_fault(self):
         return any(span.end_s == float("inf") for span in self.journal.unplanned_faults)
--- a/soak/notices.py
+++ b/soak/notices.py
@@ -16,6 +16,9 @@
 # until a newer start is registered.
 ENTRY_READY_S = 4.0
 REMOVED_S = 2.0
+# Maximum wait for a request that runs, and the interval of looking for it.
+REQUEST_WAIT_S = 1.0
+POLL_S = 0.005
 # Pause for which a rejecting server asks.
 PAUSE_S = 2.5
 # Length of a cold start that a server states in its health answers.
@@ -23,7 +26,8 @@
 # Interval at which the rest of the cold start is updated.
 COLD_UPDATE_S = 0.05
 MS_PER_S = 1000.0
-FOREIGN_KEY = "servers/foreign"
+# Time for which a foreign entry stays.
+FOREIGN_S = 5.0
 FOREIGN_BODY = b"foreign"
 
 
@@ -33,7 +37,11 @@
 
 
 def leave(cell, journal, server, duration_s):
-    """Let a server say that it leaves, remove its entry and register a newer start."""
+    """Let a server say that it leaves, remove its entry and register a newer start.
+
+    It begins while it runs a request, whose answer is the first to say so.
+    """
+    wait_for_request(server)
     server.is_leaving = True
     span = Span(server.server_id, now_s())
     journal.leaving.append(span)
@@ -46,6 +54,13 @@
     cell.write_entry(server)
 
 
+def wait_for_request(server):
+    """Wait until a server runs a request, for ``REQUEST_WAIT_S`` at most."""
+    end_s = now_s() + REQUEST_WAIT_S
+    while not server.n_running and now_s() < end_s:
+        gevent.sleep(POLL_S)
+
+
 def pause(cell, journal, server, duration_s):
     """Let a server reject requests for a time and ask for a pause each time.
 
@@ -69,16 +84,17 @@
     server.cold_ms = 0.0
 
 
-def write_foreign_entry(cell, duration_s):
+def write_foreign_entry(cell):
     """Write an entry of another program, whose address answers 404, for a time."""
     with ExitStack() as stack:
         server = WSGIServer(("127.0.0.1", 0), serve_not_found, log=None, error_log=None)
         server.start()
         stack.callback(server.stop, timeout=0)
         # The stack removes the entry before the server stops.
-        cell.store.put(FOREIGN_KEY, foreign_entry(server.server_port))
-        stack.callback(cell.store.delete, FOREIGN_KEY)
-        gevent.sleep(duration_s)
+        key = f"servers/foreign-{server.server_port}"
+        cell.store.put(key, foreign_entry(server.server_port))
+        stack.callback(cell.store.delete, key)
+        gevent.sleep(FOREIGN_S)
 
 
 def foreign_entry(port):
