Let two tests depend on no timing of the machine

The test of a rate of lines failed once: its 900 lines fell into two seconds, each of which may have 800.

--- a/packages/entry/tests/test_task_failures.py
+++ b/packages/entry/tests/test_task_failures.py
@@ -160,8 +160,9 @@
 
 
 def test_failed_task_is_named_when_the_rate_of_lines_is_exceeded():
+    # The lines may fall into two seconds, each with its own rate.
     status, lines = run_process("""
-        for _ in range(900):
+        for _ in range(1700):
             log.warning("answer: refused")
         Task("control-task").start(fail, stack)
     """)
--- a/tests/caller_front.py
+++ b/tests/caller_front.py
@@ -47,13 +47,13 @@
 
 def read_to_end(sock):
     """Return what comes until the other side closes."""
-    data = b""
+    chunks = []
     try:
         while chunk := sock.recv(65536):
-            data += chunk
+            chunks.append(chunk)
     except ConnectionResetError:
         pass
-    return data
+    return b"".join(chunks)
 
 
 def exchange(stack, front, request):
