Start the stand-in's processes as the deploy file does

Tests and the soak started the program with -m, which handles SIGHUP some milliseconds later than the deploy file's command. They now run it by its path too.

--- a/standins/edge_cell.py
+++ b/standins/edge_cell.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 from contextlib import ExitStack
+from importlib.util import find_spec
 from pathlib import Path
 
 import gevent
@@ -16,6 +17,8 @@
 from standins.store import Store
 
 ROOT = Path(__file__).resolve().parent.parent
+# The program, which the deploy file runs by its path too.
+ENTRY_POINT = find_spec("hornbeamstand_platform.__main__").origin
 DOMAINS = ("ub-a", "ub-b", "ub-c")
 # Host name of every route, and thus of the requests of callers.
 HOST = "shop.example"
@@ -109,7 +112,7 @@
     def start(self, log_file):
         """Start the process, with its output in a log file."""
         env = {**os.environ, "HORNBEAMSTAND_NODE_FILE": str(self.settings_file)}
-        command = [sys.executable, "-m", "hornbeamstand_platform"]
+        command = [sys.executable, "-P", ENTRY_POINT]
         self.process = subprocess.Popen(
             command,
             env=env,
