Part what becomes of unexpected errors from tasks and their mailboxes

The module of tasks had grown a second job. The functions that report an error, contain it or end the process are tasks/failures.py now; nothing else changes.

--- a/packages/entry/hornbeamstand_entry/edge/config_copies.py
+++ b/packages/entry/hornbeamstand_entry/edge/config_copies.py
@@ -10,7 +10,8 @@
 from hornbeamstand_core.messages import SendFailure
 
 from ..encoding import encode_request
-from ..tasks.task import Task, report_failure
+from ..tasks.failures import report_failure
+from ..tasks.task import Task
 from .calls import call
 
 # Path at which peers serve their copy, on the port for requests between VMs.
--- a/packages/entry/hornbeamstand_entry/edge/heartbeats.py
+++ b/packages/entry/hornbeamstand_entry/edge/heartbeats.py
@@ -7,7 +7,8 @@
 from hornbeamstand_core.edge_node_messages import Contacts, EdgeHeartbeat, SendContacts
 
 from ..tasks.datagram_reads import read_datagram
-from ..tasks.task import Task, spawn_supervised
+from ..tasks.failures import spawn_supervised
+from ..tasks.task import Task
 
 # Maximum size of a received datagram.
 DATAGRAM_MAX_BYTES = 2048
--- a/packages/entry/hornbeamstand_entry/edge/lifecycle.py
+++ b/packages/entry/hornbeamstand_entry/edge/lifecycle.py
@@ -11,7 +11,7 @@
 from ..clock import make_process_clock
 from ..closing import close_bounded
 from ..process_use import describe_limits
-from ..tasks.task import handle_loop_failures, spawn_supervised
+from ..tasks.failures import handle_loop_failures, spawn_supervised
 from .addresses import wait_until_free
 from .logs import EdgeLog
 from .process import EdgeProcess, read_retry_limits
--- a/packages/entry/hornbeamstand_entry/edge/logs.py
+++ b/packages/entry/hornbeamstand_entry/edge/logs.py
@@ -15,7 +15,7 @@
 import msgspec
 from hornbeamstand_core.records import Record
 
-from ..tasks.task import report_failures_to, spawn_supervised
+from ..tasks.failures import report_failures_to, spawn_supervised
 
 # Maximum number of lines that are buffered between two flushes.
 N_BUFFERED_LINES_MAX = 4000
--- a/packages/entry/hornbeamstand_entry/edge/performers.py
+++ b/packages/entry/hornbeamstand_entry/edge/performers.py
@@ -32,7 +32,8 @@
 from ..context import CALLER_GONE
 from ..encoding import split_request
 from ..tasks.exchange import Exchange, ExchangeResult
-from ..tasks.task import receive, report_failure
+from ..tasks.failures import report_failure
+from ..tasks.task import receive
 from .load_probes import read_load_probe, start_load_probe, unanswered_result
 from .messages import peer_items, peer_response, target_items, target_response
 
--- a/packages/entry/hornbeamstand_entry/edge/store_client.py
+++ b/packages/entry/hornbeamstand_entry/edge/store_client.py
@@ -5,7 +5,7 @@
 from result import Err, Ok
 
 from ..encoding import encode_request
-from ..tasks.task import report_failure
+from ..tasks.failures import report_failure
 from .calls import call
 
 # Maximum size of the store's answer.
--- a/packages/entry/hornbeamstand_entry/edge/store_watcher.py
+++ b/packages/entry/hornbeamstand_entry/edge/store_watcher.py
@@ -10,7 +10,7 @@
 )
 from hornbeamstand_core.edge_node_messages import WATCH_ALL, WATCH_NOTHING
 
-from ..tasks.task import spawn_supervised
+from ..tasks.failures import spawn_supervised
 from .dialect import StorePage
 
 # Maximum time for which the store may hold a watch that has no changes.
--- a/packages/entry/hornbeamstand_entry/http_server.py
+++ b/packages/entry/hornbeamstand_entry/http_server.py
@@ -17,7 +17,7 @@
     check_headers,
     error_response,
 )
-from .tasks.task import report_failure
+from .tasks.failures import report_failure
 
 # Number of bytes of a body that are read at a time.
 BODY_READ_BYTES = 65_536
--- a/packages/entry/hornbeamstand_entry/process.py
+++ b/packages/entry/hornbeamstand_entry/process.py
@@ -33,16 +33,12 @@
 from .tasks.connections import ConnectionRules
 from .tasks.control_task import ControlTask
 from .tasks.datagrams import Datagrams
+from .tasks.failures import handle_loop_failures, report_failures_to, spawn_supervised
 from .tasks.orders_task import OrdersTask
 from .tasks.peer_state import PeerStateFetcher, init_grpc
 from .tasks.platform_task import PlatformTask
 from .tasks.pools import Pools
 from .tasks.prober import Prober
-from .tasks.task import (
-    handle_loop_failures,
-    report_failures_to,
-    spawn_supervised,
-)
 
 # Interval at which buffered log lines are written.
 LOG_FLUSH_INTERVAL_MS = 100.0
--- a/packages/entry/hornbeamstand_entry/tasks/config_watcher.py
+++ b/packages/entry/hornbeamstand_entry/tasks/config_watcher.py
@@ -18,7 +18,8 @@
     read_head,
 )
 
-from .task import Task, spawn_supervised
+from .failures import spawn_supervised
+from .task import Task
 
 # Maximum time for which the platform may hold a watch that has no change.
 WATCH_WAIT_MS = 10_000.0
--- a/packages/entry/hornbeamstand_entry/tasks/connections.py
+++ b/packages/entry/hornbeamstand_entry/tasks/connections.py
@@ -20,6 +20,7 @@
 from ..header_numbers import read_count
 from .byte_budget import ByteBudget
 from .exchange import ExchangeResult
+from .failures import report_failure
 from .response_parser import (
     ERROR_STATUS_MIN,
     HEAD_MAX_BYTES,
@@ -27,7 +28,7 @@
     ResponseParser,
     read_response,
 )
-from .task import Task, report_failure
+from .task import Task
 
 # Timeout for opening a connection.
 CONNECT_TIMEOUT_MS = 1000.0
--- a/packages/entry/hornbeamstand_entry/tasks/datagram_reads.py
+++ b/packages/entry/hornbeamstand_entry/tasks/datagram_reads.py
@@ -2,7 +2,7 @@
 
 import gevent
 
-from .task import report_failure
+from .failures import report_failure
 
 # Delay before the next read after one that failed: the process may lack memory for it.
 RETRY_DELAY_MS = 100.0
--- a/packages/entry/hornbeamstand_entry/tasks/datagrams.py
+++ b/packages/entry/hornbeamstand_entry/tasks/datagrams.py
@@ -8,7 +8,8 @@
 
 from ..peer_codec import datagram_of, decode_datagram
 from .datagram_reads import read_datagram
-from .task import Task, spawn_supervised
+from .failures import spawn_supervised
+from .task import Task
 
 # Maximum size of a UDP payload over IPv4.
 DATAGRAM_MAX_BYTES = 65507
--- a/packages/entry/hornbeamstand_entry/tasks/orders_task.py
+++ b/packages/entry/hornbeamstand_entry/tasks/orders_task.py
@@ -13,7 +13,8 @@
 from ..peer_codec import KeptResponse, decode_orders, encode_orders
 from ..responses import respond_json
 from .exchange import Exchange
-from .task import Ask, Task, receive, spawn_supervised, start_loop
+from .failures import spawn_supervised
+from .task import Ask, Task, receive, start_loop
 
 # Timeout for sending orders to a peer and receiving its acknowledgement.
 REPLICATION_TIMEOUT_MS = 300.0
--- a/packages/entry/hornbeamstand_entry/tasks/pools.py
+++ b/packages/entry/hornbeamstand_entry/tasks/pools.py
@@ -13,7 +13,8 @@
     start_connection,
 )
 from .exchange import Exchange
-from .task import Task, spawn_supervised
+from .failures import spawn_supervised
+from .task import Task
 
 # Maximum number of idle connections that a pool keeps.
 N_IDLE_MAX = 64
--- a/packages/entry/hornbeamstand_entry/tasks/prober.py
+++ b/packages/entry/hornbeamstand_entry/tasks/prober.py
@@ -4,7 +4,8 @@
 
 from ..encoding import encode_request, read_report
 from .exchange import Exchange
-from .task import Task, spawn_supervised
+from .failures import spawn_supervised
+from .task import Task
 
 # Timeout of one probe, after which it counts as failed.
 PROBE_TIMEOUT_MS = 1000.0
--- a/packages/entry/hornbeamstand_entry/tasks/task.py
+++ b/packages/entry/hornbeamstand_entry/tasks/task.py
@@ -1,96 +1,9 @@
 """Tasks with mailboxes, and the loop of a task that also does periodic work."""
 
-import os
-import traceback
-from contextlib import suppress
-
-import gevent
-from gevent.baseserver import BaseServer
 from gevent.queue import Empty, SimpleQueue
 from hornbeamstand_core.records import Record
 
-# Exit status of a process after one of its tasks raised an exception (EX_SOFTWARE of
-# sysexits.h).
-EXIT_TASK_FAILED = 70
-# Functions that ``report_failures_to`` has registered.
-failure_reports = []
-
-
-def report_failures_to(report, stack):
-    """Call ``report(name, error, ends_process)`` for every unexpected error.
-
-    ``name`` is that of the task or part where it was raised. ``report`` must not block.
-    The exit stack removes it.
-    """
-    failure_reports.append(report)
-    stack.callback(failure_reports.remove, report)
-
-
-def report_failure(name, error, ends_process=False):
-    """Report an unexpected error to the functions that were registered for it.
-
-    A report that fails itself is left out: the error has to be handled in any case.
-    """
-    for report in failure_reports:
-        with suppress(Exception):
-            report(name, error, ends_process)
-
-
-def exit_on_failure(name, error):
-    """Exit the process at once, because without one of its tasks its state is wrong.
-
-    Peers handle the exit like any other crash.
-    """
-    try:
-        report_failure(name, error, ends_process=True)
-        traceback.print_exception(error)
-    finally:
-        os._exit(EXIT_TASK_FAILED)
-
-
-def handle_loop_failures(stack):
-    """Report what the event loop is told of, until the exit stack is closed.
-
-    The process exits if the loop can't call back for want of memory: the greenlet that
-    was to be woken would wait for good.
-    """
-    hub = gevent.get_hub()
-    handle_error = hub.handle_error
-
-    def handle_loop_error(context, kind, error, trace):
-        if isinstance(context, tuple) and isinstance(context[-1], BaseServer):
-            # A connection that was accepted, with its server; it is closed already.
-            context = context[-1]
-        is_contained = isinstance(context, (gevent.Greenlet, BaseServer, dict))
-        if issubclass(kind, MemoryError) and not is_contained:
-            exit_on_failure("event-loop", error or MemoryError())
-        if isinstance(context, BaseServer):
-            report_failure("acceptor", error)
-        elif isinstance(context, gevent.Greenlet) and not issubclass(kind, OSError):
-            report_failure("greenlet", error)
-        handle_error(context, kind, error, trace)
-
-    hub.handle_error = handle_loop_error
-    stack.callback(delattr, hub, "handle_error")
-
-
-def spawn_supervised(name, run, *args):
-    """Return a new greenlet that calls ``run``, and whose failure ends the process.
-
-    A greenlet that nobody waits for would otherwise end without notice.
-    """
-    return gevent.spawn(run_supervised, name, run, *args)
-
-
-def run_supervised(name, run, *args):
-    """Call ``run``; an exception ends the process.
-
-    The failed greenlet does this itself: a link to it may find no memory.
-    """
-    try:
-        run(*args)
-    except Exception as error:
-        exit_on_failure(name, error)
+from .failures import spawn_supervised
 
 
 class Task:
--- a/packages/entry/tests/test_connections.py
+++ b/packages/entry/tests/test_connections.py
@@ -12,8 +12,8 @@
 from gevent.server import StreamServer
 from hornbeamstand_core.messages import SendFailure
 from hornbeamstand_entry.clock import make_process_clock
+from hornbeamstand_entry.tasks import failures
 from hornbeamstand_entry.tasks import pools as pools_module
-from hornbeamstand_entry.tasks import task
 from hornbeamstand_entry.tasks.connections import ConnectionRules
 from hornbeamstand_entry.tasks.exchange import Exchange, ExchangeResult
 from hornbeamstand_entry.tasks.pools import ConnectionPool, Pools
@@ -361,7 +361,7 @@
 def test_a_connection_that_finds_no_memory_fails_only_its_request(stack, monkeypatch):
     """Guards against the end of the process for one connection that can't be opened."""
     ends = []
-    monkeypatch.setattr(task, "exit_on_failure", lambda *args: ends.append(args))
+    monkeypatch.setattr(failures, "exit_on_failure", lambda *args: ends.append(args))
     _, pool = start(stack)
     fail_once(monkeypatch, pools_module, "start_connection")
     result = send(pool, timeout_ms=500.0)
--- a/packages/entry/tests/test_task_failures.py
+++ b/packages/entry/tests/test_task_failures.py
@@ -8,7 +8,7 @@
 import hornbeamstand_entry
 import msgspec
 import pytest
-from hornbeamstand_entry.tasks.task import EXIT_TASK_FAILED
+from hornbeamstand_entry.tasks.failures import EXIT_TASK_FAILED
 
 START = """
 from contextlib import ExitStack
@@ -220,7 +220,7 @@
         for path in ENTRY.rglob("*.py")
     }
     unsupervised = {path: n for path, n in n_spawned.items() if n}
-    assert unsupervised == {"tasks/task.py": 1, "tasks/connections.py": 2}
+    assert unsupervised == {"tasks/failures.py": 1, "tasks/connections.py": 2}
 
 
 def test_settings_that_cannot_be_read_for_want_of_memory_change_nothing():
