End a store watcher that was replaced while its call was on its way

Cause: a change of what is watched kills the watcher's greenlet and resets the revision, and the kill takes effect a turn of the event loop later. An answer that was there already was still handled: it met no revision, and raised a TypeError. That was a traceback on standard error before; since greenlets are supervised, it ended the process.

The watcher now ends after a call if it is no longer the current one, so neither its revision nor its changes reach the controllers. The new test fails without it, with the same error in store-watcher.

--- a/packages/entry/hornbeamstand_entry/edge/store_watcher.py
+++ b/packages/entry/hornbeamstand_entry/edge/store_watcher.py
@@ -108,7 +108,10 @@
         stack.callback(self._stop)
 
     def _stop(self):
-        self._greenlet.kill(block=False)
+        """Let the greenlet end, at the latest after its current call."""
+        if self._greenlet is not None:
+            self._greenlet.kill(block=False)
+            self._greenlet = None
 
     def resync(self, message):
         """Restart the watch: a peer has a revision that the watch did not deliver."""
@@ -145,11 +148,11 @@
         self._restart()
 
     def _restart(self):
-        self._greenlet.kill(block=False)
+        self._stop()
         self._greenlet = spawn_supervised("store-watcher", self._run)
 
     def _skip_first_read(self):
-        self._greenlet.kill(block=False)
+        self._stop()
         self._is_first_read_due = True
         self._scope = WATCH_NOTHING
         self._has_first_read = True
@@ -193,6 +196,17 @@
         self._is_retrying = False
         self._backoff_ms = BACKOFF_MIN_MS
 
+    def _call(self, method, *args):
+        """Return the result of a call of the store.
+
+        The greenlet ends here if it was stopped meanwhile: a kill takes effect later,
+        and what the call was for has changed.
+        """
+        result = method(*args)
+        if gevent.getcurrent() is not self._greenlet:
+            raise gevent.GreenletExit
+        return result
+
     def _prefix(self):
         return "" if self._scope == WATCH_ALL else self.store.codec.operator_prefix
 
@@ -203,12 +217,14 @@
         before the controllers use it.
         """
         prefix = self._prefix()
-        result = self.store.read_all(prefix, self._may_read_stale)
+        result = self._call(self.store.read_all, prefix, self._may_read_stale)
         if result.is_err():
             return result
         page = result.ok_value
         if self._may_read_stale:
-            changes = self.store.watch(prefix, page.revision, CATCH_UP_WATCH_WAIT_MS)
+            changes = self._call(
+                self.store.watch, prefix, page.revision, CATCH_UP_WATCH_WAIT_MS
+            )
             if changes.is_err():
                 self._may_read_stale = False
                 return changes
@@ -230,7 +246,7 @@
         if self._is_retrying:
             wait_ms = RETRY_WATCH_WAIT_MS
         self._delayed_ms = 0.0
-        result = self.store.watch(self._prefix(), self._revision, wait_ms)
+        result = self._call(self.store.watch, self._prefix(), self._revision, wait_ms)
         if result.is_err():
             return result
         page = result.ok_value
--- a/packages/entry/tests/test_edge_store_watcher.py
+++ b/packages/entry/tests/test_edge_store_watcher.py
@@ -23,6 +23,7 @@
 from hornbeamstand_entry.edge.dialect import StoreCodec, StorePage
 from hornbeamstand_entry.edge.store_client import StoreError
 from hornbeamstand_entry.edge.store_watcher import StoreWatcher
+from hornbeamstand_entry.tasks import failures
 from result import Err, Ok
 
 
@@ -277,3 +278,25 @@
         assert store.calls == []
         gevent.sleep(0.1)
         assert store.calls[0] == ("stale read", "")
+
+
+def test_an_answer_that_comes_as_the_watch_is_replaced_is_dropped(parts, monkeypatch):
+    """Guards against a process that ends because its watch changes at that moment."""
+    store, control_task, task, begin = parts
+    begin()
+    set_watch(task, WATCH_OPERATOR_KEYS)
+    ends = []
+    monkeypatch.setattr(failures, "exit_on_failure", lambda *args: ends.append(args))
+
+    def replace_watch(prefix, revision, wait_ms):
+        del store.watch
+        task.set_watch(SetWatch(WATCH_ALL, has_targets=False))
+        return Ok(StorePage([VmEntry("vm/9", "vm-9", "ip")], 9))
+
+    store.watch = replace_watch
+    task.resync(Resync(9))
+    gevent.sleep(0.05)
+    assert ends == []
+    changes = [m for m in control_task.posted if type(m) is StoreChanges]
+    assert changes == []
+    assert [call[0] for call in store.calls[-3:]] == ["stale read", "watch", "watch"]
