--- a/packages/core/hornbeamstand_core/controllers/capacity.py
+++ b/packages/core/hornbeamstand_core/controllers/capacity.py
@@ -165,13 +165,13 @@
         self.retry_window.note_owner(is_owner, now_ms)
 
     def offered_targets(self):
-        """Return the targets that are not leaving and whose domain is in service."""
-        return [
+        """Iterate over the targets that don't leave and whose domain is in service."""
+        return (
             target
             for target in self.targets.values()
             if target.is_offered
             and target.entry.failure_domain not in self.out_of_service_domains
-        ]
+        )
 
     def usable_targets(self, now_ms):
         """Return the offered targets that take new requests of this VM now."""
