Let peers say that a VM ended without a planned stop

A VM now keeps the last heartbeat of each address. When a later start is heard and the earlier one had not announced a stop, it logs peer: ended with the start that ended, and counts it in hornbeamstand_state_changes_total. Peer and Contact moved to a module of their own.

The new test failed before (no such event); packages/core passed.

--- a/packages/core/hornbeamstand_core/controllers/peer_view.py
+++ b/packages/core/hornbeamstand_core/controllers/peer_view.py
@@ -15,6 +15,7 @@
     SendContacts,
     SendEdgeHeartbeat,
 )
+from .peer_records import Contact, Peer, describe_end
 from .ranking import N_PREFERRED, Ranking
 
 # Intervals of heartbeats to peers of the same failure domain. Preferred VMs use the
@@ -30,10 +31,6 @@
 # Minimum delay of this VM's own tick that is not counted as silence of its peers. Their
 # heartbeats of that time may wait to be read.
 OWN_DELAY_MIN_MS = LOCAL_SHORT_MS
-# Minimum and maximum interval between heartbeats to a contact that does not answer. The
-# interval doubles each time.
-CONTACT_RETRY_MIN_MS = 1000.0
-CONTACT_RETRY_MAX_MS = 16_000.0
 # Minimum number of VMs that a peer should receive heartbeats from, as a share of the
 # contacts that this VM could send to it. A peer with fewer is sent these contacts.
 KNOWN_PEERS_SHARE = 0.6
@@ -46,54 +43,6 @@
 SETTLED_MS = 2500.0
 
 
-class Peer:
-    """A peer's latest heartbeat, and the times of the last messages from and to it.
-
-    ``received_at_ms`` is when the heartbeat came, later by ``own_delay_ms``: the time
-    since then in which this VM did not run. ``sent_at_ms`` is when this VM last sent
-    one to the peer, or -inf to make one due, and ``contacts_sent_at_ms`` when it last
-    sent contacts.
-    """
-
-    __slots__ = (
-        "heartbeat",
-        "received_at_ms",
-        "own_delay_ms",
-        "sent_at_ms",
-        "contacts_sent_at_ms",
-    )
-
-    def __init__(self, heartbeat, received_at_ms, sent_at_ms):
-        self.heartbeat = heartbeat
-        self.received_at_ms = received_at_ms
-        self.own_delay_ms = 0.0
-        self.sent_at_ms = sent_at_ms
-        self.contacts_sent_at_ms = -inf
-
-
-class Contact:
-    """An address to send heartbeats to while its VM is not a peer.
-
-    ``failure_domain`` is None until a heartbeat has come from there.
-    """
-
-    __slots__ = ("failure_domain", "due_at_ms", "interval_ms")
-
-    def __init__(self):
-        self.failure_domain = None
-        self.reset()
-
-    def reset(self):
-        """Make a heartbeat due at once, and the next one after the minimum interval."""
-        self.due_at_ms = -inf
-        self.interval_ms = CONTACT_RETRY_MIN_MS
-
-    def back_off(self, now_ms):
-        """Schedule the next heartbeat and double the interval after it."""
-        self.due_at_ms = now_ms + self.interval_ms
-        self.interval_ms = min(CONTACT_RETRY_MAX_MS, 2.0 * self.interval_ms)
-
-
 class PeerView:
     """The peers that this VM receives heartbeats from.
 
@@ -171,7 +120,9 @@
         if heartbeat.ip == self.me.ip:
             return []
         self.note_contact(heartbeat.ip)
-        self._note_domain(self.contacts[heartbeat.ip], heartbeat.failure_domain)
+        contact = self.contacts[heartbeat.ip]
+        self._note_domain(contact, heartbeat.failure_domain)
+        earlier, contact.last_heartbeat = contact.last_heartbeat, heartbeat
         known = self.peers.get(heartbeat.ip)
         if known is not None and known.heartbeat.start_id == heartbeat.start_id:
             known.heartbeat = heartbeat
@@ -182,6 +133,7 @@
         self.peers[heartbeat.ip] = peer
         return [
             SendEdgeHeartbeat(heartbeat.ip, self.own_heartbeat(now_ms)),
+            *describe_end(earlier, heartbeat),
             StateChange("peer", "heard", heartbeat.ip, f"start={heartbeat.start_id}"),
             *self._send_contacts(peer, now_ms),
         ]
--- a/packages/core/tests/test_edge_peers.py
+++ b/packages/core/tests/test_edge_peers.py
@@ -13,6 +13,7 @@
 from hornbeamstand_core.discovery import (
     VmEntry,
 )
+from hornbeamstand_core.edge_messages import StateChange
 from hornbeamstand_core.edge_node_messages import (
     Contacts,
     EdgeTick,
@@ -187,6 +188,19 @@
     return from_ms + 1050.0
 
 
+def test_peers_tell_an_end_without_a_planned_stop_from_a_planned_one():
+    node = make_serving_node()
+    node.handle(make_heartbeat("10.0.0.2", start_id=1), 0.0)
+    node.handle(EdgeTick(), 1000.0)
+    out = node.handle(make_heartbeat("10.0.0.2", start_id=2), 1100.0)
+    ends = [x for x in messages_of_kind(out, StateChange) if x.event == "ended"]
+    assert [x.subject for x in ends] == ["10.0.0.2"]
+    assert "start=1 " in ends[0].detail
+    node.handle(make_heartbeat("10.0.0.2", start_id=2, is_stopping=True), 1200.0)
+    out = node.handle(make_heartbeat("10.0.0.2", start_id=3), 5000.0)
+    assert [x.event for x in messages_of_kind(out, StateChange)] == ["heard"]
+
+
 def test_an_overloaded_owner_hands_over_to_the_next_preferred_vm():
     """Plays a VM whose processor is slowed down while its heartbeats still arrive."""
     node = make_serving_node(capacity=3)
