Let VMs stop using idle connections to peers before those end them

What callers saw: a request that one VM relays to another could meet the end of its connection. One that may be repeated then spent an attempt, or got 502 from 0.1 of its latency objective on.

Cause: a VM sent such a request on a connection that had been idle for up to 30 s, while the receiver ended it after the operators' IdleTimeout and 2 s, or after 1.5 s to make room for another one. Both VMs also may hold different versions of the operators' limits. Only requests that may run once were kept to a recent connection.

Change: connections between VMs have limits of their own, which no configuration changes. A VM sends on one that was idle for 3 s at most; the receiver keeps it for 3.5 s before it may make room for another one, and for 40 s otherwise, which also exceeds the 30 s of the builds before.

--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -33,7 +33,7 @@
 from .load_probes import LoadProber
 from .metrics import EdgeMetrics
 from .performers import make_performers
-from .servers import PEER_MIN_IDLE_MS, start_server
+from .servers import PEER_IDLE_MS, PEER_MIN_IDLE_MS, PEER_REUSE_MS, start_server
 from .store_client import StoreClient
 from .store_watcher import Registration, StoreWatcher
 from .suspensions import Suspensions, make_boot_clock
@@ -124,6 +124,7 @@
         rules = ConnectionRules(
             PEER_CONNECT_MS,
             TCP_USER_TIMEOUT_MS,
+            idle_max_ms=PEER_REUSE_MS,
             answer_budget=self.body_budget,
             head_max_bytes=RELAYED_HEAD_MAX_BYTES,
             open_connections=self.open_connections,
@@ -256,11 +257,9 @@
         settings, front = self.settings, self.front
         servers = []
 
-        def serve_at(address, app, limits=self.caller_limits):
+        def serve_at(address, app, limits=self.caller_limits, idle_ms=self.idle_ms):
             def serve(listener, owner):
-                server = start_server(
-                    address, app, owner, self.idle_ms, limits, listener
-                )
+                server = start_server(address, app, owner, idle_ms, limits, listener)
                 server.siblings = servers
                 servers.append(server)
                 return server
@@ -269,7 +268,9 @@
 
         peer_address = f"{settings.ip}:{settings.peer_port}"
         serve_front = serve_at(settings.front_address, front.serve_caller)
-        serve_peer = serve_at(peer_address, front.serve_peer, self.peer_limits)
+        serve_peer = serve_at(
+            peer_address, front.serve_peer, self.peer_limits, lambda: PEER_IDLE_MS
+        )
         self.caller_servers = [serve_front(self.sockets.front, stack)]
         self.peer_server = serve_peer(self.sockets.peer, stack)
         for server in self.caller_servers:
@@ -320,7 +321,7 @@
         )
 
     def idle_ms(self):
-        """Return the maximum idle time of a connection in milliseconds."""
+        """Return the maximum idle time of a caller's connection in milliseconds."""
         return self.caller_limits().idle_ms + IDLE_MARGIN_MS
 
 
--- a/packages/entry/hornbeamstand_entry/edge/servers.py
+++ b/packages/entry/hornbeamstand_entry/edge/servers.py
@@ -8,7 +8,6 @@
 
 from ..clock import make_process_clock
 from ..http_server import CLOSE, CallerHandler, make_server
-from ..tasks.connections import LAST_RESPONSE_MAX_AGE_MS
 from ..tasks.sockets import NO_DESCRIPTOR_ERRORS
 
 MS_PER_S = 1000.0
@@ -19,11 +18,17 @@
 # a minimum.
 ENDED_SHARE = 1 / 16
 N_ENDED_MIN = 4
-# Idle time before which a connection is not ended for another one: its caller may have
-# a request on its way. A peer sends a request that may run only once on a connection
-# that was used within LAST_RESPONSE_MAX_AGE_MS.
+# Maximum idle time after which a VM sends a request on a connection to another VM. One
+# that may run only once has the shorter LAST_RESPONSE_MAX_AGE_MS.
+PEER_REUSE_MS = 3000.0
+# Idle time before which a connection is not ended for another one: its caller, or the
+# peer that still uses it, may have a request on its way.
 CALLER_MIN_IDLE_MS = 100.0
-PEER_MIN_IDLE_MS = LAST_RESPONSE_MAX_AGE_MS + 500.0
+PEER_MIN_IDLE_MS = PEER_REUSE_MS + 500.0
+# Maximum idle time of a connection of a peer. It doesn't depend on the operators'
+# limits, which peers may know in another version, and leaves room for a peer that
+# noticed the last response late because it did not run.
+PEER_IDLE_MS = 40_000.0
 # Minimum interval of the reports that a server holds connections back.
 REPORT_INTERVAL_MS = 1000.0
 # Time without an accepted connection, while some are held back, after which a server
