Name the attempt in each record of an order

What callers could see: an order that ran twice in the product's own mode. r1 ended "not run" and the withdrawal of its copy was delayed; r2, with the same key, ran; the withdrawal removed r2's copy at the backup; the primary crashed; r3 was taken and ran.

Cause: a stored copy named only its key and its VM, so a withdrawal, an outcome or a copy acted on whatever attempt the receiver had. The same class: a late copy of an earlier attempt, a withdrawal by the former primary once the next one had reserved the key, an outcome of an attempt after the key was reserved again, and a transfer that crossed a withdrawal, which came back to its own VM and blocked the key for 10 minutes.

Change: an attempt is named by the member id of its VM, which differs between two starts, and a number of that VM. An order records the latest attempt of each VM. A withdrawal removes the attempt that it names and earlier ones of that VM; the key is free once none is left. An outcome that may have run is final. A VM takes no copies of its own attempts, and does not start an order beside the attempt of another VM. Order moved to a module of its own, and the tests' cluster to tests/order_cluster.py.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -184,9 +184,12 @@
     for i in range(n_orders):
         key = f"order-{i:010d}"
         message = ReserveOrder("service-0", key, f"r{i}", FOREVER_MS, 0, False)
-        book.reserve(message, 0.0)
+        (reserved,) = book.reserve(message, 0.0)
         kept = KeptResponse("POST", [["Content-Type", "text/plain"]], bytes(200))
-        book.record_outcome(RecordOutcome("service-0", key, Answer(200, kept)), 0.0)
+        outcome = RecordOutcome(
+            "service-0", key, Answer(200, kept), reserved.reply.attempt
+        )
+        book.record_outcome(outcome, 0.0)
     return book
 
 
--- /dev/null
+++ b/packages/core/hornbeamstand_core/controllers/order_replies.py
@@ -0,0 +1,16 @@
+"""Replies to the requests that wait for the order book."""
+
+from ..balancer_messages import DeferredReply
+from ..messages import OrderCompleted, Refusal
+
+
+def refuse(message, reason, certainty, status=503):
+    """Return the reply that refuses a ReserveOrder."""
+    refusal = Refusal(reason, certainty, status, "orders", message.key)
+    return DeferredReply(message.request_id, refusal)
+
+
+def reply_completed(waiters, outcome):
+    """Return the replies that end ReserveOrder messages with an order's outcome."""
+    completed = OrderCompleted(outcome)
+    return [DeferredReply(waiter.request_id, completed) for waiter in waiters]
--- a/packages/core/hornbeamstand_core/controllers/orders.py
+++ b/packages/core/hornbeamstand_core/controllers/orders.py
@@ -9,6 +9,12 @@
 requests with an unknown key. If the primary and the backup of a key both crashed, its
 history is lost: a request is answered "outcome unknown" and is not run, unless its
 caller states that it is the first attempt.
+
+Each reservation begins an attempt, which the id of its VM and a number name. An attempt
+that did not run is withdrawn: its VM removes it, and tells the VMs that hold copies of
+it. Messages between VMs may arrive late and in any order. They act only on the attempt
+that they name, or on an earlier one of the same VM. The key is free once no attempt is
+recorded.
 """
 
 from ..assignment import order_holders
@@ -16,14 +22,14 @@
 from ..messages import (
     NOT_RUN,
     OUTCOME_UNKNOWN,
-    OrderCompleted,
     OrderRedirect,
     OrderReserved,
-    Refusal,
 )
-from ..order_messages import DONE, DROPPED, OPEN, SendOrders, StoredOrder
+from ..order_messages import DONE, DROPPED, OPEN, SendOrders
 from ..view import View
 from .order_history import OrderHistory
+from .order_record import Order
+from .order_replies import refuse, reply_completed
 
 # Time for which an order is kept, so that resends get its outcome.
 RETENTION_MS = 600_000.0
@@ -31,45 +37,6 @@
 N_ORDERS_MAX = 100_000
 
 
-class Order:
-    """One order at one of its holders.
-
-    ``state`` is OPEN, DONE or DROPPED, and ``outcome`` the Answer or Refusal, or None
-    while the state is OPEN. ``runner_id`` is the VM that dispatches the order.
-    ``backup_id`` is the latest of ``n_backups_tried`` backups. ``reservation`` is the
-    ReserveOrder that is answered once a backup has stored the order, then None.
-    ``replication`` is the SendOrders to that backup, whose end the reservation awaits.
-    ``waiters`` are the ReserveOrder messages of resends that wait for the outcome.
-    """
-
-    __slots__ = (
-        "service_name",
-        "key",
-        "state",
-        "outcome",
-        "recorded_at_ms",
-        "runner_id",
-        "backup_id",
-        "n_backups_tried",
-        "reservation",
-        "replication",
-        "waiters",
-    )
-
-    def __init__(self, service_name, key, recorded_at_ms, runner_id):
-        self.service_name = service_name
-        self.key = key
-        self.state = OPEN
-        self.outcome = None
-        self.recorded_at_ms = recorded_at_ms
-        self.runner_id = runner_id
-        self.backup_id = None
-        self.n_backups_tried = 0
-        self.reservation = None
-        self.replication = None
-        self.waiters = []
-
-
 class OrderBook:
     """The orders that one VM holds.
 
@@ -87,6 +54,7 @@
     ``_transferred_view`` is the latest view whose transfer is complete. Until it is,
     ``_held_messages`` keeps the ReserveOrder messages with an unknown key, and
     ``_unstarted_orders`` the orders that wait for a backup to store them.
+    ``_n_attempts`` is the number of attempts that this VM has begun.
     """
 
     __slots__ = (
@@ -101,6 +69,7 @@
         "_orders_with_waiters",
         "_unstarted_orders",
         "_history",
+        "_n_attempts",
     )
 
     def __init__(self, member_id, now_ms, retention_ms=RETENTION_MS):
@@ -115,6 +84,7 @@
         self._orders_with_waiters = {}
         self._unstarted_orders = {}
         self._history = OrderHistory(retention_ms)
+        self._n_attempts = 0
 
     def __len__(self):
         return len(self._orders)
@@ -159,8 +129,8 @@
 
     def _answer_resend(self, order, message):
         if order.state == DONE:
-            return [DeferredReply(message.request_id, OrderCompleted(order.outcome))]
-        if order.runner_id not in self.view.members:
+            return reply_completed([message], order.outcome)
+        if not self.view.members.keys() >= order.attempts.keys():
             return [refuse(message, "earlier attempt unknown", OUTCOME_UNKNOWN)]
         order.waiters.append(message)
         self._orders_with_waiters[(order.service_name, order.key)] = order
@@ -169,7 +139,9 @@
     def _open(self, message, holders, now_ms):
         if len(self._orders) >= N_ORDERS_MAX:
             return [refuse(message, "order book full", NOT_RUN)]
-        order = Order(message.service_name, message.key, now_ms, self.member_id)
+        self._n_attempts += 1
+        order = Order(message.service_name, message.key, now_ms)
+        order.note_attempt(self.member_id, self._n_attempts)
         order.reservation = message
         order_key = (message.service_name, message.key)
         self._orders[order_key] = order
@@ -181,69 +153,92 @@
         if not backups:
             return self._start(order)
         if order.n_backups_tried >= len(backups):
-            return self._drop_unstarted(order)
+            return self._drop(order, "no second record")
         order.backup_id = backups[order.n_backups_tried]
         order.n_backups_tried += 1
-        copied = self._copy(order, now_ms)
-        order.replication = SendOrders(order.backup_id, [copied])
+        order.replication = SendOrders(order.backup_id, order.copies(now_ms))
         return [order.replication]
 
     def _start(self, order):
+        if len(order.attempts) > 1:
+            # A late copy has shown that another VM may run the order.
+            return self._drop(order, "earlier attempt unknown")
+        attempt = order.attempts[self.member_id]
+        reservation = self._end_reservation(order)
+        return [DeferredReply(reservation.request_id, OrderReserved(attempt))]
+
+    def _end_reservation(self, order):
+        """Return the ReserveOrder of an unstarted order, which is answered now."""
         reservation = order.reservation
         order.reservation = None
         order.replication = None
         del self._unstarted_orders[(order.service_name, order.key)]
-        return [DeferredReply(reservation.request_id, OrderReserved())]
-
-    def _drop_unstarted(self, order):
-        reservation = order.reservation
-        return self._drop(order, refuse(reservation, "no second record", NOT_RUN))
-
-    def _drop(self, order, reply):
-        order_key = (order.service_name, order.key)
-        del self._orders[order_key]
-        del self._unstarted_orders[order_key]
-        # Each waiter is answered here, so none is left to expire.
-        self._orders_with_waiters.pop(order_key, None)
+        return reservation
+
+    def _drop(self, order, reason):
+        """Refuse an unstarted order; return the replies."""
+        reservation = self._end_reservation(order)
+        del order.attempts[self.member_id]
+        if order.attempts:
+            return [refuse(reservation, reason, OUTCOME_UNKNOWN)]
+        waiters = self._remove(order)
+        replies = [refuse(w, "not run", NOT_RUN) for w in waiters]
+        return [refuse(reservation, reason, NOT_RUN), *replies]
+
+    def _remove(self, order):
+        """Remove an order of which no attempt is left; return its waiters."""
+        del self._orders[(order.service_name, order.key)]
+        return self._take_waiters(order)
+
+    def _take_waiters(self, order):
+        """Return the waiters of an order, which are answered now: none may expire."""
+        self._orders_with_waiters.pop((order.service_name, order.key), None)
         waiters, order.waiters = order.waiters, []
-        return [reply, *(refuse(w, "not run", NOT_RUN) for w in waiters)]
+        return waiters
 
     def record_outcome(self, message, now_ms):
         """Process a RecordOutcome; return the copies and the replies to resends.
 
-        An order that did not run is removed, so that a resend may run.
+        An attempt that did not run is withdrawn, so that a resend may run.
         """
         order = self._orders.get((message.service_name, message.key))
         if order is None:
             return []
-        order.state = DONE
-        order.outcome = message.outcome
         is_not_run = getattr(message.outcome, "certainty", "") == NOT_RUN
-        if is_not_run:
-            order.state = DROPPED
-            del self._orders[(message.service_name, message.key)]
-        copied = self._copy(order, now_ms)
-        holders = self._holders(order.service_name, order.key)[:2]
-        peers = {*holders, order.backup_id} - {self.member_id, None}
-        out = [SendOrders(peer_id, [copied]) for peer_id in sorted(peers)]
-        return out + self._answer_waiters(order)
+        if is_not_run and order.state == OPEN:
+            return self._withdraw_own(order, message, now_ms)
+        replies = self._complete(order, message.outcome)
+        return self._send_to_holders(order, order.copies(now_ms)) + replies
 
-    def _answer_waiters(self, order):
-        self._orders_with_waiters.pop((order.service_name, order.key), None)
-        waiters, order.waiters = order.waiters, []
-        completed = OrderCompleted(order.outcome)
-        return [DeferredReply(w.request_id, completed) for w in waiters]
-
-    def _copy(self, order, now_ms):
-        age_ms = now_ms - order.recorded_at_ms
-        return StoredOrder(
-            order.service_name,
-            order.key,
-            order.state,
-            order.outcome,
-            age_ms,
-            order.runner_id,
+    def _withdraw_own(self, order, message, now_ms):
+        if not order.withdraw(self.member_id, message.attempt):
+            return []
+        withdrawn = order.withdrawal(
+            self.member_id, message.attempt, message.outcome, now_ms
         )
+        out = self._send_to_holders(order, [withdrawn])
+        return out + self._free_if_withdrawn(order, message.outcome)
+
+    def _free_if_withdrawn(self, order, outcome):
+        """Remove an order if all its attempts are withdrawn; answer the resends."""
+        if order.attempts:
+            return []
+        return reply_completed(self._remove(order), outcome)
+
+    def _complete(self, order, outcome):
+        """Record the first outcome of an order; return the replies that it allows."""
+        if order.state == DONE:
+            return []
+        order.complete(outcome)
+        waiters = self._take_waiters(order)
+        if order.reservation is not None:
+            waiters = [self._end_reservation(order), *waiters]
+        return reply_completed(waiters, outcome)
+
+    def _send_to_holders(self, order, copies):
+        holders = self._holders(order.service_name, order.key)[:2]
+        peers = {*holders, order.backup_id} - {self.member_id, None}
+        return [SendOrders(peer_id, copies) for peer_id in sorted(peers)]
 
     # Peers.
 
@@ -280,32 +275,31 @@
         return out + self._release_held(now_ms)
 
     def _store_copy(self, stored, now_ms):
+        if stored.runner_id == self.member_id:
+            # This VM's own records of its attempts are newer than any copy.
+            return []
         order_key = (stored.service_name, stored.key)
         order = self._orders.get(order_key)
-        if order is not None and order.runner_id == self.member_id:
-            return []
         if stored.state == DROPPED:
-            return self._remove_copy(order_key, stored)
+            return self._withdraw_copy(order, stored)
         recorded_at_ms = now_ms - stored.age_ms
         if order is None:
-            order = Order(*order_key, recorded_at_ms, stored.runner_id)
+            order = Order(*order_key, recorded_at_ms)
             self._orders[order_key] = order
         elif recorded_at_ms > order.recorded_at_ms:
             # The copy may be of a later attempt; the order moves to the youngest ones.
             order.recorded_at_ms = recorded_at_ms
             self._orders[order_key] = self._orders.pop(order_key)
-        if stored.state != DONE:
-            return []
-        order.state = DONE
-        order.outcome = stored.outcome
-        return self._answer_waiters(order)
+        if stored.state == DONE:
+            return self._complete(order, stored.outcome)
+        if order.state == OPEN:
+            order.note_attempt(stored.runner_id, stored.attempt)
+        return []
 
-    def _remove_copy(self, order_key, stored):
-        order = self._orders.pop(order_key, None)
-        if order is None:
+    def _withdraw_copy(self, order, stored):
+        if order is None or not order.withdraw(stored.runner_id, stored.attempt):
             return []
-        order.outcome = stored.outcome
-        return self._answer_waiters(order)
+        return self._free_if_withdrawn(order, stored.outcome)
 
     # Changes of the view.
 
@@ -329,8 +323,7 @@
             holders = self._holders(order.service_name, order.key)
             for holder_id in holders[:2]:
                 if holder_id in orders_by_peer:
-                    copied = self._copy(order, now_ms)
-                    orders_by_peer[holder_id].append(copied)
+                    orders_by_peer[holder_id] += order.copies(now_ms)
         is_history_lost = self._history.is_any_lost(now_ms)
         return [
             SendOrders(peer_id, orders, self.view.version, is_history_lost)
@@ -400,8 +393,7 @@
         ]
         out = []
         for order in late:
-            reply = refuse(order.reservation, "deadline passed", NOT_RUN)
-            out += self._drop(order, reply)
+            out += self._drop(order, "deadline passed")
         return out
 
     def _expire_waiters(self, order, now_ms):
@@ -412,9 +404,3 @@
         return [
             refuse(w, "first attempt still runs", OUTCOME_UNKNOWN, 504) for w in late
         ]
-
-
-def refuse(message, reason, certainty, status=503):
-    """Return the reply that refuses a ReserveOrder."""
-    refusal = Refusal(reason, certainty, status, "orders", message.key)
-    return DeferredReply(message.request_id, refusal)
--- a/packages/core/hornbeamstand_core/filters/orders.py
+++ b/packages/core/hornbeamstand_core/filters/orders.py
@@ -68,7 +68,7 @@
             return Err(reply)
         outcome = yield from next_handler(call)
         stored_outcome = outcome.ok_value if outcome.is_ok() else outcome.err_value
-        yield RecordOutcome(request.service_name, key, stored_outcome)
+        yield RecordOutcome(request.service_name, key, stored_outcome, reply.attempt)
         return outcome
 
     return handle
--- a/packages/core/hornbeamstand_core/messages.py
+++ b/packages/core/hornbeamstand_core/messages.py
@@ -386,9 +386,15 @@
 
 
 class OrderReserved(Record):
-    """The order is recorded, also at a backup if any; it may be dispatched here."""
+    """The order is recorded, also at a backup if any; it may be dispatched here.
 
-    __slots__ = ()
+    ``attempt`` is the number of this VM's attempt, to be named in the RecordOutcome.
+    """
+
+    __slots__ = ("attempt",)
+
+    def __init__(self, attempt):
+        self.attempt = attempt
 
 
 class OrderCompleted(Record):
@@ -410,14 +416,15 @@
 
 
 class RecordOutcome(Record):
-    """Store an order's outcome, to answer resends with it; no reply."""
+    """Store the outcome of an order's attempt, to answer resends with it; no reply."""
 
-    __slots__ = ("service_name", "key", "outcome")
+    __slots__ = ("service_name", "key", "outcome", "attempt")
 
-    def __init__(self, service_name, key, outcome):
+    def __init__(self, service_name, key, outcome, attempt):
         self.service_name = service_name
         self.key = key
         self.outcome = outcome
+        self.attempt = attempt
 
 
 class Account(Record):
--- a/packages/core/hornbeamstand_core/order_messages.py
+++ b/packages/core/hornbeamstand_core/order_messages.py
@@ -10,20 +10,31 @@
 class StoredOrder(Record):
     """One order as it is replicated between VMs.
 
-    ``state`` is OPEN (recorded, may be running), DONE (``outcome`` is known) or
-    DROPPED (it did not run; a resend may run). ``age_ms`` is the time since it was
-    first recorded; ``runner_id`` is the VM that dispatches it.
+    ``state`` is OPEN (an attempt is recorded and may be running), DROPPED (that attempt
+    did not run; a resend may run) or DONE (``outcome`` is known, of whichever attempt).
+    ``runner_id`` and ``attempt`` name the attempt: the VM that dispatches the order,
+    and the number that it gave the attempt, greater for later ones. ``age_ms`` is the
+    time since the order was first recorded.
     """
 
-    __slots__ = ("service_name", "key", "state", "outcome", "age_ms", "runner_id")
-
-    def __init__(self, service_name, key, state, outcome, age_ms, runner_id):
+    __slots__ = (
+        "service_name",
+        "key",
+        "state",
+        "outcome",
+        "age_ms",
+        "runner_id",
+        "attempt",
+    )
+
+    def __init__(self, service_name, key, state, outcome, age_ms, runner_id, attempt=0):
         self.service_name = service_name
         self.key = key
         self.state = state
         self.outcome = outcome
         self.age_ms = age_ms
         self.runner_id = runner_id
+        self.attempt = attempt
 
 
 class SendOrders(Record):
--- a/packages/core/tests/test_orders.py
+++ b/packages/core/tests/test_orders.py
@@ -1,16 +1,9 @@
 """The order book: crashes between any two steps, resends, moves and lost history."""
 
 import pytest
+from tests.order_cluster import DEADLINE_MS, KEY, Cluster
 
 from hornbeamstand_core.assignment import order_holders
-from hornbeamstand_core.balancer_messages import DeferredReply
-from hornbeamstand_core.config import (
-    Configuration,
-    FailureDomainSpec,
-    ServiceSpec,
-    TargetSpec,
-)
-from hornbeamstand_core.controllers.orders import OrderBook
 from hornbeamstand_core.messages import (
     NOT_RUN,
     OUTCOME_UNKNOWN,
@@ -30,82 +23,7 @@
     SendOrders,
     StoredOrder,
 )
-from hornbeamstand_core.view import Member, View
-
-KEY = "k1"
-DEADLINE_MS = 1000.0
-
-
-class Cluster:
-    """Order books of several VMs; copies reach every VM that is not down."""
-
-    def __init__(self, n_vms=4):
-        spec = ServiceSpec({"t": TargetSpec("127.0.0.1:1", "fd0", 3)})
-        domains = {f"fd{i}": FailureDomainSpec() for i in range(3)}
-        self.configuration = Configuration({"shop": spec}, domains)
-        self.spec = spec
-        self.now_ms = 0.0
-        self.down = set()
-        self.replies = {}
-        self.n_requests = 0
-        members = {
-            f"vm{i}": Member(f"vm{i}", "", "", f"fd{i % 3}") for i in range(n_vms)
-        }
-        self.view = View(1, members)
-        self.books = {name: OrderBook(name, 0.0) for name in members}
-        self.adopt(self.view)
-
-    def adopt(self, view):
-        self.view = view
-        epoch = EpochAdopted(view, self.configuration)
-        out = []
-        for name in view.members:
-            book = self.books.setdefault(name, OrderBook(name, self.now_ms))
-            if name not in self.down:
-                out += [(name, m) for m in book.adopt_epoch(epoch, self.now_ms)]
-        self.deliver(out)
-
-    def holders(self):
-        return order_holders(self.view, "shop", self.spec, KEY)
-
-    def deliver(self, out):
-        for sender, message in out:
-            if isinstance(message, DeferredReply):
-                self.replies[message.request_id] = message.reply
-            elif isinstance(message, SendOrders):
-                self.copy_orders(sender, message)
-
-    def copy_orders(self, sender, sent):
-        is_stored = sent.peer_id not in self.down
-        if is_stored:
-            received = OrdersReceived(
-                sender, sent.orders, sent.transfer_version, sent.is_history_lost
-            )
-            out = self.books[sent.peer_id].note_received(received, self.now_ms)
-            self.deliver([(sent.peer_id, m) for m in out])
-        end = OrdersSent(sent, is_stored)
-        out = self.books[sender].note_sent(end, self.now_ms)
-        self.deliver([(sender, m) for m in out])
-
-    def reserve(self, vm, n_hops=1, is_first_attempt=False):
-        self.n_requests += 1
-        request_id = f"r{self.n_requests}"
-        message = ReserveOrder(
-            "shop", KEY, request_id, self.now_ms + DEADLINE_MS, n_hops, is_first_attempt
-        )
-        out = self.books[vm].reserve(message, self.now_ms)
-        self.deliver([(vm, m) for m in out])
-        return request_id
-
-    def record_outcome(self, vm, outcome):
-        out = self.books[vm].record_outcome(
-            RecordOutcome("shop", KEY, outcome), self.now_ms
-        )
-        self.deliver([(vm, m) for m in out])
-
-    def crash(self, *names):
-        self.down |= set(names)
-        self.adopt(self.view.without(names, is_clean=False))
+from hornbeamstand_core.view import Member
 
 
 def certainty_or_kind(reply):
@@ -340,7 +258,7 @@
     # The copy of the second attempt has reached no VM.
     cluster.crash(primary)
     cluster.reserve(cluster.holders()[0])
-    assert list(cluster.replies.values()).count(OrderReserved()) == 1
+    assert cluster.n_reserved() == 1
 
 
 @pytest.mark.parametrize("is_stored", [True, False])
@@ -352,7 +270,8 @@
     second = reserve_without_delivery(cluster, "second")
     assert book.note_sent(OrdersSent(first, is_stored), cluster.now_ms) == []
     (reply,) = book.note_sent(OrdersSent(second, True), cluster.now_ms)
-    assert (reply.request_id, reply.reply) == ("second", OrderReserved())
+    assert reply.request_id == "second"
+    assert isinstance(reply.reply, OrderReserved)
 
 
 def test_a_backup_keeps_a_resent_order_as_long_as_its_primary_does():
@@ -383,3 +302,90 @@
     book.note_received(OrdersReceived(primary, copies[:1], 0, False), 5000.0)
     book.tick(book.retention_ms + 1.0)
     assert len(book) == 1
+
+
+def withhold_withdrawal(cluster, vm):
+    """Let the attempt at a VM end without a run; return its messages to the others."""
+    not_run = RecordOutcome("shop", KEY, Refusal("shed", NOT_RUN), cluster.attempt)
+    return [(vm, m) for m in cluster.books[vm].record_outcome(not_run, cluster.now_ms)]
+
+
+def test_a_late_withdrawal_removes_no_later_attempt():
+    """Guards against a second run after a crash of the primary."""
+    cluster = Cluster()
+    primary = cluster.holders()[0]
+    cluster.reserve(primary)
+    copies = cluster.books[primary]._orders["shop", KEY].copies(0.0)
+    late = withhold_withdrawal(cluster, primary)
+    cluster.reserve(primary)
+    cluster.copy_orders(primary, SendOrders(cluster.holders()[1], copies))
+    cluster.deliver(late)
+    cluster.crash(primary)
+    resend = cluster.reserve(cluster.holders()[0])
+    assert certainty_or_kind(cluster.replies[resend]) == OUTCOME_UNKNOWN
+
+
+def test_a_late_withdrawal_leaves_the_attempt_of_the_next_primary():
+    """Guards against a second run after the key has moved and its primary crashed."""
+    cluster = Cluster()
+    primary, backup = cluster.holders()[:2]
+    cluster.reserve(primary)
+    withdrawals = withhold_withdrawal(cluster, primary)
+    leaving = cluster.view.members[primary].with_state("leaving")
+    cluster.adopt(cluster.view.with_member(leaving))
+    next_primary = cluster.holders()[0]
+    (withdrawal,) = withdrawals[0][1].orders
+    received = OrdersReceived(primary, [withdrawal], 0, False)
+    cluster.books[next_primary].note_received(received, 0.0)
+    resend = cluster.reserve(next_primary)
+    assert isinstance(cluster.replies[resend], OrderReserved)
+    for book in cluster.books.values():
+        book.note_received(received, 0.0)
+    cluster.crash(next_primary)
+    resend = cluster.reserve(cluster.holders()[0])
+    assert certainty_or_kind(cluster.replies[resend]) == OUTCOME_UNKNOWN
+
+
+def test_a_transfer_that_crosses_a_withdrawal_does_not_block_the_key():
+    """Guards against resends that wait for an attempt that has ended."""
+    cluster = Cluster()
+    primary, backup = cluster.holders()[:2]
+    cluster.reserve(primary)
+    epoch = EpochAdopted(cluster.view, cluster.configuration)
+    transfers = cluster.books[backup].adopt_epoch(epoch, cluster.now_ms)
+    cluster.record_outcome(primary, Refusal("shed", NOT_RUN))
+    cluster.deliver([(backup, message) for message in transfers])
+    assert isinstance(cluster.replies[cluster.reserve(primary)], OrderReserved)
+
+
+@pytest.mark.parametrize("is_stored", [True, False])
+def test_an_order_does_not_start_beside_the_attempt_of_another_vm(is_stored):
+    """Guards against two runs, and against "not run" for an order that may run."""
+    cluster = Cluster(n_vms=3)
+    primary, backup, third = cluster.holders()
+    book = cluster.books[primary]
+    sent = reserve_without_delivery(cluster, "r1")
+    copy = StoredOrder("shop", KEY, OPEN, None, 0.0, third, 7)
+    book.note_received(OrdersReceived(third, [copy], 0, False), 0.0)
+    replies = book.note_sent(OrdersSent(sent, is_stored), 0.0)
+    if not is_stored:
+        (sent,) = replies
+        replies = book.note_sent(OrdersSent(sent, is_stored), 0.0)
+    assert [certainty_or_kind(m.reply) for m in replies] == [OUTCOME_UNKNOWN]
+    assert len(book) == 1
+
+
+def test_the_end_of_an_earlier_attempt_withdraws_no_later_one():
+    """Guards against an order that is free while it runs."""
+    cluster = Cluster()
+    primary = cluster.holders()[0]
+    cluster.reserve(primary)
+    earlier = cluster.attempt
+    cluster.record_outcome(primary, Refusal("shed", NOT_RUN))
+    cluster.reserve(primary)
+    cluster.record_outcome(primary, Refusal("shed", NOT_RUN), earlier)
+    resend = cluster.reserve(primary)
+    assert resend not in cluster.replies
+    # An earlier attempt that has run after all ends the wait.
+    cluster.record_outcome(primary, Answer(200, "receipt"), earlier)
+    assert cluster.replies[resend] == OrderCompleted(Answer(200, "receipt"))
--- a/packages/entry/hornbeamstand_entry/peer_codec.py
+++ b/packages/entry/hornbeamstand_entry/peer_codec.py
@@ -4,7 +4,7 @@
 from hornbeamstand_core.balancer_messages import CapacityReport
 from hornbeamstand_core.controllers.node import SendCapacityReport
 from hornbeamstand_core.messages import Answer, Refusal
-from hornbeamstand_core.order_messages import OrdersReceived, StoredOrder
+from hornbeamstand_core.order_messages import DONE, OPEN, OrdersReceived, StoredOrder
 from hornbeamstand_core.peer_messages import HandOverRecord, Heartbeat
 from hornbeamstand_core.records import Record
 
@@ -15,6 +15,14 @@
 OUTCOME_TAGS = {Answer: "a", Refusal: "f"}
 OUTCOME_CLASSES = {tag: cls for cls, tag in OUTCOME_TAGS.items()}
 
+# Separates the state of an order from the number of its attempt. VMs of the version
+# before know no numbers and read every such state as OPEN, which lets nothing run.
+ATTEMPT_SEPARATOR = ":"
+# The numbers of attempts of VMs that don't send any. Such an attempt can't be told from
+# a later one, so no withdrawal removes it, and a withdrawal of such a VM removes none.
+UNNAMED_ATTEMPT = 1 << 62
+UNNAMED_WITHDRAWAL = 0
+
 
 def slot_values(record):
     """Return the values of a record's slots, in order."""
@@ -83,10 +91,16 @@
     """Return the orders of a SendOrders as bytes."""
     orders = []
     for stored in message.orders:
-        fields = slot_values(stored)
-        # Slot 3 of a StoredOrder is the outcome.
-        fields[3] = pack_outcome(stored.outcome)
-        orders.append(fields)
+        orders.append(
+            [
+                stored.service_name,
+                stored.key,
+                pack_state(stored),
+                pack_outcome(stored.outcome),
+                stored.age_ms,
+                stored.runner_id,
+            ]
+        )
     body = [sender_id, orders, message.transfer_version, message.is_history_lost]
     return ENCODER.encode(body)
 
@@ -95,15 +109,34 @@
     """Return the OrdersReceived of a body, or None if the body is malformed."""
     try:
         sender_id, orders, transfer_version, is_lost = ORDERS_DECODER.decode(raw)
-        stored = [
-            StoredOrder(name, key, state, unpack_outcome(outcome), age_ms, runner_id)
-            for name, key, state, outcome, age_ms, runner_id in orders
-        ]
+        stored = [unpack_order(*fields) for fields in orders]
     except (*DECODE_ERRORS, LookupError):
         return None
     return OrdersReceived(sender_id, stored, transfer_version, is_lost)
 
 
+def pack_state(stored):
+    """Return the state of a StoredOrder, with the number of its attempt if it has one.
+
+    The outcome of a DONE order holds for all its attempts.
+    """
+    if stored.state == DONE:
+        return DONE
+    return f"{stored.state}{ATTEMPT_SEPARATOR}{stored.attempt}"
+
+
+def unpack_order(service_name, key, packed_state, outcome, age_ms, runner_id):
+    """Return the StoredOrder of the fields that ``encode_orders`` wrote."""
+    state, separator, number = packed_state.rpartition(ATTEMPT_SEPARATOR)
+    if separator:
+        attempt = int(number)
+    else:
+        state = packed_state
+        attempt = UNNAMED_ATTEMPT if state == OPEN else UNNAMED_WITHDRAWAL
+    outcome = unpack_outcome(outcome)
+    return StoredOrder(service_name, key, state, outcome, age_ms, runner_id, attempt)
+
+
 class KeptResponse(Record):
     """A target's response to an order, stored to answer the resends of the order."""
 
--- a/packages/entry/tests/test_codecs_fuzz.py
+++ b/packages/entry/tests/test_codecs_fuzz.py
@@ -80,7 +80,14 @@
 answers = st.builds(Answer, st.integers(200, 599), kept_responses, names)
 refusals = st.builds(Refusal, names, names, st.integers(400, 599), names, names)
 orders = st.builds(
-    StoredOrder, names, names, names, st.none() | answers | refusals, times, names
+    StoredOrder,
+    names,
+    names,
+    names,
+    st.none() | answers | refusals,
+    times,
+    names,
+    counts,
 )
 
 
