Store no new order of a VM that was removed

What callers could see: an order that ran twice in the product's own mode, if its primary was removed from the view and had not noticed, as after a freeze.

Cause: a backup acknowledged a copy whatever its own view was. The backup had adopted the view without the sender and told the next primary what it held; then it stored the sender's new attempt, which the sender started. A resend at the next primary ran too.

Change: a backup stores the first copy of an attempt only if the sender is a member of its view, and answers 409 otherwise; the sender tries its next backup. Outcomes, withdrawals and transfers of former members are stored as before. A member that isn't the primary any more needs no check: the next primary waits for that member's own transfer.

Evidence: found by the schedules of test_order_schedules.py with VMs that are removed and live on.

--- a/packages/core/hornbeamstand_core/controllers/orders.py
+++ b/packages/core/hornbeamstand_core/controllers/orders.py
@@ -261,6 +261,16 @@
         holders = self._holders(order.service_name, order.key)
         return self._try_backup(order, holders, now_ms)
 
+    def may_store(self, message):
+        """Return whether the orders of an OrdersReceived are stored and acknowledged.
+
+        A VM that was removed from the view may not know this yet. Its new attempts are
+        not stored: those who took over its keys would not learn of them.
+        """
+        if message.transfer_version or message.sender_id in self.view.members:
+            return True
+        return all(stored.state != OPEN for stored in message.orders)
+
     def note_received(self, message, now_ms):
         """Store the orders of an OrdersReceived; return the replies that they allow."""
         out = []
--- a/packages/core/tests/test_order_schedules.py
+++ b/packages/core/tests/test_order_schedules.py
@@ -140,7 +140,7 @@
         if self.n_reserved() and self.is_settled():
             if self.n_losses < N_LOSSES_MAX:
                 names = self.holders()[:2]
-                losses = [partial(self.lose, n, dead) for n in names for dead in (1,)]
+                losses = [partial(self.lose, n, dead) for n in names for dead in (0, 1)]
             if self.n_moves < N_MOVES_MAX:
                 moves = [self.move_key]
         kinds = [copies, transfers, timeouts, requests, views, ends, losses, moves]
--- a/packages/entry/hornbeamstand_entry/tasks/orders_task.py
+++ b/packages/entry/hornbeamstand_entry/tasks/orders_task.py
@@ -68,10 +68,13 @@
         acknowledge_to = None
         if type(message) is Ask:
             ask, message = message, message.message
-            if type(message) is OrdersReceived:
+            if type(message) is not OrdersReceived:
+                self._reply_mailboxes[message.request_id] = ask.reply_to
+            elif self.book.may_store(message):
                 acknowledge_to = ask.reply_to
             else:
-                self._reply_mailboxes[message.request_id] = ask.reply_to
+                ask.reply_to.put(False)
+                return
         elif type(message) is RecordOutcome:
             keep_payload(message)
         messages = self._handlers[type(message)](message, self.clock.now_ms())
@@ -130,8 +133,11 @@
             return respond_json(start_response, 400, {"error": "malformed orders"})
         mailbox = Task("ack").mailbox
         self.task.post(Ask(message, mailbox))
-        if receive(mailbox, ACK_TIMEOUT_MS) is None:
+        is_stored = receive(mailbox, ACK_TIMEOUT_MS)
+        if is_stored is None:
             return respond_json(start_response, 503, {"error": "busy"})
+        if not is_stored:
+            return respond_json(start_response, 409, {"error": "not a member"})
         return respond_json(start_response, 200, {})
 
 
--- a/tests/order_cluster.py
+++ b/tests/order_cluster.py
@@ -74,6 +74,8 @@
         received = OrdersReceived(
             sender, sent.orders, sent.transfer_version, sent.is_history_lost
         )
+        if not book.may_store(received):
+            return False
         out = book.note_received(received, self.now_ms)
         self.deliver([(sent.peer_id, m) for m in out])
         return True
