Answer a request of the own mode whose filters meet an error

What callers saw in the product's own mode: a status 500 without the headers that say whether the request ran, or a closed connection without any answer if the error was an OSError that gevent takes for a disconnected caller. The request was missing in the metrics, and the resends of its order waited until their deadline, for as long as the order was kept.

Cause: the chain of the own mode had no filter for unexpected errors; that of the edge had.

Change: the filter recover serves both chains. A call tells it whether it may have run. It stands twice in the own chain: at the front, and behind the filter orders, so that an order that met an error has an outcome for its resends. ReportError moved to the messages of both chains. The slot was released before already (filters/dispatch.py).

--- a/packages/core/hornbeamstand_core/edge_messages.py
+++ b/packages/core/hornbeamstand_core/edge_messages.py
@@ -92,17 +92,13 @@
         self.n_may_have_run = 0
         self.tried_target_ids = ()
 
+    @property
+    def may_have_run(self):
+        """Whether a target may have run the request."""
+        return self.n_may_have_run > 0 or self.relay_to is not None
 
-# Effects that the filters yield.
-
-
-class ReportError(Record):
-    """Report an exception that no filter expects."""
 
-    __slots__ = ("error",)
-
-    def __init__(self, error):
-        self.error = error
+# Effects that the filters yield.
 
 
 class FindRoute(Record):
--- a/packages/core/hornbeamstand_core/filters/__init__.py
+++ b/packages/core/hornbeamstand_core/filters/__init__.py
@@ -14,6 +14,7 @@
 from .dispatch import dispatch
 from .identify import make_identify
 from .orders import orders
+from .recover import recover
 from .retry import retry
 
 __all__ = [
@@ -27,5 +28,6 @@
     "make_admit",
     "make_identify",
     "orders",
+    "recover",
     "retry",
 ]
--- a/packages/core/hornbeamstand_core/filters/chain.py
+++ b/packages/core/hornbeamstand_core/filters/chain.py
@@ -8,6 +8,7 @@
 from .dispatch import dispatch
 from .identify import make_identify
 from .orders import orders
+from .recover import recover
 from .retry import retry
 
 
@@ -30,11 +31,14 @@
     """
     filters = [
         account,
+        recover,
         make_identify(find_service),
         deadline,
         classify,
         make_admit(find_refusal),
         orders,
+        # Once more, so that resends of an order that met an error get its outcome.
+        recover,
         retry,
         choose,
     ]
--- a/packages/core/hornbeamstand_core/filters/recover.py
+++ b/packages/core/hornbeamstand_core/filters/recover.py
@@ -2,8 +2,7 @@
 
 from result import Err
 
-from ..edge_messages import ReportError
-from ..messages import NOT_RUN, OUTCOME_UNKNOWN, Refusal
+from ..messages import NOT_RUN, OUTCOME_UNKNOWN, Refusal, ReportError
 
 # Time after which a caller may retry a request that failed before its first send.
 RETRY_AFTER_MS = 100.0
@@ -25,9 +24,9 @@
 def error_refusal(call):
     """Return the refusal of a call that an unexpected error ended.
 
-    Its outcome is unknown once the call was sent to a target or relayed to a peer.
+    Its outcome is unknown once the call was sent to a target or to a peer.
     """
     reason = "unexpected error"
-    if call.n_may_have_run or call.relay_to is not None:
+    if call.may_have_run:
         return Refusal(reason, OUTCOME_UNKNOWN, 502, "front")
     return Refusal(reason, NOT_RUN, 503, "front", "", RETRY_AFTER_MS)
--- a/packages/core/hornbeamstand_core/messages.py
+++ b/packages/core/hornbeamstand_core/messages.py
@@ -86,6 +86,11 @@
         self.tried_target_ids = ()
         self.permit = None
 
+    @property
+    def may_have_run(self):
+        """Whether a target may have run the request."""
+        return self.n_dispatches + self.n_forwards > 0
+
 
 # Outcomes of a call.
 
@@ -435,3 +440,12 @@
     def __init__(self, call, outcome):
         self.call = call
         self.outcome = outcome
+
+
+class ReportError(Record):
+    """Report an exception that no filter expects."""
+
+    __slots__ = ("error",)
+
+    def __init__(self, error):
+        self.error = error
--- a/packages/core/tests/test_edge_filters.py
+++ b/packages/core/tests/test_edge_filters.py
@@ -17,7 +17,6 @@
     ExchangeEnded,
     FindRoute,
     Relay,
-    ReportError,
     RequestPolicy,
     Routed,
     StartSend,
@@ -37,6 +36,7 @@
     Permit,
     Refusal,
     Release,
+    ReportError,
     SendFailure,
     UpstreamResponse,
 )
--- a/packages/entry/hornbeamstand_entry/edge/performers.py
+++ b/packages/entry/hornbeamstand_entry/edge/performers.py
@@ -18,7 +18,6 @@
     NoticeRelayed,
     ProbeLoads,
     Relay,
-    ReportError,
     StartSend,
     WaitTimedOut,
 )
@@ -26,6 +25,7 @@
     BROKEN_RESPONSE,
     Account,
     Release,
+    ReportError,
     SendFailure,
     Withdraw,
 )
--- a/packages/entry/hornbeamstand_entry/performers.py
+++ b/packages/entry/hornbeamstand_entry/performers.py
@@ -13,6 +13,7 @@
     Forward,
     RecordOutcome,
     Release,
+    ReportError,
     ReserveOrder,
     Send,
     SendFailure,
@@ -24,6 +25,7 @@
 from .context import CALLER_GONE
 from .encoding import decode_capacity, encode_request, peer_response, target_response
 from .tasks.exchange import Exchange, ExchangeResult
+from .tasks.failures import report_failure
 from .tasks.task import Ask
 
 # Maximum age of a permit at which its request may still be sent. After a longer delay
@@ -201,6 +203,9 @@
     def account(effect, context):
         metrics.count_call(effect.call, effect.outcome, clock.now_ms())
 
+    def report_error(effect, context):
+        report_failure("front", effect.error)
+
     return {
         Acquire: acquire,
         Send: send,
@@ -210,4 +215,5 @@
         ReserveOrder: reserve_order,
         RecordOutcome: record_outcome,
         Account: account,
+        ReportError: report_error,
     }
--- a/packages/entry/tests/test_edge_front_errors.py
+++ b/packages/entry/tests/test_edge_front_errors.py
@@ -13,13 +13,18 @@
     CheckStop,
     ExchangeEnded,
     FindRoute,
-    ReportError,
     RequestPolicy,
     Routed,
     StartSend,
 )
 from hornbeamstand_core.filters.edge_chain import build_edge_chain
-from hornbeamstand_core.messages import Account, Permit, Release, UpstreamResponse
+from hornbeamstand_core.messages import (
+    Account,
+    Permit,
+    Release,
+    ReportError,
+    UpstreamResponse,
+)
 from hornbeamstand_core.routes import CallerLimits
 from hornbeamstand_entry.clock import make_process_clock
 from hornbeamstand_entry.edge.dialect import Dialect, HeaderNames
