Move the life of a process into a folder of its own

The start, signals, reload, addresses, late servers, output and inherited state of the platform's process lay in `entry/edge` and in the platform's adapter, where no other program can use them. They are now `hornbeamstand_entry.life`, which runs a `Program`: a slotted record of the functions that a program brings (load settings, open its log and its sockets, start, apply reloaded settings, perform its planned stop). `edge/program.py` makes that of an edge process, `edge/planned_stop.py` holds its stop and `edge/sockets.py` its sockets.

Nothing changes for callers. The tests are the same but for the names and for what they hand in: a `Program` in place of replaced functions. The check that OPERATIONS.md names every event now covers the new folder too.

--- a/packages/entry/hornbeamstand_entry/edge/logs.py
+++ b/packages/entry/hornbeamstand_entry/edge/logs.py
@@ -14,7 +14,7 @@
 import msgspec
 from hornbeamstand_core.records import Record
 
-from ..output import make_writer
+from ..life.output import make_writer
 from ..tasks.failures import report_failures_to, spawn_supervised
 
 # Maximum number of lines that are buffered between two flushes.
--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -19,6 +19,7 @@
 from hornbeamstand_core.identity import EdgeIdentity
 from hornbeamstand_core.routes import CallerLimits
 
+from ..life.late_servers import LateServer
 from ..tasks.byte_budget import ByteBudget
 from ..tasks.connections import ConnectionRules
 from ..tasks.open_connections import OpenConnections
@@ -29,7 +30,6 @@
 from .descriptors import ConnectionLimits, prepare_descriptors
 from .front import EdgeFront, respond
 from .heartbeats import HeartbeatTask
-from .late_servers import LateServer
 from .load_probes import LoadProber
 from .metrics import EdgeMetrics
 from .performers import make_performers
--- a/packages/entry/hornbeamstand_entry/edge/addresses.py
+++ b/packages/entry/hornbeamstand_entry/life/addresses.py
@@ -11,7 +11,6 @@
 from gevent import socket
 from gevent.server import StreamServer
 from hornbeamstand_core.errors import HornbeamError
-from hornbeamstand_core.records import Record
 
 # Interval at which an address that is in use is tried again.
 RETRY_INTERVAL_MS = 100.0
@@ -76,52 +75,23 @@
     return made
 
 
-class EdgeSockets(Record):
-    """The bound sockets of the addresses without which a process can't serve.
-
-    ``front`` listens for callers, ``peer`` for other VMs, and ``datagrams`` takes the
-    heartbeats of these.
-    """
-
-    __slots__ = ("front", "peer", "datagrams")
-
-    def __init__(self, front, peer, datagrams):
-        self.front = front
-        self.peer = peer
-        self.datagrams = datagrams
-
-    @classmethod
-    def from_config(cls, settings):
-        """Open all sockets, or none; raises AddressError.
-
-        Callers would wait at an open socket while another one can't be opened, and two
-        processes that each hold some of the addresses would wait for each other.
-        """
-        peer_address = f"{settings.ip}:{settings.peer_port}"
-        with ExitStack() as opened:
-
-            def open_next(address, kind):
-                sock = open_socket(address, kind)
-                opened.callback(sock.close)
-                return sock
-
-            datagrams = open_next(peer_address, socket.SOCK_DGRAM)
-            peer = open_next(peer_address, socket.SOCK_STREAM)
-            front = open_next(settings.front_address, socket.SOCK_STREAM)
-            opened.pop_all()
-        return cls(front, peer, datagrams)
+def open_next(address, kind, opened):
+    """Open a socket as ``open_socket`` does; the exit stack ``opened`` closes it."""
+    sock = open_socket(address, kind)
+    opened.callback(sock.close)
+    return sock
 
 
-def wait_for_sockets(settings, clock, log, wait):
-    """Return the EdgeSockets as soon as all addresses are free.
+def wait_for_sockets(open_sockets, clock, log, wait):
+    """Return the sockets of the process as soon as all their addresses are free.
 
     Parameters
     ----------
-    settings : EdgeSettings
-        Settings of the process.
+    open_sockets : callable
+        Returns the sockets, or raises AddressError and leaves none of them open.
     clock : Clock
         The process's clock.
-    log : EdgeLog
+    log : object
         Logs the addresses that are in use.
     wait : callable
         Takes a time in milliseconds, waits for it and returns whether to give up. The
@@ -132,7 +102,7 @@
     log_at_ms = float("-inf")
     while True:
         try:
-            return EdgeSockets.from_config(settings)
+            return open_sockets()
         except AddressError as error:
             if not error.is_temporary:
                 raise
--- a/packages/entry/hornbeamstand_entry/edge/late_servers.py
+++ b/packages/entry/hornbeamstand_entry/life/late_servers.py
@@ -31,7 +31,7 @@
         exit stack stops.
     clock : Clock
         The process's clock.
-    log : EdgeLog
+    log : object
         Logs that the address can't be had, and that it is open later.
     """
 
--- a/packages/entry/hornbeamstand_entry/edge/signals.py
+++ b/packages/entry/hornbeamstand_entry/life/signals.py
@@ -1,4 +1,4 @@
-"""The signals by which the platform stops a process or has it read its settings."""
+"""The signals by which operators stop a process or have it read its settings."""
 
 import signal
 
--- a/packages/entry/hornbeamstand_entry/main.py
+++ b/packages/entry/hornbeamstand_entry/main.py
@@ -13,7 +13,7 @@
 from hornbeamstand_wire.reference import make_reference  # noqa: E402
 
 from . import __version__  # noqa: E402
-from .output import OutputStream  # noqa: E402
+from .life.output import OutputStream  # noqa: E402
 from .settings import Settings, load_settings  # noqa: E402
 from .stop_signals import handle_stop_signals  # noqa: E402
 
--- a/packages/entry/hornbeamstand_entry/stop_signals.py
+++ b/packages/entry/hornbeamstand_entry/stop_signals.py
@@ -5,7 +5,7 @@
 import gevent
 from gevent.queue import Queue
 
-from .inherited import (
+from .life.inherited import (
     Corrections,
     open_standard_descriptors,
     remove_variables,
--- a/packages/entry/tests/test_caller_limits.py
+++ b/packages/entry/tests/test_caller_limits.py
@@ -11,7 +11,7 @@
 from gevent.queue import SimpleQueue
 from hornbeamstand_core.routes import CallerLimits
 from hornbeamstand_entry.clock import make_process_clock
-from hornbeamstand_entry.edge.lifecycle import finish_requests
+from hornbeamstand_entry.edge.planned_stop import finish_requests
 from hornbeamstand_entry.edge.servers import (
     close_idle_connections,
     has_requests,
--- a/packages/entry/tests/test_edge_logs.py
+++ b/packages/entry/tests/test_edge_logs.py
@@ -119,7 +119,7 @@
 def test_importing_the_process_does_not_load_structlog():
     """Imports delay the start, and all VMs may start at once while callers wait."""
     code = (
-        "import sys, hornbeamstand_entry.edge.lifecycle;"
+        "import sys, hornbeamstand_entry.edge.program;"
         "sys.exit('structlog' in sys.modules)"
     )
     assert subprocess.run([sys.executable, "-c", code], check=False).returncode == 0
--- a/packages/entry/tests/test_edge_reloading.py
+++ b/packages/entry/tests/test_edge_reloading.py
@@ -4,8 +4,9 @@
 
 import pytest
 from hornbeamstand_core.edge_node_messages import RetryLimits
-from hornbeamstand_entry.edge.reloading import reload
+from hornbeamstand_entry.edge.program import make_edge_program
 from hornbeamstand_entry.edge.settings import EdgeSettings
+from hornbeamstand_entry.life.reloading import reload
 from result import Err, Ok
 
 
@@ -33,11 +34,15 @@
     )
 
 
+def reload_with(process, loaded):
+    reload(make_edge_program(None, lambda: loaded), process, process.log)
+
+
 def test_fields_that_need_a_restart_are_logged_and_left_in_force(process):
     """Guards against an operator who takes changed settings for applied ones."""
     store_address = process.settings.store_address
     changed = make_settings(grace_ms=4000.0, store_address="127.0.0.9:1", n_named=3)
-    reload(process, lambda: Ok(changed))
+    reload_with(process, Ok(changed))
     expected = (
         "process: settings need a restart",
         {"fields": ["n_named", "store_address"]},
@@ -48,12 +53,12 @@
 
 
 def test_a_reload_applies_the_retry_limits(process):
-    reload(process, lambda: Ok(make_settings(retry_slack=7.0, n_domains=3)))
+    reload_with(process, Ok(make_settings(retry_slack=7.0, n_domains=3)))
     assert process.messages == [RetryLimits(0.2, 7.0, 10_000.0, 3)]
     assert [event for event, _ in process.lines] == ["process: settings reloaded"]
 
 
 def test_settings_that_cannot_be_read_leave_the_earlier_ones_in_force(process):
-    reload(process, lambda: Err("field Grace is missing"))
+    reload_with(process, Err("field Grace is missing"))
     assert [event for event, _ in process.lines] == ["process: reload failed"]
     assert (process.settings, process.messages) == (make_settings(), [])
--- a/packages/entry/tests/test_late_servers.py
+++ b/packages/entry/tests/test_late_servers.py
@@ -7,9 +7,9 @@
 from gevent import socket
 from hornbeamstand_core.routes import CallerLimits
 from hornbeamstand_entry.clock import make_process_clock
-from hornbeamstand_entry.edge import late_servers
-from hornbeamstand_entry.edge.addresses import open_listener
 from hornbeamstand_entry.edge.servers import start_server
+from hornbeamstand_entry.life import late_servers
+from hornbeamstand_entry.life.addresses import open_listener
 
 AT_ONCE_S = 5.0
 
--- a/packages/entry/tests/test_output.py
+++ b/packages/entry/tests/test_output.py
@@ -7,8 +7,8 @@
 
 import gevent
 import pytest
-from hornbeamstand_entry import output
-from hornbeamstand_entry.output import OutputStream, make_writer
+from hornbeamstand_entry.life import output
+from hornbeamstand_entry.life.output import OutputStream, make_writer
 
 CHUNK = b"x" * 4096
 
@@ -39,7 +39,7 @@
 monkey.patch_all()
 import sys
 import gevent
-from hornbeamstand_entry import output
+from hornbeamstand_entry.life import output
 output.make_reopened_writer = lambda descriptor: None
 sys.stderr = output.OutputStream(2)
 gevent.get_hub().loop.run_callback(lambda: 1 / 0)
--- a/packages/entry/tests/test_task_failures.py
+++ b/packages/entry/tests/test_task_failures.py
@@ -75,63 +75,67 @@
 START_EDGE = """
 from types import SimpleNamespace
 from result import Ok
-from hornbeamstand_entry.edge import lifecycle
+from hornbeamstand_entry.life import reloading, running
+from hornbeamstand_entry.life.program import Program
 
-process = SimpleNamespace(
-    log=log,
-    listen=lambda stack: None,
-    settings=SimpleNamespace(grace_ms=0.0, lookup_ttl_ms=0.0),
+def open_log(settings, clock, stack):
+    log.start(stack)
+    return log
+
+settings = SimpleNamespace(front_address="127.0.0.1:1")
+process = SimpleNamespace(settings=settings)
+program = Program(
+    load_settings=lambda: Ok(settings),
+    open_log=open_log,
+    open_sockets=lambda settings: True,
+    start=lambda *args: process,
+    reloaded_fields=frozenset(),
+    apply_settings=lambda process: None,
+    stop=lambda process, signals: None,
 )
-settings = SimpleNamespace(vm_id="vm1", front_address="127.0.0.1:1")
-lifecycle.EdgeLog = SimpleNamespace(from_config=lambda *args: log)
-lifecycle.EdgeProcess = SimpleNamespace(from_config=lambda *args: process)
-lifecycle.wait_for_addresses = lambda *args: True
 """
 FAIL_STOP = """
-lifecycle.wait_for_stop = lambda *args: fail()
-lifecycle.run_edge(settings, None, None)
+running.wait_for_stop = lambda *args: fail()
+running.run_until_stopped(program)
 """
 FAIL_CALLBACK = """
 def wait_for_stop(*args):
     gevent.get_hub().loop.run_callback(fail)
     gevent.sleep(5)
 
-lifecycle.wait_for_stop = wait_for_stop
-lifecycle.stop = lambda process: None
-lifecycle.run_edge(settings, None, None)
+running.wait_for_stop = wait_for_stop
+running.run_until_stopped(program)
 """
 FAIL_ACCEPT = """
 from gevent.server import StreamServer
 server = StreamServer(("127.0.0.1", 0), fail)
 server.do_read = fail
-lifecycle.wait_for_stop = lambda *args: gevent.sleep(0.2)
-lifecycle.stop = lambda process: None
+running.wait_for_stop = lambda *args: gevent.sleep(0.2)
 server.start()
 address = ("127.0.0.1", server.server_port)
 gevent.socket.create_connection(address)
-lifecycle.run_edge(settings, None, None)
+running.run_until_stopped(program)
 raise SystemExit(0)
 """
 FAIL_ACCEPTED = """
 from gevent.server import StreamServer
 server = StreamServer(("127.0.0.1", 0), fail, spawn=lambda *args: fail())
-lifecycle.wait_for_stop = lambda *args: gevent.sleep(0.2)
-lifecycle.stop = lambda process: None
+running.wait_for_stop = lambda *args: gevent.sleep(0.2)
 server.start()
 address = ("127.0.0.1", server.server_port)
 gevent.socket.create_connection(address)
-lifecycle.run_edge(settings, None, None)
+running.run_until_stopped(program)
 raise SystemExit(0)
 """
 FAIL_GREENLET = """
-lifecycle.wait_for_stop = lambda *args: gevent.sleep(0.2)
-lifecycle.stop = lambda process: None
+running.wait_for_stop = lambda *args: gevent.sleep(0.2)
 gevent.spawn(fail)
-lifecycle.run_edge(settings, None, None)
+running.run_until_stopped(program)
 raise SystemExit(0)
 """
 FAIL_RELOAD = """
-lifecycle.reload(process, fail)
+program.load_settings = fail
+reloading.reload(program, process, log)
 log.lines.flush()
 raise SystemExit(0)
 """
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -9,6 +9,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 SOURCES = [
     *(ROOT / "packages/entry/hornbeamstand_entry/edge").glob("*.py"),
+    *(ROOT / "packages/entry/hornbeamstand_entry/life").glob("*.py"),
     *(ROOT / "packages/core/hornbeamstand_core/controllers").glob("*.py"),
 ]
 EDGE_CONTROLLERS = {
--- a/tests/test_platform_entry_point.py
+++ b/tests/test_platform_entry_point.py
@@ -11,18 +11,20 @@
 
 
 def copy_module(folder, name):
-    """Copy one module of a package; return the new folder of the package."""
-    package = folder / name.partition(".")[0]
-    package.mkdir()
+    """Copy one module with its packages; return the new folder of its package."""
+    package = folder
+    for part in name.split(".")[:-1]:
+        package /= part
+        package.mkdir()
+        (package / "__init__.py").touch()
     shutil.copy(find_spec(name).origin, package)
-    (package / "__init__.py").touch()
     return package
 
 
 def test_a_launcher_without_a_module_path_starts_the_program(tmp_path):
     """Guards against a start that ends because its own modules are not found."""
     package = copy_module(tmp_path, "hornbeamstand_platform.__main__")
-    copy_module(tmp_path, "hornbeamstand_entry.inherited")
+    copy_module(tmp_path, "hornbeamstand_entry.life.inherited")
     (package / "start.py").write_text("def run_process(*args):\n    print('started')\n")
     command = [sys.executable, "-S", "-P", package / "__main__.py"]
     run = subprocess.run(
--- a/tests/test_platform_launchers.py
+++ b/tests/test_platform_launchers.py
@@ -15,7 +15,7 @@
 import gevent
 import pytest
 from hornbeamstand_entry.edge.logs import FLUSH_INTERVAL_MS
-from hornbeamstand_platform import start
+from hornbeamstand_entry.life.settings_wait import load_after_signals
 from result import Ok
 
 from standins.cluster import Cluster, kill_process, wait_until
@@ -94,11 +94,10 @@
     assert_stops(cell, vm, number)
 
 
-def test_a_stop_is_kept_while_the_settings_are_read(monkeypatch):
+def test_a_stop_is_kept_while_the_settings_are_read():
     """Guards against a stop that is forgotten with the reloads before the settings."""
     early_signals = [signal.SIGHUP, signal.SIGTERM, signal.SIGHUP]
-    monkeypatch.setattr(start, "load_settings", lambda: Ok(None))
-    start.load_after_signals(early_signals)
+    load_after_signals(lambda: Ok(None), early_signals)
     assert early_signals == [signal.SIGTERM]
 
 
--- a/tests/test_platform_starts.py
+++ b/tests/test_platform_starts.py
@@ -12,7 +12,7 @@
 
 import gevent
 import pytest
-from hornbeamstand_platform import start
+from hornbeamstand_entry.life.settings_wait import wait_for_settings
 from result import Ok
 
 from standins.edge_cell import DOMAINS, ROOT, EdgeCell
@@ -113,10 +113,10 @@
 # Another program binds an address of the VM when the start has found it to be free.
 TAKE_IN_START = """
 import socket
-from hornbeamstand_entry.edge import lifecycle
+from hornbeamstand_entry.edge.process import EdgeProcess
 from hornbeamstand_platform.start import run_process
 
-build = lifecycle.EdgeProcess.from_config
+build = EdgeProcess.from_config
 taker = socket.socket(socket.AF_INET, socket.{kind})
 
 def build_late(*args):
@@ -126,7 +126,7 @@
         pass
     return build(*args)
 
-lifecycle.EdgeProcess.from_config = build_late
+EdgeProcess.from_config = build_late
 run_process([])
 """
 
@@ -291,7 +291,7 @@
 
 def test_a_reload_during_the_start_is_made_up_for():
     code = (
-        "from hornbeamstand_entry.edge.signals import Signals\n"
+        "from hornbeamstand_entry.life.signals import Signals\n"
         "signals = Signals()\n"
         "signals.install([1])\n"
         "print(signals.wait(), signals.is_reload_requested)"
@@ -304,40 +304,43 @@
     code = (
         "import os, signal, gevent\n"
         "from hornbeamstand_platform.__main__ import early_signals\n"
-        "from hornbeamstand_entry.edge import lifecycle\n"
+        "from hornbeamstand_entry.edge.program import make_edge_program\n"
+        "from hornbeamstand_entry.life import running\n"
+        "from result import Ok\n"
         "set_handler = gevent.signal_handler\n"
         "def interrupted(number, handler):\n"
         "    if number == signal.SIGTERM:\n"
         "        os.kill(os.getpid(), signal.SIGHUP)\n"
         "    return set_handler(number, handler)\n"
         "gevent.signal_handler = interrupted\n"
-        "def show(settings, clock, log, signals):\n"
+        "def show(program, settings, clock, log, signals):\n"
         "    print(signals.is_reload_requested)\n"
         "    signals.is_stop_requested = True\n"
-        "lifecycle.wait_for_addresses = show\n"
+        "running.wait_for_addresses = show\n"
         "class Settings:\n"
         "    vm_id = 'vm'\n"
-        "lifecycle.run_edge(Settings, None, None, early_signals)"
+        "    __slots__ = ()\n"
+        "program = make_edge_program(None, lambda: Ok(Settings))\n"
+        "running.run_until_stopped(program, early_signals)"
     )
     status, output = run_in_interpreter(code)
     assert (status, output.splitlines()[0]) == (0, "True")
 
 
-def test_a_reload_before_the_settings_are_read_needs_no_other(monkeypatch):
+def test_a_reload_before_the_settings_are_read_needs_no_other():
     early_signals = [signal.SIGHUP]
-    monkeypatch.setattr(start, "load_settings", lambda: Ok(list(early_signals)))
-    assert start.wait_for_settings(early_signals).ok_value == []
+    loaded = wait_for_settings(lambda: Ok(list(early_signals)), early_signals)
+    assert loaded.ok_value == []
 
 
-def test_a_reload_while_the_settings_are_read_is_kept(monkeypatch):
+def test_a_reload_while_the_settings_are_read_is_kept():
     early_signals = []
 
     def load():
         early_signals.append(signal.SIGHUP)
         return Ok(None)
 
-    monkeypatch.setattr(start, "load_settings", load)
-    start.wait_for_settings(early_signals)
+    wait_for_settings(load, early_signals)
     assert early_signals == [signal.SIGHUP]
 
 
