Send what a failed owner holds from the next owner, within its attempts

What callers saw: a request that may be repeated and was relayed to a VM that froze got 502 after 250 to 500 ms. So did those in progress at an owner that was killed.

Cause: the VM that had relayed it guessed from the time what the owner had sent: one send up to 0.1 of the latency objective, two up to 0.35, and all attempts after that. The silence of an owner is noticed after 850 ms, so with two attempts none was left. A VM that isn't preferred also continued on itself, though it holds no targets.

Change: - An owner announces each send beyond its first one before it makes it, with an interim response (102, Hornbeam-Sends). The VM that relayed the request counts these in place of the guess. An attempt is never exceeded: the first send counts also if the owner can't have read the request. - The request goes to the next preferred VM (FindOwner), or to the targets of this VM if that is itself. The other VM gets the attempts that are left, and learns whether its first send is a retry. - The first send after a silent owner isn't a retry if the owner was silent before the relay: a frozen VM would otherwise use up the retry budget, and a request that is nobody's second one may wait for a slot. - Orders that an owner didn't take (unreachable, stopping) also go to the next preferred VM.

Tests: two cases stated the guess (no send after a broken relay once 100 or 500 ms had passed). They now state the same limit for announced sends, and that an announcement which comes just before the owner is given up counts.

--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -12,6 +12,7 @@
 from ..edge_messages import (
     AcquireSlot,
     CheckPeerAlive,
+    FindOwner,
     FindRoute,
     LoadProbeResult,
     NoticeRelayed,
@@ -117,6 +118,7 @@
             Release: self._release,
             Withdraw: self._withdraw,
             CheckPeerAlive: self._check_peer_alive,
+            FindOwner: self._find_owner,
             StoreChanges: self._apply_changes,
             StoreSnapshot: self._apply_snapshot,
             StoreUnavailable: self._note_store_unavailable,
@@ -212,7 +214,16 @@
         return service.withdraw(message.request_id, now_ms)
 
     def _check_peer_alive(self, message, now_ms):
-        return [self.peers.is_alive(message.peer_id, now_ms)]
+        return [self.peers.status(message.peer_id, now_ms)]
+
+    def _find_owner(self, message, now_ms):
+        owner = self.peers.ranking.substitute(
+            message.service_name,
+            now_ms,
+            self.me.failure_domain,
+            message.failed_ids,
+        )
+        return [None if owner == self.me.ip else owner]
 
     def named_ips(self, host, failure_domain, now_ms):
         """Return the addresses of the VMs that a lookup of a host names."""
--- a/packages/core/hornbeamstand_core/controllers/peer_records.py
+++ b/packages/core/hornbeamstand_core/controllers/peer_records.py
@@ -39,14 +39,22 @@
     """An address to send heartbeats to while its VM is not a peer.
 
     ``failure_domain`` is None until a heartbeat has come from there, and
-    ``last_heartbeat`` is the latest one.
+    ``last_heartbeat`` is the latest one. ``ran_until_ms`` is the latest time at which
+    the VM may have run when it became silent.
     """
 
-    __slots__ = ("failure_domain", "last_heartbeat", "due_at_ms", "interval_ms")
+    __slots__ = (
+        "failure_domain",
+        "last_heartbeat",
+        "ran_until_ms",
+        "due_at_ms",
+        "interval_ms",
+    )
 
     def __init__(self):
         self.failure_domain = None
         self.last_heartbeat = None
+        self.ran_until_ms = -inf
         self.reset()
 
     def reset(self):
--- a/packages/core/hornbeamstand_core/controllers/peer_view.py
+++ b/packages/core/hornbeamstand_core/controllers/peer_view.py
@@ -8,7 +8,7 @@
 
 from math import inf
 
-from ..edge_messages import StateChange
+from ..edge_messages import PeerStatus, StateChange
 from ..edge_node_messages import (
     Contacts,
     EdgeHeartbeat,
@@ -28,6 +28,9 @@
 REMOTE_LONG_MS = 60_000.0
 # Maximum silence of a live peer, in intervals of its heartbeats.
 N_SILENT_INTERVALS = 3.4
+# Time after its last heartbeat for which a VM that has become silent may have run, in
+# the same intervals: heartbeats may be late by a part of one.
+N_LATE_INTERVALS = 1.5
 # Minimum delay of this VM's own tick that is not counted as silence of its peers. Their
 # heartbeats of that time may wait to be read.
 OWN_DELAY_MIN_MS = LOCAL_SHORT_MS
@@ -267,7 +270,7 @@
             ip for ip, peer in self.peers.items() if self._is_silent(peer, now_ms)
         ]
         for ip in silent:
-            del self.peers[ip]
+            self.contacts[ip].ran_until_ms = self._ran_until_ms(self.peers.pop(ip))
             self.contacts[ip].reset()
         return [StateChange("peer", "silent", ip) for ip in silent]
 
@@ -280,6 +283,20 @@
         peer = self.peers.get(ip)
         return peer is not None and not self._is_silent(peer, now_ms)
 
+    def status(self, ip, now_ms):
+        """Return the PeerStatus of a VM; one never heard may have run until now."""
+        peer = self.peers.get(ip)
+        if peer is not None:
+            return PeerStatus(self.is_alive(ip, now_ms), self._ran_until_ms(peer))
+        contact = self.contacts.get(ip)
+        was_heard = contact is not None and contact.last_heartbeat is not None
+        return PeerStatus(False, contact.ran_until_ms if was_heard else now_ms)
+
+    def _ran_until_ms(self, peer):
+        """Return the latest time at which a peer that is silent now may have run."""
+        late_share = N_LATE_INTERVALS / N_SILENT_INTERVALS
+        return peer.received_at_ms + late_share * self._silence_max_ms(peer)
+
     # Owners.
 
     def _is_candidate(self, peer, now_ms):
--- a/packages/core/hornbeamstand_core/edge_messages.py
+++ b/packages/core/hornbeamstand_core/edge_messages.py
@@ -66,9 +66,12 @@
 class EdgeCall(Record):
     """The state of one request as it passes through the filter chain.
 
+    ``is_relayed`` is set if a peer relayed the request, and its policy, to this VM.
     ``n_sent`` counts this VM's sends to targets. ``n_may_have_run`` counts the sends
     that may have run, including those of a peer that the request was relayed to.
-    ``relay_to`` is the peer to relay the request to, or None.
+    ``relay_to`` is the peer that the request was last relayed to, or is to be, or None.
+    ``first_kind`` is the
+    kind of the first send: RETRY if a peer that failed may have sent the request.
     """
 
     __slots__ = (
@@ -77,6 +80,8 @@
         "deadline_at_ms",
         "objective_at_ms",
         "relay_to",
+        "is_relayed",
+        "first_kind",
         "n_sent",
         "n_may_have_run",
         "tried_target_ids",
@@ -88,6 +93,8 @@
         self.deadline_at_ms = 0.0
         self.objective_at_ms = 0.0
         self.relay_to = None
+        self.is_relayed = policy is not None
+        self.first_kind = FIRST
         self.n_sent = 0
         self.n_may_have_run = 0
         self.tried_target_ids = ()
@@ -274,14 +281,34 @@
 
 
 class Relay(Record):
-    """Start sending the request to a peer; no reply."""
+    """Start sending the request to a peer; no reply.
 
-    __slots__ = ("peer_id", "policy", "deadline_at_ms")
+    ``n_attempts_max`` is the number of sends that the peer may make, and ``first_kind``
+    the kind of its first one.
+    """
+
+    __slots__ = ("peer_id", "policy", "deadline_at_ms", "n_attempts_max", "first_kind")
 
-    def __init__(self, peer_id, policy, deadline_at_ms):
+    def __init__(
+        self, peer_id, policy, deadline_at_ms, n_attempts_max=None, first_kind=FIRST
+    ):
         self.peer_id = peer_id
         self.policy = policy
         self.deadline_at_ms = deadline_at_ms
+        self.n_attempts_max = n_attempts_max or policy.n_attempts_max
+        self.first_kind = first_kind
+
+
+class AnnounceSends(Record):
+    """Tell the peer that relayed the request how many sends may have run; no reply.
+
+    It counts them if this VM fails. The first one needs no announcement.
+    """
+
+    __slots__ = ("n_sends",)
+
+    def __init__(self, n_sends):
+        self.n_sends = n_sends
 
 
 class Abort(Record):
@@ -318,7 +345,7 @@
 
 
 class CheckPeerAlive(Record):
-    """Check whether a peer is alive by its heartbeats; the reply is a bool."""
+    """Check whether a peer is alive by its heartbeats; the reply is a PeerStatus."""
 
     __slots__ = ("peer_id",)
 
@@ -326,6 +353,32 @@
         self.peer_id = peer_id
 
 
+class PeerStatus(Record):
+    """Whether a peer is alive, and the latest time at which a silent one ran.
+
+    ``ran_until_ms`` allows for the interval of the heartbeats after the last one.
+    """
+
+    __slots__ = ("is_alive", "ran_until_ms")
+
+    def __init__(self, is_alive, ran_until_ms):
+        self.is_alive = is_alive
+        self.ran_until_ms = ran_until_ms
+
+
+class FindOwner(Record):
+    """Find the owner of a service besides peers that failed; the reply is an id.
+
+    The reply is None if it is this VM, or if no other VM holds the targets.
+    """
+
+    __slots__ = ("service_name", "failed_ids")
+
+    def __init__(self, service_name, failed_ids):
+        self.service_name = service_name
+        self.failed_ids = failed_ids
+
+
 # Events that AwaitEvent returns.
 
 
@@ -343,6 +396,20 @@
         self.now_ms = now_ms
 
 
+class SendsAnnounced(Record):
+    """A peer has announced its sends of a relayed request; see AnnounceSends.
+
+    ``key`` is the Relay.
+    """
+
+    __slots__ = ("key", "n_sends", "now_ms")
+
+    def __init__(self, key, n_sends, now_ms):
+        self.key = key
+        self.n_sends = n_sends
+        self.now_ms = now_ms
+
+
 class WaitTimedOut(Record):
     """No event came until the given time."""
 
--- a/packages/core/hornbeamstand_core/filters/attempts.py
+++ b/packages/core/hornbeamstand_core/filters/attempts.py
@@ -4,11 +4,11 @@
 
 from ..controllers.placing import FAST, SLOW
 from ..edge_messages import (
-    FIRST,
     HEDGE,
     RETRY,
     Abort,
     AcquireSlot,
+    AnnounceSends,
     AwaitEvent,
     CallerDisconnected,
     ProbeLoads,
@@ -82,14 +82,11 @@
 
 def send_until_success(call, state):
     """Send until one send succeeds or no attempt is left; see ``attempts``."""
-    # A peer that no longer responds may have sent the request already, so the first
-    # send from this VM counts as a retry.
-    kind = RETRY if call.n_may_have_run else FIRST
-    reply = yield from acquire(call, state, kind)
+    reply = yield from acquire(call, state, call.first_kind)
     if isinstance(reply, Refusal):
         return Err(weaken_if_may_have_run(call, reply))
     state.hedge_at_ms = hedge_at_ms(call, reply)
-    yield start_send(call, state, reply)
+    yield from start_send(call, state, reply)
     while True:
         event = yield AwaitEvent(min(state.hedge_at_ms, call.deadline_at_ms))
         if isinstance(event, CallerDisconnected):
@@ -116,12 +113,6 @@
     return call.request.arrived_at_ms + HEDGE_DELAY_SHARE * policy.objective_ms
 
 
-def earliest_hedge_at_ms(call):
-    """Return the time before which no VM hedges a call."""
-    delay_ms = SLOW_HEDGE_DELAY_SHARE * call.policy.objective_ms
-    return call.request.arrived_at_ms + delay_ms
-
-
 def hedge_at_ms(call, permit):
     """Return when to hedge the send under a permit, or infinity if never."""
     share = {FAST: FAST_HEDGE_DELAY_SHARE, SLOW: SLOW_HEDGE_DELAY_SHARE}.get(
@@ -162,12 +153,18 @@
 
 
 def start_send(call, state, permit):
-    """Record a send under a permit, and return the effect that starts it."""
+    """Start a send under a permit.
+
+    A VM that has relayed a request which may be repeated learns of each further send
+    before it starts, so that it knows how many attempts are left if this VM fails.
+    """
     state.permits.append(permit)
     call.n_sent += 1
     call.n_may_have_run += 1
     call.tried_target_ids += (permit.target_id,)
-    return StartSend(permit, call.deadline_at_ms, call.policy.is_idempotent)
+    if call.is_relayed and call.policy.is_idempotent and call.n_may_have_run > 1:
+        yield AnnounceSends(call.n_may_have_run)
+    yield StartSend(permit, call.deadline_at_ms, call.policy.is_idempotent)
 
 
 def hedge(call, state, now_ms):
@@ -184,7 +181,7 @@
         state.hedge_at_ms = now_ms + HEDGE_RETRY_INTERVAL_MS
         return
     state.hedge_at_ms = float("inf")
-    yield start_send(call, state, reply)
+    yield from start_send(call, state, reply)
 
 
 def handle_result(call, state, event):
@@ -201,7 +198,7 @@
     if event.now_ms < call.deadline_at_ms and may_retry(call, result):
         reply = yield from acquire(call, state, RETRY)
         if not isinstance(reply, Refusal):
-            yield start_send(call, state, reply)
+            yield from start_send(call, state, reply)
             return None
         if state.failure is None:
             return Err(weaken_if_may_have_run(call, reply))
--- a/packages/core/tests/test_edge_filters.py
+++ b/packages/core/tests/test_edge_filters.py
@@ -7,6 +7,7 @@
     HEDGE,
     Abort,
     AcquireSlot,
+    AnnounceSends,
     AwaitEvent,
     CallerDisconnected,
     CheckPeerAlive,
@@ -15,10 +16,13 @@
     EdgeRequest,
     EndSending,
     ExchangeEnded,
+    FindOwner,
     FindRoute,
+    PeerStatus,
     Relay,
     RequestPolicy,
     Routed,
+    SendsAnnounced,
     StartSend,
     WaitTimedOut,
 )
@@ -54,14 +58,20 @@
         self.n_permits = 0
         self.refused_kinds = set()
         self.is_peer_alive = True
+        self.peer_ran_until_ms = float("inf")
+        self.next_owners = []
         self.stop_limit = StopLimit()
         self.now_ms = 0.0
 
-    def run(self, *events):
-        """Run one call with one event for each AwaitEvent; returns the outcome."""
+    def run(self, *events, is_relayed=False):
+        """Run one call with one event for each AwaitEvent; returns the outcome.
+
+        The call ``is_relayed`` if a peer has sent it with its policy.
+        """
         events = list(events)
         request = EdgeRequest("r1", "host", "/x/", "GET", 2500.0, 0.0)
-        steps = build_edge_chain()(EdgeCall(request))
+        policy = self.policy if is_relayed else None
+        steps = build_edge_chain()(EdgeCall(request, policy))
         reply = None
         while True:
             try:
@@ -77,7 +87,9 @@
         if isinstance(effect, AcquireSlot):
             return self.acquire_slot(effect)
         if isinstance(effect, CheckPeerAlive):
-            return self.is_peer_alive
+            return PeerStatus(self.is_peer_alive, self.peer_ran_until_ms)
+        if isinstance(effect, FindOwner):
+            return self.next_owners.pop(0) if self.next_owners else None
         if isinstance(effect, CheckStop):
             return self.stop_limit.may_finish(effect.call, self.now_ms)
         if isinstance(effect, AwaitEvent):
@@ -276,19 +288,89 @@
 def test_an_idempotent_request_is_sent_locally_if_the_owner_is_silent():
     driver = Driver(relay_to="10.0.0.9")
     driver.is_peer_alive = False
-    outcome = driver.run(lambda d, e: WaitTimedOut(50.0), send_ends(0, SUCCESS))
+    outcome = driver.run(wait_times_out, wait_times_out, send_ends(0, SUCCESS))
     assert outcome.is_ok()
     assert driver.effects_of(AcquireSlot)[0].kind == "retry"
+    assert len(driver.effects_of(Abort)) == 1
+
+
+def test_an_owner_that_was_silent_before_the_relay_has_used_no_retry():
+    """Guards against a retry budget that the requests for a frozen VM use up."""
+    driver = Driver(relay_to="10.0.0.9")
+    driver.is_peer_alive = False
+    driver.peer_ran_until_ms = -1.0
+    driver.refused_kinds = {"retry"}
+    outcome = driver.run(wait_times_out, wait_times_out, send_ends(0, SUCCESS))
+    assert outcome.is_ok()
+    # The owner may have been heard too late, so its send still counts as an attempt.
+    driver.run(wait_times_out, wait_times_out, send_ends(0, BROKEN))
+    assert len(driver.effects_of(StartSend)) == 2
 
 
-def test_a_hedge_that_the_owner_may_have_sent_counts_as_an_attempt():
-    """An owner hedges a send to a slow target soon."""
+def sends_announced(n_sends):
+    return lambda driver, effect: SendsAnnounced(
+        driver.effects_of(Relay)[-1], n_sends, 0
+    )
+
+
+@pytest.mark.parametrize("is_silent", [False, True])
+def test_a_hedge_that_the_owner_has_announced_counts_as_an_attempt(is_silent):
+    """An announcement may have come before the owner is given up."""
     for n_attempts_max, n_sent in ((2, 0), (3, 1)):
         driver = Driver(relay_to="10.0.0.9", n_attempts_max=n_attempts_max)
-        driver.run(relay_ends(BROKEN, now_ms=100.0), send_ends(0, SUCCESS))
+        driver.is_peer_alive = False
+        ends = [sends_announced(2), relay_ends(BROKEN, now_ms=100.0)]
+        if is_silent:
+            ends = [wait_times_out, sends_announced(2), wait_times_out]
+        driver.run(*ends, send_ends(0, SUCCESS))
         assert len(driver.effects_of(StartSend)) == n_sent
 
 
+def test_a_vm_announces_each_further_send_of_a_relayed_call_before_it_starts():
+    """Guards against more sends than attempts if this VM fails after a hedge."""
+    driver = Driver()
+    driver.run(wait_times_out, send_ends(1, SUCCESS), is_relayed=True)
+    sends = [e for e in driver.effects if isinstance(e, (StartSend, AnnounceSends))]
+    assert [type(e) for e in sends] == [StartSend, AnnounceSends, StartSend]
+    assert sends[1].n_sends == 2
+
+
+@pytest.mark.parametrize("values", [{"is_idempotent": False}, {}])
+def test_a_vm_announces_no_first_send_and_none_of_an_order(values):
+    driver = Driver(**values)
+    driver.run(send_ends(0, SHED), send_ends(1, SUCCESS), is_relayed=True)
+    assert not driver.effects_of(AnnounceSends)
+
+
+@pytest.mark.parametrize("is_idempotent", [False, True])
+def test_a_request_that_an_owner_can_not_take_goes_to_the_next_owner(is_idempotent):
+    """Guards against a request that waits at a VM which holds no targets."""
+    driver = Driver(relay_to="10.0.0.9", is_idempotent=is_idempotent)
+    driver.next_owners = ["10.0.0.8"]
+    success = UpstreamResponse(200, target_id="t7")
+    outcome = driver.run(
+        relay_ends(UNREACHABLE),
+        lambda d, e: ExchangeEnded(d.effects_of(Relay)[1], success, 60.0),
+    )
+    assert outcome.ok_value.target_id == "t7"
+    assert [e.peer_id for e in driver.effects_of(Relay)] == ["10.0.0.9", "10.0.0.8"]
+    assert driver.effects_of(FindOwner)[0].failed_ids == ("10.0.0.9",)
+    assert not driver.effects_of(AcquireSlot)
+
+
+def test_the_next_owner_gets_only_the_attempts_that_are_left():
+    driver = Driver(relay_to="10.0.0.9")
+    driver.next_owners = ["10.0.0.8"]
+    refusal = Refusal("no target", NOT_RUN, 503, "choose", "10.0.0.8", 40.0)
+    outcome = driver.run(
+        relay_ends(BROKEN), relay_ends(UpstreamResponse(503, refusal=refusal))
+    )
+    first, second = driver.effects_of(Relay)
+    assert (first.n_attempts_max, first.first_kind) == (2, "first")
+    assert (second.n_attempts_max, second.first_kind) == (1, "retry")
+    assert outcome.err_value.certainty == OUTCOME_UNKNOWN
+
+
 def test_a_non_idempotent_request_is_not_sent_again_if_the_owner_is_silent():
     driver = Driver(relay_to="10.0.0.9", is_idempotent=False)
     driver.is_peer_alive = False
@@ -313,13 +395,13 @@
     driver.is_peer_alive = False
     driver.now_ms = now_ms
     ends = [send_ends(i, SHED) for i in range(5)]
-    outcome = driver.run(lambda d, e: WaitTimedOut(50.0), *ends)
+    outcome = driver.run(*[lambda d, e: WaitTimedOut(50.0)] * 2, *ends)
     assert outcome.err_value.certainty == OUTCOME_UNKNOWN
 
 
 def test_no_local_send_after_the_owner_may_have_used_all_attempts():
     driver = Driver(relay_to="10.0.0.9")
-    outcome = driver.run(relay_ends(BROKEN, now_ms=500.0))
+    outcome = driver.run(sends_announced(2), relay_ends(BROKEN, now_ms=500.0))
     assert outcome.err_value.status == 502
     assert not driver.effects_of(StartSend)
 
--- a/packages/entry/hornbeamstand_entry/edge/context.py
+++ b/packages/entry/hornbeamstand_entry/edge/context.py
@@ -15,6 +15,8 @@
     awaited.
     ``key_by_exchange`` maps each exchange in flight to its Permit, Relay or SendProbe,
     and ``exchanges`` are all that have sent the request, whose responses take memory.
+    ``announce_sends`` tells the peer that relayed the request how many sends may have
+    run; it is None for a request of a caller.
     """
 
     __slots__ = (
@@ -27,6 +29,7 @@
         "pending",
         "key_by_exchange",
         "exchanges",
+        "announce_sends",
     )
 
     def __init__(self, caller_request_id, method, path, header_items, body):
@@ -39,6 +42,7 @@
         self.pending = deque()
         self.key_by_exchange = {}
         self.exchanges = []
+        self.announce_sends = None
 
     def release_answers(self):
         """Release the memory of all responses, once the caller has got its answer."""
--- a/packages/entry/hornbeamstand_entry/edge/control_task.py
+++ b/packages/entry/hornbeamstand_entry/edge/control_task.py
@@ -1,7 +1,7 @@
 """The task that owns the controllers of an edge process."""
 
 from hornbeamstand_core.balancer_messages import Decision, DeferredReply
-from hornbeamstand_core.edge_messages import CheckPeerAlive, StateChange
+from hornbeamstand_core.edge_messages import CheckPeerAlive, FindOwner, StateChange
 from hornbeamstand_core.edge_node_messages import EdgeTick
 from hornbeamstand_core.messages import (
     CANCELLED,
@@ -106,8 +106,8 @@
 
     def _handle_ask(self, ask):
         message = ask.message
-        if type(message) is CheckPeerAlive:
-            # The node replies at once, with a list of one bool. Every other reply is a
+        if type(message) in (CheckPeerAlive, FindOwner):
+            # The node replies at once, with a list of one item. Every other reply is a
             # DeferredReply, which names its request.
             ask.reply_to.put(self.node.handle(message, self.clock.now_ms())[0])
             return
--- a/packages/entry/hornbeamstand_entry/edge/front.py
+++ b/packages/entry/hornbeamstand_entry/edge/front.py
@@ -1,6 +1,8 @@
 """WSGI applications of an edge process: requests, lookups and readiness."""
 
-from hornbeamstand_core.edge_messages import EdgeCall, EdgeRequest
+from contextlib import suppress
+
+from hornbeamstand_core.edge_messages import RETRY, EdgeCall, EdgeRequest
 from hornbeamstand_core.messages import CANCELLED, NOT_RUN, Refusal
 from hornbeamstand_core.routes import CallerLimits
 from result import Err
@@ -13,10 +15,12 @@
 from .config_copies import COPY_PATH, compress_copy
 from .context import AnswerBody, EdgeContext
 from .messages import (
+    FIRST_KIND_HEADER,
     RETRY_AFTER_HEADER,
     TARGET_START_HEADER,
     caller_status,
     forwarded_items,
+    interim_response,
     read_policy,
     response_items,
 )
@@ -155,6 +159,8 @@
             self.log.refused_early(request, error.refusal)
             return respond_outcome(start_response, Err(error.refusal), context)
         call = EdgeCall(request, policy)
+        if call.is_relayed:
+            self._note_relayed(environ, context, call)
         try:
             outcome = self._run(environ, context, call)
             pieces = respond_outcome(start_response, outcome, context)
@@ -163,6 +169,20 @@
             raise
         return AnswerBody(pieces, context)
 
+    def _note_relayed(self, environ, context, call):
+        """Note what the peer that relayed a request says of it, and is to be told."""
+        name = FIRST_KIND_HEADER.upper().replace("-", "_")
+        if environ.get(f"HTTP_{name}") == RETRY:
+            call.first_kind = RETRY
+        sock = environ["hornbeamstand.socket"]
+
+        def announce_sends(n_sends):
+            # A peer that has left is noticed as the next event.
+            with suppress(OSError):
+                sock.sendall(interim_response(n_sends))
+
+        context.announce_sends = announce_sends
+
     def _read_body(self, environ, request, hold, is_relayed):
         """Return the body of a request, which must arrive within its deadline.
 
--- a/packages/entry/hornbeamstand_entry/edge/messages.py
+++ b/packages/entry/hornbeamstand_entry/edge/messages.py
@@ -1,7 +1,7 @@
 """Encodes an edge process's requests to targets and peers, and decodes responses."""
 
 import msgspec
-from hornbeamstand_core.edge_messages import RequestPolicy
+from hornbeamstand_core.edge_messages import RETRY, RequestPolicy
 from hornbeamstand_core.messages import (
     NOT_RUN,
     OUTCOME_UNKNOWN,
@@ -17,6 +17,10 @@
 # HeaderNames.retry_after.
 POLICY_HEADER = "Hornbeam-Terms"
 RETRY_AFTER_HEADER = "Hornbeam-Retry-After-Ms"
+# Between entry VMs: the kind of the first send of a relayed request, if it is a retry,
+# and in an interim response (102) the number of sends that may have run.
+FIRST_KIND_HEADER = "Hornbeam-First-Kind"
+SENDS_HEADER = "Hornbeam-Sends"
 # Between entry VMs: the start of the target that answered, as in its entry, in
 # wall-clock milliseconds.
 TARGET_START_HEADER = "Hornbeam-Target-Start"
@@ -62,7 +66,7 @@
     """Return the header lines of a request to a peer, with the request's policy.
 
     The policy is a JSON list of its fields by position; its ``timeout_ms`` is the time
-    left until the deadline.
+    left until the deadline, and its ``n_attempts_max`` the number of attempts left.
     """
     policy = relay.policy
     fields = [
@@ -71,11 +75,19 @@
         relay.deadline_at_ms - now_ms,
         policy.objective_ms,
         policy.priority,
-        policy.n_attempts_max,
+        relay.n_attempts_max,
     ]
     # The request's head is encoded as Latin-1, which restores the bytes of the JSON.
     encoded = msgspec.json.encode(fields).decode("latin-1")
-    return [*context.header_items, (POLICY_HEADER, encoded)]
+    items = [*context.header_items, (POLICY_HEADER, encoded)]
+    if relay.first_kind == RETRY:
+        items.append((FIRST_KIND_HEADER, RETRY))
+    return items
+
+
+def interim_response(n_sends):
+    """Return the interim response that announces the sends of a relayed request."""
+    return f"HTTP/1.1 102 Processing\r\n{SENDS_HEADER}: {n_sends}\r\n\r\n".encode()
 
 
 def read_policy(text):
--- a/packages/entry/hornbeamstand_entry/edge/performers.py
+++ b/packages/entry/hornbeamstand_entry/edge/performers.py
@@ -8,16 +8,19 @@
 from hornbeamstand_core.edge_messages import (
     Abort,
     AcquireSlot,
+    AnnounceSends,
     AwaitEvent,
     CallerDisconnected,
     CheckPeerAlive,
     CheckStop,
     EndSending,
     ExchangeEnded,
+    FindOwner,
     FindRoute,
     NoticeRelayed,
     ProbeLoads,
     Relay,
+    SendsAnnounced,
     StartSend,
     WaitTimedOut,
 )
@@ -35,6 +38,7 @@
 from ..header_numbers import read_count
 from ..tasks.exchange import Exchange, ExchangeResult
 from ..tasks.failures import report_failure
+from ..tasks.response_parser import InterimResponse
 from ..tasks.task import receive
 from .load_probes import (
     read_load_probe,
@@ -43,6 +47,7 @@
     was_sent,
 )
 from .messages import (
+    SENDS_HEADER,
     TARGET_START_HEADER,
     peer_items,
     peer_response,
@@ -124,9 +129,7 @@
             # already on its way, so the loop continues until a reply arrives.
             control_task.post(Withdraw(effect.service_name, effect.request_id))
 
-    def start_exchange(
-        pools, address, key, items, effect, context, needs_recent_response
-    ):
+    def start_exchange(pools, address, key, items, effect, context, is_idempotent):
         request_bytes, body = split_request(
             context.method, context.path, items, context.body
         )
@@ -134,12 +137,13 @@
             context.method,
             request_bytes,
             effect.deadline_at_ms,
-            needs_recent_response,
+            not is_idempotent,
             ANSWER_MAX_BYTES,
             context.mailbox,
             context.caller_request_id,
             body,
             keeps_answer_hold=True,
+            reports_interim=type(key) is Relay,
         )
         context.exchanges.append(exchange)
         context.key_by_exchange[exchange] = key
@@ -149,7 +153,6 @@
         permit = effect.permit
         left_ms = effect.deadline_at_ms - clock.now_ms()
         items = target_items(context, permit.target_id, left_ms, dialect.headers)
-        needs_recent_response = not effect.is_idempotent
         start_exchange(
             target_pools,
             permit.address,
@@ -157,7 +160,7 @@
             items,
             effect,
             context,
-            needs_recent_response,
+            effect.is_idempotent,
         )
 
     def relay(effect, context):
@@ -165,7 +168,6 @@
         items = peer_items(context, effect, now_ms)
         # The id of a peer is its IP address.
         address = f"{effect.peer_id}:{settings.peer_port}"
-        needs_recent_response = not effect.policy.is_idempotent
         start_exchange(
             peer_pools,
             address,
@@ -173,7 +175,7 @@
             items,
             effect,
             context,
-            needs_recent_response,
+            effect.policy.is_idempotent,
         )
 
     def probe_loads(effect, context):
@@ -239,7 +241,11 @@
                 return message
             if type(message) is ExchangeResult:
                 key = context.key_by_exchange.get(message.exchange)
-                if type(key) is SendProbe:
+                if type(message.result) is InterimResponse:
+                    n_sends = read_count(message.result.get(SENDS_HEADER) or "")
+                    if key is not None and n_sends is not None:
+                        return SendsAnnounced(key, n_sends, now_ms)
+                elif type(key) is SendProbe:
                     note_load_probe(message, context)
                 elif key is not None:
                     del context.key_by_exchange[message.exchange]
@@ -278,6 +284,9 @@
                 NoticeRelayed(service_name, response.target_id, notice, start)
             )
 
+    def announce_sends(effect, context):
+        context.announce_sends(effect.n_sends)
+
     def abort(effect, context):
         for exchange, key in list(context.key_by_exchange.items()):
             if key is effect.key:
@@ -311,6 +320,8 @@
         FindRoute: ask,
         AcquireSlot: acquire,
         CheckPeerAlive: ask,
+        FindOwner: ask,
+        AnnounceSends: announce_sends,
         CheckStop: check_stop,
         StartSend: start_send,
         ProbeLoads: probe_loads,
--- a/packages/entry/hornbeamstand_entry/tasks/exchange.py
+++ b/packages/entry/hornbeamstand_entry/tasks/exchange.py
@@ -23,6 +23,8 @@
     ``keeps_answer_hold`` is set, the memory of the response counts until the requester
     calls ``release_answer``; otherwise only while it is read. An exchange that
     ``is_optional`` fails if it needs a new connection while few descriptors are left.
+    One that ``reports_interim`` also passes on each InterimResponse, as a result before
+    the last one.
     """
 
     __slots__ = (
@@ -42,6 +44,7 @@
         "body",
         "keeps_answer_hold",
         "is_optional",
+        "reports_interim",
         "_answer_hold",
     )
 
@@ -57,6 +60,7 @@
         body=b"",
         keeps_answer_hold=False,
         is_optional=False,
+        reports_interim=False,
     ):
         self.method = method
         self.request_bytes = request_bytes
@@ -74,6 +78,7 @@
         self.connection = None
         self.keeps_answer_hold = keeps_answer_hold
         self.is_optional = is_optional
+        self.reports_interim = reports_interim
         self._answer_hold = None
 
     def take_answer_hold(self, hold):
@@ -102,6 +107,10 @@
             if message.exchange is self:
                 return message.result
 
+    def report(self, result):
+        """Pass a result to the requester."""
+        self.reply_to.put(ExchangeResult(self, result))
+
     def end_sending(self):
         """End the sending side of the connection once the request is sent as a whole.
 
@@ -113,7 +122,7 @@
         if not self.is_sent:
             self.cancel()
             failure = SendFailure(CANCELLED, False)
-            self.reply_to.put(ExchangeResult(self, failure))
+            self.report(failure)
             return
         self.has_ended_sending = True
         if self.is_whole_sent:
@@ -144,7 +153,10 @@
 
 
 class ExchangeResult(Record):
-    """The result of an exchange: a CompleteResponse or a SendFailure."""
+    """The result of an exchange: a CompleteResponse or a SendFailure.
+
+    It may also be an InterimResponse, which is followed by the final result.
+    """
 
     __slots__ = ("exchange", "result")
 
--- a/packages/entry/hornbeamstand_entry/tasks/response_parser.py
+++ b/packages/entry/hornbeamstand_entry/tasks/response_parser.py
@@ -35,6 +35,15 @@
     """A response that is incomplete, malformed, too long or of unknown length."""
 
 
+def find_header(header_items, name, default=None):
+    """Return the first value of a header, or the default if it is absent."""
+    lower_name = name.lower()
+    for key, value in header_items:
+        if key.lower() == lower_name:
+            return value
+    return default
+
+
 class CompleteResponse(Record):
     """One complete response to a request with ``method``.
 
@@ -78,11 +87,7 @@
 
     def get(self, name, default=None):
         """Return the first value of a header, or the default if it is absent."""
-        lower_name = name.lower()
-        for key, value in self.header_items:
-            if key.lower() == lower_name:
-                return value
-        return default
+        return find_header(self.header_items, name, default)
 
     def items(self):
         """Return the headers as (name, value) pairs, in order."""
@@ -93,9 +98,23 @@
         return self.closes_connection
 
 
+class InterimResponse(Record):
+    """One interim response (1xx); ``header_items`` are its headers."""
+
+    __slots__ = ("header_items",)
+
+    def __init__(self, header_items):
+        self.header_items = header_items
+
+    def get(self, name, default=None):
+        """Return the first value of a header, or the default if it is absent."""
+        return find_header(self.header_items, name, default)
+
+
 class ResponseParser(HTTPResponse):
     """Parses the responses of one connection; ``complete`` holds those not yet read.
 
+    ``interim`` holds the interim responses not yet read if the exchange reports them.
     ``n_responses`` counts the complete responses of the connection, and
     ``has_echoed_ids`` is set once one of them echoed a request id. ``n_body_bytes``,
     ``n_header_bytes`` and ``n_received_bytes`` count the bytes of bodies, of headers
@@ -105,6 +124,8 @@
     def __init__(self):
         super().__init__("GET")
         self.complete = deque()
+        self.interim = deque()
+        self._reports_interim = False
         self.n_responses = 0
         self.has_echoed_ids = False
         self._pieces = []
@@ -116,9 +137,10 @@
         self.n_header_bytes = 0
         self.n_received_bytes = 0
 
-    def begin_exchange(self, method):
+    def begin_exchange(self, method, reports_interim=False):
         """Prepare for the response to a request with ``method``."""
         self.method = method
+        self._reports_interim = reports_interim
         self._begin_counts()
 
     def feed(self, data):
@@ -162,6 +184,8 @@
             )
             response.is_framed = not self._is_at_end
             self.complete.append(response)
+        elif self._reports_interim:
+            self.interim.append(InterimResponse(list(self.items())))
         self._pieces = []
 
 
@@ -172,7 +196,7 @@
     response is invalid or incomplete, or too long before it is complete, and OSError if
     the connection fails.
     """
-    parser.begin_exchange(exchange.method)
+    parser.begin_exchange(exchange.method, exchange.reports_interim)
     hold = rules.answer_budget.hold()
     try:
         response = read_matching_response(sock, parser, exchange, rules, hold)
@@ -189,6 +213,8 @@
     n_dropped = 0
     is_unsure = False
     while True:
+        while parser.interim:
+            exchange.report(parser.interim.popleft())
         while parser.complete:
             response = parser.complete.popleft()
             parser.n_responses += 1
--- a/tests/test_platform_relays.py
+++ b/tests/test_platform_relays.py
@@ -1,14 +1,23 @@
 """Requests that one VM relays to another, which may be frozen or end connections."""
 
+import signal
+from collections import Counter
+
 import gevent
 import msgspec
+import pytest
 from gevent import socket as gevent_socket
 from hornbeamstand_entry.edge.config_copies import COPY_PATH
 from hornbeamstand_entry.edge.servers import PEER_REUSE_MS
 
-from standins.edge_cell import EdgeCell
+from standins import edge_cell
+from standins.edge_cell import DOMAINS, EdgeCell
 
 PREFIXES = {"/tools/": ("shop", "idempotent"), "/orders/": ("shop", "non_idempotent")}
+# Work of the servers, and the interval of requests in the first second of a freeze.
+WORK_MS = 100.0
+INTERVAL_S = 0.05
+N_REQUESTS = 20
 COPY_REQUEST = f"GET {COPY_PATH} HTTP/1.1\r\nHost: peer\r\n\r\n".encode()
 STATUS_LINE = b"HTTP/1.1 200 OK"
 
@@ -31,5 +40,43 @@
         with gevent_socket.create_connection((vm.ip, vm.ports["peer"]), 2.0) as sock:
             for _ in range(2):
                 sock.sendall(COPY_REQUEST)
-                assert sock.recv(65536).startswith(STATUS_LINE)
                 gevent.sleep((PEER_REUSE_MS + 100.0) / 1000.0)
+                assert sock.recv(65536).startswith(STATUS_LINE)
+
+
+def vms_of_first_domain(cell):
+    """Return the owner in the first domain, and the other VMs there."""
+    vms = [vm for vm in cell.vms if vm.domain == DOMAINS[0]]
+    cell.wait_for(lambda: len(cell.look_up(vms[0], DOMAINS[0])) >= 2)
+    owner_ip = cell.look_up(vms[0], DOMAINS[0])[0].partition(":")[0]
+    return sorted(vms, key=lambda vm: vm.ip != owner_ip)
+
+
+@pytest.mark.parametrize("end", [signal.SIGSTOP, signal.SIGKILL])
+def test_requests_that_may_be_repeated_outlive_the_owner_they_went_to(
+    tmp_path, monkeypatch, end
+):
+    """Guards against 502 to what was relayed to a frozen or ended VM."""
+    # The requests that the owner may have sent need a retry each.
+    monkeypatch.setattr(edge_cell, "RETRY_SLACK", 500)
+    with EdgeCell(tmp_path, n_vms=2 * len(DOMAINS) + 1) as cell:
+        for i in range(3):
+            cell.add_server(
+                f"shop-{i}", "shop", DOMAINS[i], n_slots=20, work_ms=WORK_MS
+            )
+        cell.set_config(1, PREFIXES, timeout_ms=4000, goal_ms=3000)
+        cell.start_all()
+        owner, *others = vms_of_first_domain(cell)
+        jobs = {}
+        for i in range(N_REQUESTS):
+            if i == N_REQUESTS // 5:
+                cell.signal(owner, end)
+            for vm in others:
+                name = f"{vm.name}-{i}"
+                headers = {"Attempt-Id": name, "Deadline-Ms": "3500"}
+                jobs[name] = gevent.spawn(cell.send, vm, "/tools/x", **headers)
+            gevent.sleep(INTERVAL_S)
+        gevent.joinall(jobs.values())
+        statuses = Counter(job.value.status for job in jobs.values())
+        assert statuses == {200: len(jobs)}
+        assert cell.n_runs_max() <= 2
