Answer the requests that the end of a planned stop cuts

What callers saw: a connection that closed without an answer, for a request that was still in progress at the end of a planned stop: one that came before the stop with a long deadline, or one that may be repeated and came late in it, if its work had a longer tail than 1.5 times the longest recent call.

Cause: at its end the stop simply ended the process. A request is taken by an estimate of how long it may last, and nothing ended those for which the estimate, or the grace period, was too short.

Change: 0.6 s before the end of the grace period, each call in progress gets the event StopReached, which ends it: 502 and "outcome unknown" if a target has it, 503 and "not run" if it still waits for a slot. The process then waits for up to 150 ms until the answers are out. A VM that relayed a request which may be repeated goes on with the next owner. The estimate stays: to refuse all requests whose deadline doesn't fit would turn away, from the start of the stop on, all those whose deadline is longer than it.

Not covered: a request whose body is still arriving at the end; nothing of it was passed on.

--- a/packages/core/hornbeamstand_core/edge_messages.py
+++ b/packages/core/hornbeamstand_core/edge_messages.py
@@ -419,6 +419,15 @@
         self.now_ms = now_ms
 
 
+class StopReached(Record):
+    """The planned stop of this VM ends now, and the request with it."""
+
+    __slots__ = ("now_ms",)
+
+    def __init__(self, now_ms):
+        self.now_ms = now_ms
+
+
 class CallerDisconnected(Record):
     """The caller closed its connection."""
 
--- a/packages/core/hornbeamstand_core/filters/attempts.py
+++ b/packages/core/hornbeamstand_core/filters/attempts.py
@@ -14,6 +14,7 @@
     ProbeLoads,
     ProbesNeeded,
     StartSend,
+    StopReached,
     WaitTimedOut,
 )
 from ..messages import (
@@ -22,6 +23,7 @@
     NOT_RUN,
     OUTCOME_UNKNOWN,
     STATUS_ERROR,
+    STOPPING,
     TIMED_OUT,
     Answer,
     Refusal,
@@ -91,9 +93,11 @@
         event = yield AwaitEvent(min(state.hedge_at_ms, call.deadline_at_ms))
         if isinstance(event, CallerDisconnected):
             return (yield from end_without_caller(call, state))
+        if isinstance(event, StopReached):
+            return (yield from give_up(call, state, STOPPING, 502))
         if isinstance(event, WaitTimedOut):
             if event.now_ms >= call.deadline_at_ms:
-                return (yield from time_out(call, state))
+                return (yield from give_up(call, state, TIMED_OUT, 504))
             yield from hedge(call, state, event.now_ms)
             continue
         outcome = yield from handle_result(call, state, event)
@@ -269,17 +273,16 @@
     return Refusal(refusal.reason, OUTCOME_UNKNOWN, 502, refusal.step, refusal.peer)
 
 
-def time_out(call, state):
-    """End a call whose deadline passed while sends were in flight.
+def give_up(call, state, reason, status):
+    """End a call while sends are in flight: its deadline passed, or this VM stops.
 
     The outcome is the error response of an earlier send, or else a refusal.
     """
-    yield from abort_all(state, TIMED_OUT)
+    yield from abort_all(state, TIMED_OUT if reason == TIMED_OUT else CANCELLED)
     if state.failure is not None and state.failure.is_ok():
         return state.failure
-    return Err(
-        Refusal(TIMED_OUT, OUTCOME_UNKNOWN, 504, "send", call.policy.service_name)
-    )
+    service_name = call.policy.service_name
+    return Err(Refusal(reason, OUTCOME_UNKNOWN, status, "send", service_name))
 
 
 def make_answer(permit, response):
@@ -309,7 +312,9 @@
     while state.permits:
         event = yield AwaitEvent(call.deadline_at_ms)
         if isinstance(event, WaitTimedOut):
-            return (yield from time_out(call, state))
+            return (yield from give_up(call, state, TIMED_OUT, 504))
+        if isinstance(event, StopReached):
+            return (yield from give_up(call, state, STOPPING, 502))
         if isinstance(event, CallerDisconnected):
             continue
         permit, result = event.key, event.result
--- a/packages/core/hornbeamstand_core/filters/relay.py
+++ b/packages/core/hornbeamstand_core/filters/relay.py
@@ -15,6 +15,7 @@
     FindOwner,
     Relay,
     SendsAnnounced,
+    StopReached,
     WaitTimedOut,
 )
 from ..messages import (
@@ -108,6 +109,9 @@
                 continue
             yield Abort(exchange)
             return Err(Refusal(CANCELLED, OUTCOME_UNKNOWN, 499, "relay", call.relay_to))
+        if isinstance(event, StopReached):
+            yield Abort(exchange)
+            return Err(Refusal(STOPPING, OUTCOME_UNKNOWN, 502, "relay", call.relay_to))
         if isinstance(event, WaitTimedOut):
             is_late = event.now_ms >= call.deadline_at_ms
             if not is_late and not state.is_silent:
@@ -178,5 +182,9 @@
         if refusal.reason == STOPPING and refusal.certainty == NOT_RUN:
             state.begin_next(call.relay_to, now_ms)
             return None
+        if refusal.reason == STOPPING and call.policy.is_idempotent:
+            # The peer has ended while it held the request.
+            call.first_kind = RETRY
+            return continue_elsewhere(call, state, STOPPING, now_ms)
         return Err(weaken_if_may_have_run(call, refusal))
     return Ok(Answer(result.status, result.payload, result.target_id))
--- a/packages/core/tests/test_edge_filters.py
+++ b/packages/core/tests/test_edge_filters.py
@@ -24,6 +24,7 @@
     Routed,
     SendsAnnounced,
     StartSend,
+    StopReached,
     WaitTimedOut,
 )
 from hornbeamstand_core.filters.edge_chain import build_edge_chain
@@ -498,6 +499,28 @@
     assert outcome.is_ok()
 
 
+@pytest.mark.parametrize("relay_to", [None, "10.0.0.2"])
+@pytest.mark.parametrize("has_caller_left", [False, True])
+def test_a_call_that_the_end_of_the_stop_cuts_is_refused(relay_to, has_caller_left):
+    driver = Driver(is_idempotent=False, relay_to=relay_to)
+    events = [CallerDisconnected(5.0)] * has_caller_left + [StopReached(10.0)]
+    refusal = driver.run(*events).err_value
+    assert (refusal.reason, refusal.certainty) == (STOPPING, OUTCOME_UNKNOWN)
+    assert refusal.status == 502
+    assert len(driver.effects_of(Abort)) == 1
+
+
+@pytest.mark.parametrize(("is_idempotent", "n_sent"), [(False, 0), (True, 1)])
+def test_what_a_peer_held_at_the_end_of_its_stop_is_sent_again_if_it_may_be(
+    is_idempotent, n_sent
+):
+    refusal = Refusal(STOPPING, OUTCOME_UNKNOWN, 502, "send", "10.0.0.2")
+    driver = Driver(is_idempotent=is_idempotent, relay_to="10.0.0.2")
+    relayed = UpstreamResponse(502, None, refusal=refusal, target_id="10.0.0.2")
+    driver.run(relay_ends(relayed), send_ends(0, SUCCESS))
+    assert len(driver.effects_of(StartSend)) == n_sent
+
+
 def test_a_call_that_came_before_the_stop_is_served():
     driver = Driver()
     driver.stop_limit.begin(599.0, 0.1)
--- a/packages/entry/hornbeamstand_entry/edge/context.py
+++ b/packages/entry/hornbeamstand_entry/edge/context.py
@@ -5,6 +5,19 @@
 from gevent.queue import SimpleQueue
 from hornbeamstand_core.records import Record
 
+from ..context import CALLER_GONE
+
+
+class StopEnds(Record):
+    """The planned stop of this VM ends, so that requests must be answered now."""
+
+    __slots__ = ()
+
+
+STOP_ENDS = StopEnds()
+# Messages after which a request doesn't wait for a slot.
+INTERRUPTS = (CALLER_GONE, STOP_ENDS)
+
 
 class EdgeContext(Record):
     """The request as received, its mailbox and its exchanges in flight.
--- a/packages/entry/hornbeamstand_entry/edge/front.py
+++ b/packages/entry/hornbeamstand_entry/edge/front.py
@@ -13,7 +13,7 @@
 from ..performers import drive
 from ..responses import length_items, status_line
 from .config_copies import COPY_PATH, compress_copy
-from .context import AnswerBody, EdgeContext
+from .context import STOP_ENDS, AnswerBody, EdgeContext
 from .messages import (
     FIRST_KIND_HEADER,
     RETRY_AFTER_HEADER,
@@ -73,6 +73,7 @@
         "is_stopping",
         "is_accepting",
         "n_requests",
+        "_mailboxes",
         "_own_header_names",
         "_n_received",
         "_config_copy_source",
@@ -103,6 +104,8 @@
         self.is_stopping = False
         self.is_accepting = lambda: True
         self.n_requests = 0
+        # The mailboxes of the calls in progress.
+        self._mailboxes = set()
         names = dialect.headers
         own_names = (names.deadline_ms, names.expected_target)
         self._own_header_names = frozenset(name.lower() for name in own_names)
@@ -233,14 +236,21 @@
             self.log.refused_early(call.request, refusal)
             return Err(refusal)
         watcher = watch_caller(sock, context.mailbox)
+        self._mailboxes.add(context.mailbox)
         try:
             return drive(self.chain, call, context, self.performers)
         finally:
+            self._mailboxes.discard(context.mailbox)
             watcher.stop()
             watcher.close()
             for exchange in context.key_by_exchange:
                 exchange.cancel()
 
+    def end_calls(self):
+        """Let the calls in progress end at once, because the process does."""
+        for mailbox in self._mailboxes:
+            mailbox.put(STOP_ENDS)
+
     def _respond_caller(self, start_response, outcome, context):
         if outcome.is_ok():
             response = outcome.ok_value.payload
--- a/packages/entry/hornbeamstand_entry/edge/performers.py
+++ b/packages/entry/hornbeamstand_entry/edge/performers.py
@@ -22,6 +22,7 @@
     Relay,
     SendsAnnounced,
     StartSend,
+    StopReached,
     WaitTimedOut,
 )
 from hornbeamstand_core.messages import (
@@ -40,6 +41,7 @@
 from ..tasks.failures import report_failure
 from ..tasks.response_parser import InterimResponse
 from ..tasks.task import receive
+from .context import INTERRUPTS, STOP_ENDS
 from .load_probes import (
     read_load_probe,
     start_load_probe,
@@ -94,7 +96,7 @@
     def next_reply(context):
         while True:
             reply = context.mailbox.get()
-            if reply is CALLER_GONE or type(reply) is ExchangeResult:
+            if reply in INTERRUPTS or type(reply) is ExchangeResult:
                 # Kept for the next AwaitEvent.
                 context.pending.append(reply)
                 continue
@@ -114,7 +116,7 @@
             raise
 
     def await_slot(effect, context):
-        if CALLER_GONE in context.pending:
+        if any(message in INTERRUPTS for message in context.pending):
             # A slot that is free is granted; the request doesn't wait for one.
             control_task.post(Withdraw(effect.service_name, effect.request_id))
         while True:
@@ -122,7 +124,7 @@
             if type(reply) is ExchangeResult:
                 context.pending.append(reply)
                 continue
-            if reply is not CALLER_GONE:
+            if reply not in INTERRUPTS:
                 return reply
             context.pending.append(reply)
             # The controllers refuse a withdrawn request, unless their reply to it is
@@ -237,6 +239,8 @@
                 return WaitTimedOut(now_ms)
             if message is CALLER_GONE:
                 return CallerDisconnected(now_ms)
+            if message is STOP_ENDS:
+                return StopReached(now_ms)
             if type(message) is ExchangeEnded:
                 return message
             if type(message) is ExchangeResult:
--- a/packages/entry/hornbeamstand_entry/edge/planned_stop.py
+++ b/packages/entry/hornbeamstand_entry/edge/planned_stop.py
@@ -15,6 +15,9 @@
 # Part of the grace period that is reserved for the exit of the process: after the grace
 # period, the platform kills it.
 STOP_MARGIN_MS = 600.0
+# Maximum time in which the requests that are still in progress then are answered.
+LAST_ANSWERS_MS = 150.0
+LAST_ANSWERS_POLL_MS = 10.0
 MS_PER_S = 1000.0
 
 
@@ -24,7 +27,8 @@
     The VM first leaves the lookup responses, but still accepts connections. Then the
     listener closes, and the function waits for the requests in progress, at the latest
     until ``STOP_MARGIN_MS`` before the end of the grace period. Requests that may take
-    longer are refused from the beginning.
+    longer are refused from the beginning, and those that are cut by the end are told so
+    before the process exits.
 
     If the process was suspended until now, the stop may have been requested at any time
     in the suspension: new requests are taken as if it was at the beginning.
@@ -46,6 +50,16 @@
         end_at_ms,
         process.suspensions,
     )
+    end_requests(process)
+
+
+def end_requests(process):
+    """Answer the requests that are still in progress, within ``LAST_ANSWERS_MS``."""
+    servers = [*process.caller_servers, process.peer_server]
+    process.front.end_calls()
+    until_ms = process.clock.now_ms() + LAST_ANSWERS_MS
+    while has_requests(servers) and process.clock.now_ms() < until_ms:
+        gevent.sleep(LAST_ANSWERS_POLL_MS / MS_PER_S)
 
 
 def finish_requests(caller_servers, peer_server, clock, end_at_ms, suspensions):
--- a/packages/entry/tests/test_edge_performers.py
+++ b/packages/entry/tests/test_edge_performers.py
@@ -7,7 +7,7 @@
 from hornbeamstand_core.messages import Permit, Withdraw
 from hornbeamstand_entry.clock import make_process_clock
 from hornbeamstand_entry.context import CALLER_GONE
-from hornbeamstand_entry.edge.context import EdgeContext
+from hornbeamstand_entry.edge.context import STOP_ENDS, EdgeContext
 from hornbeamstand_entry.edge.performers import make_performers
 
 EFFECT = AcquireSlot("shop", "r~1", "r~1#1", FIRST, False, 1, 1000.0, 600.0)
@@ -31,14 +31,17 @@
     return messages
 
 
+@pytest.mark.parametrize("interrupt", [CALLER_GONE, STOP_ENDS])
 @pytest.mark.parametrize("events", ["pending", "mailbox"])
-def test_a_request_does_not_wait_for_a_slot_if_its_caller_left_before(events):
+def test_a_request_does_not_wait_for_a_slot_if_its_caller_left_before(
+    events, interrupt
+):
     """Guards against an order that waits, and then runs, for nobody."""
     context = EdgeContext("r", "POST", "/", [], b"")
     put = context.pending.append if events == "pending" else context.mailbox.put
-    put(CALLER_GONE)
+    put(interrupt)
     assert acquire(context) == [EFFECT, Withdraw("shop", "r~1")]
-    assert list(context.pending) == [CALLER_GONE]
+    assert list(context.pending) == [interrupt]
 
 
 def test_a_request_whose_caller_is_there_is_not_withdrawn():
--- a/tests/test_platform_stops.py
+++ b/tests/test_platform_stops.py
@@ -7,7 +7,7 @@
 import pytest
 from gevent import socket as gevent_socket
 
-from standins.edge_cell import DOMAINS, HOST, EdgeCell
+from standins.edge_cell import DOMAINS, GRACE_MS, HOST, EdgeCell
 
 PREFIXES = {"/tools/": ("shop", "idempotent"), "/orders/": ("shop", "non_idempotent")}
 # More requests than the slots of all servers, so that some wait.
@@ -148,6 +148,34 @@
         assert (response.status, has_run) in [(503, False), (200, True)]
 
 
+# Work that no stop with the grace period of these tests can wait for.
+ENDLESS_WORK_MS = 6000.0
+
+
+@pytest.mark.parametrize(("path", "method"), [("/tools/", "GET"), ("/orders/", "POST")])
+@pytest.mark.parametrize("i_vm", [0, 1])
+def test_requests_that_the_end_of_a_stop_cuts_are_told_so(tmp_path, path, method, i_vm):
+    """Guards against connections that end without an answer when the process exits."""
+    with EdgeCell(tmp_path, n_vms=2 * len(DOMAINS)) as cell:
+        for i in range(3):
+            cell.add_server(f"shop-{i}", "shop", DOMAINS[i], n_slots=30, work_ms=20.0)
+        cell.set_config(1, PREFIXES, 9000)
+        cell.start_all()
+        vm = vms_of_first_domain(cell)[i_vm]
+        assert cell.send(vm, path, method).status == 200
+        for server in cell.servers:
+            server.work_ms = ENDLESS_WORK_MS
+        cell.deadline_ms = 8000
+        before = gevent.spawn(cell.send, vm, f"{path}before", method)
+        gevent.sleep(0.1)
+        cell.signal(vm, signal.SIGTERM)
+        gevent.sleep(LATE_S)
+        late = cell.send(vm, f"{path}late", method)
+        assert before.get().status == 502
+        assert late.status == (502 if method == "GET" else 503)
+        assert vm.process.wait(GRACE_MS / 1000.0) == 0
+
+
 def read_statuses(vm, requests):
     """Send bytes on one connection; return the statuses of all responses."""
     address = (vm.ip, vm.ports["front"])
