Read what a caller had sent before its time limit is applied

What callers saw: 408 to a request whose headers had all arrived, after a freeze of the VM that was longer than the time limit of headers.

Cause: a stop and continue interrupts the event loop's wait for sockets. The loop then handles the timers that are due before it looks at sockets again, and the timer of the headers ended the request. The wait for a request and the mailboxes already look once more; this timer, and that of a body, didn't.

Change: ArrivalTimeout takes the place of both timers. When it is due and bytes have arrived that nobody has read, it lets the event loop take another turn, three at most, so a caller that sends its headers byte by byte gains nothing.

The same change of bodies has no test that fails without it: their limit is the caller's deadline, or 30 s without one.

--- a/packages/entry/hornbeamstand_entry/edge/servers.py
+++ b/packages/entry/hornbeamstand_entry/edge/servers.py
@@ -1,6 +1,5 @@
 """WSGI servers of an edge process that keep track of their open connections."""
 
-import socket
 from math import inf
 
 import gevent
@@ -8,6 +7,7 @@
 
 from ..clock import make_process_clock
 from ..http_server import CLOSE, CallerHandler, make_server
+from ..request_limits import has_bytes
 from ..tasks.sockets import NO_DESCRIPTOR_ERRORS
 
 MS_PER_S = 1000.0
@@ -305,11 +305,3 @@
     is_open = handler in handler.server.open_handlers
     if is_open and not is_busy(handler):
         handler.greenlet.throw(IdleConnectionEnded())
-
-
-def has_bytes(sock):
-    """Return whether bytes have arrived at a socket and were not read yet."""
-    try:
-        return bool(sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-    except OSError:
-        return False
--- a/packages/entry/hornbeamstand_entry/http_server.py
+++ b/packages/entry/hornbeamstand_entry/http_server.py
@@ -1,6 +1,7 @@
 """Shared code of a VM's HTTP servers: sockets, bodies and disconnecting callers."""
 
 import socket
+from contextlib import closing, nullcontext
 from email.parser import Parser
 
 import gevent
@@ -10,6 +11,7 @@
 
 from .context import CALLER_GONE
 from .request_limits import (
+    ArrivalTimeout,
     HeaderTimeout,
     LimitedLines,
     RefusedBody,
@@ -77,10 +79,8 @@
         """
         self.wait_for_request()
         limits = self.server.limits()
-        self.header_timer = gevent.Timeout.start_new(
-            limits.header_ms / MS_PER_S,
-            HeaderTimeout("headers did not arrive in time"),
-        )
+        error = HeaderTimeout("headers did not arrive in time")
+        self.header_timer = ArrivalTimeout(self.socket, limits.header_ms, error)
         self.head_lines = LimitedLines(self.rfile, limits.header_max_bytes)
         line = self.head_lines.read_request_line()
         self.whole_requestline = line.decode("latin-1")
@@ -187,12 +187,11 @@
     is_chunked = environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked"
     if not length and not is_chunked:
         return b""
-    timeout_s = None if timeout_ms is None else max(0.0, timeout_ms) / MS_PER_S
     try:
         n_expected_bytes = int(length) if length else 0
         if n_expected_bytes > body_max_bytes:
             raise too_large()
-        with gevent.Timeout(timeout_s):
+        with limit_arrival(environ["hornbeamstand.socket"], timeout_ms):
             body = read_pieces(environ["wsgi.input"], body_max_bytes, hold)
         if len(body) < n_expected_bytes:
             raise BodyError(Refusal("body broke off", NOT_RUN, 400, "front"))
@@ -200,11 +199,19 @@
     except BodyError:
         environ["hornbeamstand.refuse_body"]()
         raise
-    except (OSError, gevent.Timeout) as error:
+    except OSError as error:
         environ["hornbeamstand.refuse_body"]()
         raise BodyError(Refusal("body broke off", NOT_RUN, 408, "front")) from error
 
 
+def limit_arrival(sock, timeout_ms):
+    """Return a context that limits the time until a body is complete, if any."""
+    if timeout_ms is None:
+        return nullcontext()
+    error = TimeoutError("body did not arrive in time")
+    return closing(ArrivalTimeout(sock, timeout_ms, error))
+
+
 def read_pieces(file, body_max_bytes, hold):
     """Return all that a file has, as bytes or bytearray.
 
--- a/packages/entry/hornbeamstand_entry/request_limits.py
+++ b/packages/entry/hornbeamstand_entry/request_limits.py
@@ -15,6 +15,9 @@
 DISCARD_MAX_BYTES = 1 << 20
 DISCARD_MAX_MS = 500.0
 DISCARD_READ_BYTES = 16_384
+# Maximum number of turns of the event loop in which bytes that have arrived by a
+# timeout are read.
+N_LOOKS_MAX = 3
 LINE_END = b"\r\n"
 MS_PER_S = 1000.0
 
@@ -43,6 +46,58 @@
     status = 408
 
 
+def has_bytes(sock):
+    """Return whether bytes have arrived at a socket and were not read yet."""
+    try:
+        return bool(sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        return False
+
+
+class ArrivalTimeout:
+    """Raises an error in the current greenlet, which reads what a caller sends.
+
+    Bytes that have arrived by then are read first: a process that did not run for a
+    while may handle its timers before its sockets.
+
+    Parameters
+    ----------
+    sock : socket
+        The caller's connection.
+    timeout_ms : float
+        Time until the error.
+    error : Exception
+        What is raised.
+    """
+
+    __slots__ = ("_sock", "_error", "_greenlet", "_timer", "_n_looks")
+
+    def __init__(self, sock, timeout_ms, error):
+        self._sock = sock
+        self._error = error
+        self._greenlet = gevent.getcurrent()
+        self._n_looks = 0
+        self._start(timeout_ms)
+
+    def _start(self, timeout_ms):
+        timeout_s = max(0.0, timeout_ms) / MS_PER_S
+        self._timer = gevent.get_hub().loop.timer(timeout_s)
+        self._timer.start(self._expire)
+
+    def _expire(self):
+        self.close()
+        if self._n_looks < N_LOOKS_MAX and has_bytes(self._sock):
+            self._n_looks += 1
+            self._start(0.0)
+            return
+        self._greenlet.throw(self._error)
+
+    def close(self):
+        """Stop the timer."""
+        self._timer.stop()
+        self._timer.close()
+
+
 class LimitedLines:
     """Reads a request line and the headers, up to a number of bytes in total.
 
