Keep a connection that opened before its timeout was handled

What callers saw: a target or VM counted as unreachable, and the request went elsewhere or was refused, though the connection to it had opened while this VM was frozen.

Cause: a stop and continue interrupts the event loop's wait for sockets. The loop then handles the timers that are due before it looks at sockets again, so the timeout of the connect came first.

Change: after the timeout, a connection that is open is kept. Whether it was in time for its request is checked before the request is sent, as before. The check for unread bytes moves to the sockets' module, where the servers and the limits of requests both find it.

Evidence: a connect whose timeout is raised once the connection is open: "connect-failed" on the code before, used now. A freeze of a process at exactly this place was not tried.

--- a/packages/entry/hornbeamstand_entry/edge/servers.py
+++ b/packages/entry/hornbeamstand_entry/edge/servers.py
@@ -7,8 +7,7 @@
 
 from ..clock import make_process_clock
 from ..http_server import CLOSE, CallerHandler, make_server
-from ..request_limits import has_bytes
-from ..tasks.sockets import NO_DESCRIPTOR_ERRORS
+from ..tasks.sockets import NO_DESCRIPTOR_ERRORS, has_bytes
 
 MS_PER_S = 1000.0
 # Interval at which a server with the maximum number of connections ends idle ones, if
--- a/packages/entry/hornbeamstand_entry/request_limits.py
+++ b/packages/entry/hornbeamstand_entry/request_limits.py
@@ -9,6 +9,7 @@
 import gevent
 
 from .responses import status_line
+from .tasks.sockets import has_bytes
 
 # Maximum number of bytes that are read and dropped after the last response on a
 # connection, and the maximum time for that.
@@ -46,14 +47,6 @@
     status = 408
 
 
-def has_bytes(sock):
-    """Return whether bytes have arrived at a socket and were not read yet."""
-    try:
-        return bool(sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-    except OSError:
-        return False
-
-
 class ArrivalTimeout:
     """Raises an error in the current greenlet, which reads what a caller sends.
 
--- a/packages/entry/hornbeamstand_entry/tasks/sockets.py
+++ b/packages/entry/hornbeamstand_entry/tasks/sockets.py
@@ -32,7 +32,7 @@
     sock = gevent_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.settimeout(rules.connect_timeout_ms / MS_PER_S)
-        sock.connect(address)
+        connect_in_time(sock, address)
         sock.settimeout(None)
         set_options(sock, rules)
     except BaseException:
@@ -41,6 +41,27 @@
     return sock
 
 
+def connect_in_time(sock, address):
+    """Connect a socket; raises OSError after its timeout.
+
+    A connection that is open by then is kept: a process that did not run for a while
+    may handle its timers before its sockets.
+    """
+    try:
+        sock.connect(address)
+    except TimeoutError:
+        # Raises OSError if the connection is not open.
+        sock.getpeername()
+
+
+def has_bytes(sock):
+    """Return whether bytes have arrived at a socket and were not read yet."""
+    try:
+        return bool(sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        return False
+
+
 def set_options(sock, rules):
     """Set the TCP options that send small requests at once and detect a dead server."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/packages/entry/tests/test_connections.py
+++ b/packages/entry/tests/test_connections.py
@@ -360,6 +360,21 @@
     assert body(waiting.get()) == b"01"
 
 
+def test_a_connection_that_opened_while_this_process_was_late_is_used(
+    stack, monkeypatch
+):
+    """Guards against "unreachable" if the timeout is handled before the connection."""
+    connect = gevent_socket.socket.connect
+
+    def time_out_late(sock, address):
+        connect(sock, address)
+        raise TimeoutError("timed out")
+
+    _, pool = start(stack)
+    monkeypatch.setattr(gevent_socket.socket, "connect", time_out_late)
+    assert body(send(pool)) == b"01"
+
+
 @pytest.mark.parametrize("port", ["99999", "0", "-1", "9" * 5000, "\u00b2", "x", ""])
 def test_an_address_that_cannot_be_one_fails_at_once(stack, port):
     """Guards against requests that wait for their deadline at an odd address."""
