Serve the own mode's callers with the servers of the edge

What callers saw in the product's own mode: a kept connection that was closed without an answer, though a request had arrived on it, if the process had not run for longer than caller_idle_ms.

Cause: the timeout of the socket ended the wait for the next request, whether or not bytes had arrived. EdgeHandler looks at the socket before it ends an idle connection.

Change: hornbeamstand run starts its two HTTP servers with edge/servers.start_server. The second function of that name in http_server.py is removed, and with it its case in test_edge_servers.py, which tests the one that is left as before.

--- a/packages/entry/hornbeamstand_entry/edge/servers.py
+++ b/packages/entry/hornbeamstand_entry/edge/servers.py
@@ -1,4 +1,4 @@
-"""WSGI servers of an edge process that keep track of their open connections."""
+"""WSGI servers of either program, which keep track of their open connections."""
 
 from math import inf
 
--- a/packages/entry/hornbeamstand_entry/http_server.py
+++ b/packages/entry/hornbeamstand_entry/http_server.py
@@ -7,7 +7,6 @@
 import gevent
 from gevent.pywsgi import OldMessage, WSGIHandler, WSGIServer
 from hornbeamstand_core.messages import NOT_RUN, Refusal
-from hornbeamstand_core.routes import CallerLimits
 
 from .context import CALLER_GONE
 from .request_limits import (
@@ -288,16 +287,3 @@
         handler_class=handler_class,
         environ={"SERVER_NAME": host},
     )
-
-
-def start_server(address, app, caller_idle_ms, stack, handler_class=CallerHandler):
-    """Start a server for a WSGI application; the exit stack stops it.
-
-    ``caller_idle_ms`` is the timeout of each read and write on a caller's connection.
-    """
-    server = make_server(address, app, handler_class)
-    server.caller_idle_s = caller_idle_ms / MS_PER_S
-    server.limits = CallerLimits
-    server.start()
-    stack.callback(server.stop, timeout=0)
-    return server
--- a/packages/entry/hornbeamstand_entry/process.py
+++ b/packages/entry/hornbeamstand_entry/process.py
@@ -14,6 +14,7 @@
 from hornbeamstand_core.filters import build_default_chain
 from hornbeamstand_core.membership_messages import FetchPeerState
 from hornbeamstand_core.messages import Refusal
+from hornbeamstand_core.routes import CallerLimits
 from hornbeamstand_core.view import Member
 from hornbeamstand_wire.platform import PlatformClient
 
@@ -21,8 +22,8 @@
 from .admin import make_admin_app
 from .clock import make_process_clock
 from .closing import close_bounded
+from .edge.servers import start_server
 from .front import Front
-from .http_server import start_server
 from .logs import make_logs
 from .metrics import Metrics
 from .performers import make_performers
@@ -263,10 +264,13 @@
     log = process.bind_logger("process")
     if fields := corrections.describe():
         log.warning("process: inherited state corrected", **fields)
-    idle_ms = settings.caller_idle_ms
-    start_server(settings.front_address, process.front.app, idle_ms, stack)
-    admin = make_admin_app(process)
-    start_server(settings.admin_address, admin, idle_ms, stack)
+
+    def idle_ms():
+        return settings.caller_idle_ms
+
+    front_app, admin_app = process.front.app, make_admin_app(process)
+    start_server(settings.front_address, front_app, stack, idle_ms, CallerLimits)
+    start_server(settings.admin_address, admin_app, stack, idle_ms, CallerLimits)
     tune_garbage_collector()
     log.info("process: started", front=settings.front_address, **describe_limits())
     wait_for_stop(process, log, stop_signals)
--- a/packages/entry/tests/test_edge_servers.py
+++ b/packages/entry/tests/test_edge_servers.py
@@ -6,7 +6,6 @@
 import pytest
 from gevent import pywsgi, socket
 from hornbeamstand_core.routes import CallerLimits
-from hornbeamstand_entry import http_server
 from hornbeamstand_entry.edge import servers as edge_servers
 
 IDLE_MS = 5000.0
@@ -23,10 +22,6 @@
     return [b"ok"]
 
 
-def start_plain(stack):
-    return http_server.start_server("127.0.0.1:0", respond, IDLE_MS, stack)
-
-
 def start_edge(stack):
     return edge_servers.start_server(
         "127.0.0.1:0", respond, stack, lambda: IDLE_MS, CallerLimits
@@ -47,13 +42,12 @@
         return look_up
 
 
-@pytest.mark.parametrize("start", [start_plain, start_edge])
-def test_a_server_starts_without_a_name_lookup(stack, monkeypatch, start):
+def test_a_server_starts_without_a_name_lookup(stack, monkeypatch):
     """Guards against a start that waits for a name server's timeout of 5 s."""
     resolver, asked = NoResolver(), []
     monkeypatch.setattr(gevent.get_hub(), "resolver", resolver)
     monkeypatch.setattr(pywsgi.socket, "getfqdn", lambda host: asked.append(host) or "")
-    server = start(stack)
+    server = start_edge(stack)
     assert server.environ["SERVER_NAME"] == "127.0.0.1"
     assert server.get_environ()["SERVER_NAME"] == "127.0.0.1"
     assert resolver.lookups == asked == []
--- a/packages/entry/tests/test_front_errors.py
+++ b/packages/entry/tests/test_front_errors.py
@@ -23,9 +23,10 @@
     ReserveOrder,
     Send,
 )
+from hornbeamstand_core.routes import CallerLimits
 from hornbeamstand_entry.clock import make_process_clock
+from hornbeamstand_entry.edge.servers import start_server
 from hornbeamstand_entry.front import Front
-from hornbeamstand_entry.http_server import start_server
 
 REQUEST = (
     b"POST /services/shop/x HTTP/1.1\r\nHost: h\r\nIdempotency-Key: k\r\n"
@@ -56,7 +57,9 @@
         SimpleNamespace(vm_id="vm1", body_max_bytes=1000),
     )
     with ExitStack() as stack:
-        server = start_server("127.0.0.1:0", front.app, 5000.0, stack)
+        server = start_server(
+            "127.0.0.1:0", front.app, stack, lambda: 5000.0, CallerLimits
+        )
         address = ("127.0.0.1", server.server_port)
         with socket.create_connection(address, timeout=3.0) as sock:
             sock.sendall(REQUEST)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 import gevent
+import gevent.socket
 import pytest
 
 from standins.cluster import request
@@ -228,3 +229,33 @@
         assert expected in done.stderr
         assert "vm.json" in done.stderr
         assert len(done.stderr.splitlines()) == 1
+
+
+def read_answer(sock):
+    """Return the answer to one request, or what came before the connection's end."""
+    data = b""
+    while not data.endswith(b"}") and (chunk := sock.recv(65536)):
+        data += chunk
+    return data
+
+
+def test_requests_that_came_on_idle_connections_in_a_freeze_are_served(stack):
+    """Guards against a kept connection that is closed with a request in it."""
+    cluster, _ = start_cluster(stack, 1, overrides={"caller_idle_ms": 300})
+    (vm,) = cluster.vms
+    host, port = vm.front_address.split(":")
+    sockets = [
+        stack.enter_context(gevent.socket.create_connection((host, int(port)), 3.0))
+        for _ in range(20)
+    ]
+    answers = []
+    for freeze_s in (0.0, 0.6, 0.6, 0.6, 0.6):
+        if freeze_s:
+            vm.signal(signal.SIGSTOP)
+            gevent.sleep(0.05)
+        for sock in sockets:
+            sock.sendall(b"GET /services/shop/x HTTP/1.1\r\nHost: h\r\n\r\n")
+        gevent.sleep(freeze_s)
+        vm.signal(signal.SIGCONT)
+        answers += [read_answer(sock)[:12] for sock in sockets]
+    assert set(answers) == {b"HTTP/1.1 200"}
