Allow a forwarded request the headers that a VM has added

What callers saw in the product's own mode: 431 for an order within the limit of headers, with the outcome "ran", if the VM that they asked wasn't the primary of its key.

Cause: the VM that forwards a request adds headers, about 100 bytes, and the other one held the request to the callers' limit again. The port is the same for callers and peers.

Callers keep their limit to the byte.

Evidence: test_orders_near_the_limit_of_headers_are_served_through_every_vm failed before with 431 and "ran".

--- a/packages/entry/hornbeamstand_entry/edge/servers.py
+++ b/packages/entry/hornbeamstand_entry/edge/servers.py
@@ -206,7 +206,9 @@
             self.socket.settimeout(timeout_s)
 
 
-def start_server(address, app, stack, idle_ms, limits, listener=None):
+def start_server(
+    address, app, stack, idle_ms, limits, listener=None, handler_class=EdgeHandler
+):
     """Start a server for a WSGI application; the exit stack stops it.
 
     ``listener`` is a listening socket for the address, which the server owns from now
@@ -214,8 +216,9 @@
     ``idle_ms`` is a callable that returns the maximum idle time of a connection in
     milliseconds, and ``limits`` one that returns the CallerLimits. They are called
     before each request, so that new limits apply to open connections too.
+    ``handler_class`` is EdgeHandler or a subclass.
     """
-    server = make_server(address, app, EdgeHandler, EdgeServer)
+    server = make_server(address, app, handler_class, EdgeServer)
     if listener is not None:
         server.set_listener(listener)
     server.caller_idle_s = idle_ms() / MS_PER_S
--- a/packages/entry/hornbeamstand_entry/http_server.py
+++ b/packages/entry/hornbeamstand_entry/http_server.py
@@ -12,6 +12,7 @@
 from .request_limits import (
     ArrivalTimeout,
     HeaderTimeout,
+    HeaderTooLarge,
     LimitedLines,
     RefusedBody,
     RequestError,
@@ -37,8 +38,12 @@
     headers, and ``head_lines`` their size. The limits of the libraries, which are lower
     and fixed, don't apply. ``whole_requestline`` is the line as it was sent.
     ``is_last_of_caller`` is whether the caller sends nothing after the request.
+    ``forwarded_extra_bytes`` is the size of the headers beyond their limit that
+    ``is_forwarded`` allows.
     """
 
+    forwarded_extra_bytes = 0
+
     header_timer = None
     head_lines = None
     whole_requestline = ""
@@ -80,7 +85,9 @@
         limits = self.server.limits()
         error = HeaderTimeout("headers did not arrive in time")
         self.header_timer = ArrivalTimeout(self.socket, limits.header_ms, error)
-        self.head_lines = LimitedLines(self.rfile, limits.header_max_bytes)
+        self.head_lines = LimitedLines(
+            self.rfile, limits.header_max_bytes, self.forwarded_extra_bytes
+        )
         line = self.head_lines.read_request_line()
         self.whole_requestline = line.decode("latin-1")
         return self.whole_requestline[:1]
@@ -92,8 +99,14 @@
         self.is_last_of_caller = self.close_connection
         self._stop_header_timer()
         check_headers(self.headers)
+        if self.head_lines.is_beyond_limit and not self.is_forwarded():
+            raise HeaderTooLarge("headers are larger than the limit")
         return is_read
 
+    def is_forwarded(self):
+        """Return whether another VM forwarded the request, whose headers are read."""
+        return False
+
     def MessageClass(self, file, seekable):
         """Return the headers of the request, within their size limit."""
         text = self.head_lines.read_headers().decode("latin-1")
--- a/packages/entry/hornbeamstand_entry/process.py
+++ b/packages/entry/hornbeamstand_entry/process.py
@@ -24,6 +24,7 @@
 from .closing import close_bounded
 from .edge.servers import start_server
 from .front import Front
+from .front_handler import FrontHandler
 from .logs import make_logs
 from .metrics import Metrics
 from .performers import make_performers
@@ -269,7 +270,14 @@
         return settings.caller_idle_ms
 
     front_app, admin_app = process.front.app, make_admin_app(process)
-    start_server(settings.front_address, front_app, stack, idle_ms, CallerLimits)
+    start_server(
+        settings.front_address,
+        front_app,
+        stack,
+        idle_ms,
+        CallerLimits,
+        handler_class=FrontHandler,
+    )
     start_server(settings.admin_address, admin_app, stack, idle_ms, CallerLimits)
     tune_garbage_collector()
     log.info("process: started", front=settings.front_address, **describe_limits())
--- a/packages/entry/hornbeamstand_entry/request_limits.py
+++ b/packages/entry/hornbeamstand_entry/request_limits.py
@@ -94,14 +94,21 @@
 class LimitedLines:
     """Reads a request line and the headers, up to a number of bytes in total.
 
-    The end of the request line doesn't count.
+    The end of the request line doesn't count. The headers may have ``extra_bytes``
+    more; ``is_beyond_limit`` is whether they needed any of them.
     """
 
-    __slots__ = ("file", "n_left_bytes")
+    __slots__ = ("file", "n_left_bytes", "extra_bytes")
 
-    def __init__(self, file, max_bytes):
+    def __init__(self, file, max_bytes, extra_bytes=0):
         self.file = file
         self.n_left_bytes = max_bytes
+        self.extra_bytes = extra_bytes
+
+    @property
+    def is_beyond_limit(self):
+        """Whether the headers that were read are larger than the limit."""
+        return self.n_left_bytes < 0
 
     def read_request_line(self):
         """Return the request line, or no bytes at the end of the connection.
@@ -127,9 +134,9 @@
         return b"".join(lines)
 
     def _read_line(self):
-        line = self.file.readline(self.n_left_bytes + 1)
+        line = self.file.readline(self.n_left_bytes + self.extra_bytes + 1)
         self.n_left_bytes -= len(line)
-        if self.n_left_bytes < 0:
+        if self.n_left_bytes < -self.extra_bytes:
             raise HeaderTooLarge("headers are larger than the limit")
         if not line.endswith(b"\n"):
             raise RequestError("headers broke off")
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -7,6 +7,7 @@
 from contextlib import ExitStack
 
 import pytest
+from hornbeamstand_core.routes import CallerLimits
 
 from standins.cluster import request, wait_until
 
@@ -235,6 +236,28 @@
     assert runs_by_key(shop[1])["shed-first"] == 1
 
 
+def large_order(vm, key, n_bytes):
+    """Place an order with ``n_bytes`` of headers, its first line included."""
+    start = (
+        f"POST /services/shop/orders HTTP/1.1\r\nHost: {vm.front_address}\r\n"
+        f"Idempotency-Key: {key}\r\nConnection: close\r\nContent-Length: 2\r\nCookie: "
+    )
+    # The end of the request line doesn't count.
+    cookie = "c" * (n_bytes - len(start) - 2)
+    return raw_exchange(vm.front_address, f"{start}{cookie}\r\n\r\n{{}}".encode())
+
+
+def test_orders_near_the_limit_of_headers_are_served_through_every_vm(shop):
+    """Guards against a 431 for what a VM has added to a request that it forwards."""
+    limit_bytes = CallerLimits().header_max_bytes
+    for vm in shop[0].vms:
+        for i in range(5):
+            answer = large_order(vm, f"{vm.settings['vm_id']}-{i}", limit_bytes)
+            assert answer.startswith(b"HTTP/1.1 200"), answer[:100]
+            answer = large_order(vm, f"{vm.settings['vm_id']}-{i}", limit_bytes + 1)
+            assert answer.startswith(b"HTTP/1.1 431"), answer[:100]
+
+
 def test_status_and_metrics(shop):
     cluster, _ = shop
     vm = cluster.vms[0]
