Take a peer's bare error for a failed exchange in the own mode

What callers saw in the product's own mode: the 431, 400, 408 or 500 of a peer's HTTP server as a target's answer, with the outcome "ran", which was also stored for the resends of the order.

Cause: peer_response took a response without a target for an answer of a target.

Change: a response that names neither a target nor the reason of a refusal is a failed exchange whose outcome is unknown, as between VMs of the edge.

Evidence: five cases of test_an_answer_that_only_the_peers_server_wrote_is_no_answer failed before. They pass, as do test_performers, test_connections and test_http.

--- a/packages/entry/hornbeamstand_entry/encoding.py
+++ b/packages/entry/hornbeamstand_entry/encoding.py
@@ -69,7 +69,11 @@
 
 
 def peer_response(response, peer_id):
-    """Return a peer's HTTP response as an UpstreamResponse, with its refusal if any."""
+    """Return a peer's HTTP response as an UpstreamResponse, with its refusal if any.
+
+    The result is None if the response names neither a target nor the reason of a
+    refusal: the peer's HTTP server wrote it, and it is no answer of a target.
+    """
     refusal = None
     reason = response.get(headers.REFUSAL)
     if reason is not None:
@@ -80,9 +84,11 @@
             response.get(headers.STEP, ""),
             peer_id,
         )
-    target_id = response.get(headers.TARGET, peer_id)
+    target_id = response.get(headers.TARGET)
+    if refusal is None and target_id is None:
+        return None
     return UpstreamResponse(
-        response.status_code, response, refusal=refusal, target_id=target_id
+        response.status_code, response, refusal=refusal, target_id=target_id or peer_id
     )
 
 
--- a/packages/entry/hornbeamstand_entry/performers.py
+++ b/packages/entry/hornbeamstand_entry/performers.py
@@ -6,6 +6,7 @@
 
 from hornbeamstand_core.balancer_messages import CapacityReport
 from hornbeamstand_core.messages import (
+    BROKEN_RESPONSE,
     CANCELLED,
     TIMED_OUT,
     Account,
@@ -164,7 +165,8 @@
             note_unreachable(reply, name, effect.peer_id)
             return reply
         note_capacity(reply, name, effect.peer_id)
-        return peer_response(reply, effect.peer_id)
+        response = peer_response(reply, effect.peer_id)
+        return response or SendFailure(BROKEN_RESPONSE, True, effect.peer_id)
 
     def note_unreachable(failure, name, peer_id):
         # A send that was cancelled because the caller disconnected says nothing about
--- a/packages/entry/tests/test_performers.py
+++ b/packages/entry/tests/test_performers.py
@@ -2,6 +2,7 @@
 
 from types import SimpleNamespace
 
+import pytest
 from gevent.queue import SimpleQueue
 from hornbeamstand_core.balancer_messages import CapacityReport
 from hornbeamstand_core.messages import (
@@ -21,6 +22,7 @@
 from hornbeamstand_entry.peer_codec import decode_orders, encode_orders
 from hornbeamstand_entry.performers import make_performers
 from hornbeamstand_entry.tasks.exchange import ExchangeResult
+from hornbeamstand_entry.tasks.response_parser import CompleteResponse
 
 
 def forward_request(end):
@@ -53,6 +55,13 @@
     assert [exchange.expected_id for exchange in exchanges] == ["r~1"]
 
 
+@pytest.mark.parametrize("status", [200, 400, 408, 431, 500])
+def test_an_answer_that_only_the_peers_server_wrote_is_no_answer(status):
+    """Guards against a peer's own error that callers get as an answer that ran."""
+    response = CompleteResponse(status, [], [b""], "POST", False)
+    assert forward_request(lambda exchange: ExchangeResult(exchange, response)) == []
+
+
 def test_refused_connection_sets_the_peers_free_capacity_to_zero():
     (report,) = forward_request(
         lambda exchange: ExchangeResult(exchange, SendFailure(CONNECT_FAILED, False))
