Let a start listen at a port of an outgoing connection of its own

Seen: a start waited up to a minute for its front or peer address, which the system had given to an outgoing connection.

Cause: the system lets a socket listen at a port that other connections have only if SO_REUSEADDR is set on all of these, too. It was set on listeners alone.

Change: the connections to targets, peers and the store of both programs set it before they connect (gRPC does so itself: seen in its system calls).

--- a/packages/entry/hornbeamstand_entry/tasks/sockets.py
+++ b/packages/entry/hornbeamstand_entry/tasks/sockets.py
@@ -31,6 +31,8 @@
     """
     sock = gevent_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
+        # A later start of this VM may listen at the port that the system chooses.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.settimeout(rules.connect_timeout_ms / MS_PER_S)
         connect_in_time(sock, address)
         sock.settimeout(None)
--- a/packages/wire/hornbeamstand_wire/platform.py
+++ b/packages/wire/hornbeamstand_wire/platform.py
@@ -70,6 +70,12 @@
         kind = (socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
         return [(*kind, "", (host, port))]
 
+    def _create_tcp_socket(self, *args):
+        sock = super()._create_tcp_socket(*args)
+        # A later start of this VM may listen at the port that the system chooses.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        return sock
+
 
 class PlatformClient:
     """A client of the platform's store.
