Let the build's tests copy the module from its new folder

The tests of the build copy what the program imports first; that module lies in life/ now, since the life of a process was moved. No check changes; tests/test_deploy_build.py passes.

--- a/tests/test_deploy_build.py
+++ b/tests/test_deploy_build.py
@@ -50,7 +50,9 @@
         for package in (self.entry, self.platform):
             self.write(package / "__init__.py")
             self.write(package / "late.py", "VALUE = 1\n")
-        shutil.copy(find_spec("hornbeamstand_entry.inherited").origin, self.entry)
+        self.write(self.entry / "life" / "__init__.py")
+        inherited = find_spec("hornbeamstand_entry.life.inherited").origin
+        shutil.copy(inherited, self.entry / "life")
         shutil.copy(ENTRY_POINT, self.platform)
         self.write(self.platform / "start.py", LATE_START)
 
