Count the time in the socket against a request's deadline

A VM that ran late, or not at all for a while, began to count a request's deadline and its route's timeout when it read the request. The time for which the request had waited unread was added to it: callers got no answer by their deadline, and targets were handed more time than was left.

The system notes when the last bytes of a connection arrived (TCP_INFO), also while the connection waits to be accepted. A request whose time is over by then is refused, not run.

--- a/packages/core/hornbeamstand_core/edge_messages.py
+++ b/packages/core/hornbeamstand_core/edge_messages.py
@@ -15,18 +15,38 @@
 class EdgeRequest(Record):
     """One request as the front end received it.
 
-    ``deadline_ms`` is the time that the caller has left, or None.
+    ``deadline_ms`` is the time that the caller had left when it sent the request, or
+    None. The request was read at ``arrived_at_ms``, after it had waited unread for
+    ``waited_ms``.
     """
 
-    __slots__ = ("request_id", "host", "path", "method", "deadline_ms", "arrived_at_ms")
+    __slots__ = (
+        "request_id",
+        "host",
+        "path",
+        "method",
+        "deadline_ms",
+        "arrived_at_ms",
+        "waited_ms",
+    )
 
-    def __init__(self, request_id, host, path, method, deadline_ms, arrived_at_ms):
+    def __init__(
+        self,
+        request_id,
+        host,
+        path,
+        method,
+        deadline_ms,
+        arrived_at_ms,
+        waited_ms=0.0,
+    ):
         self.request_id = request_id
         self.host = host
         self.path = path
         self.method = method
         self.deadline_ms = deadline_ms
         self.arrived_at_ms = arrived_at_ms
+        self.waited_ms = waited_ms
 
 
 class RequestPolicy(Record):
--- a/packages/core/hornbeamstand_core/filters/find_route.py
+++ b/packages/core/hornbeamstand_core/filters/find_route.py
@@ -38,5 +38,6 @@
     limit_ms = call.policy.timeout_ms
     if request.deadline_ms is not None:
         limit_ms = min(limit_ms, request.deadline_ms)
-    call.deadline_at_ms = request.arrived_at_ms + limit_ms - ANSWER_MARGIN_MS
+    limit_ms -= request.waited_ms + ANSWER_MARGIN_MS
+    call.deadline_at_ms = request.arrived_at_ms + limit_ms
     call.objective_at_ms = request.arrived_at_ms + call.policy.objective_ms
--- a/packages/entry/hornbeamstand_entry/edge/front.py
+++ b/packages/entry/hornbeamstand_entry/edge/front.py
@@ -12,6 +12,7 @@
 from ..http_server import BodyError, has_left, read_body, watch_caller
 from ..performers import drive
 from ..responses import length_items, status_line
+from ..tasks.sockets import unread_ms
 from .config_copies import COPY_PATH, compress_copy
 from .context import STOP_ENDS, AnswerBody, EdgeContext
 from .messages import (
@@ -196,7 +197,7 @@
         max_bytes = float("inf") if is_relayed else limits.body_max_bytes
         timeout_ms = BODY_TIMEOUT_MS
         if request.deadline_ms is not None:
-            timeout_ms = min(timeout_ms, request.deadline_ms)
+            timeout_ms = min(timeout_ms, request.deadline_ms - request.waited_ms)
         return read_body(environ, max_bytes, hold, timeout_ms)
 
     def _read_context(self, environ):
@@ -227,6 +228,7 @@
             context.method,
             read_number(environ.get(f"HTTP_{deadline_name}")),
             arrived_at_ms,
+            unread_ms(environ["hornbeamstand.socket"]),
         )
 
     def _run(self, environ, context, call):
--- a/packages/entry/hornbeamstand_entry/tasks/sockets.py
+++ b/packages/entry/hornbeamstand_entry/tasks/sockets.py
@@ -2,6 +2,7 @@
 
 import errno
 import socket
+import sys
 
 from gevent import socket as gevent_socket
 
@@ -10,6 +11,9 @@
 # Errors for which the process or the system has no descriptor left.
 NO_DESCRIPTOR_ERRORS = frozenset([errno.EMFILE, errno.ENFILE])
 MS_PER_S = 1000.0
+# Offset and end of tcpi_last_data_recv, in milliseconds, in the system's TCP_INFO.
+LAST_DATA_OFFSET = 52
+LAST_DATA_END = LAST_DATA_OFFSET + 4
 
 
 def parse_address(address):
@@ -76,3 +80,16 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, rules.keepalive_s)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
+def unread_ms(sock):
+    """Return the time since the last bytes arrived at a connected socket.
+
+    The system notes it also while the connection waits to be accepted, or while this
+    process does not run. It is 0 if the system can't tell.
+    """
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_END)
+    except OSError:
+        return 0.0
+    return float(int.from_bytes(info[LAST_DATA_OFFSET:], sys.byteorder))
