Load the log's library later, at another time on each VM

Each VM loaded the library that renders its log lines 0.8 s after its start, and handled nothing else meanwhile: 36 to 38 ms of processor with the deployed packages, 90 ms where the library finds an optional package. VMs that start together on one core all paused at once.

Lines are rendered without the library until it is loaded, with the same text, as was already done where it can't be loaded. Each VM loads it 10 to 60 s after its start, at a time that its id draws.

The new test starts a log and writes a line; before, that loaded the library. The test of lines without the library now loads it explicitly and checks that it did.

--- a/packages/entry/hornbeamstand_entry/edge/logs.py
+++ b/packages/entry/hornbeamstand_entry/edge/logs.py
@@ -5,10 +5,14 @@
 rate of lines up to a second limit.
 
 Lines are rendered when they are written. The library that renders them makes up a fifth
-of the program's imports, so it is loaded with the first lines, once the process serves.
+of the program's imports, and the process handles nothing else while it is loaded. It is
+loaded some time after the start, at a different time on each VM: all VMs may start at
+once and share a processor. Until then, lines are rendered without it.
 """
 
 import time
+from contextlib import suppress
+from random import Random
 
 import gevent
 import msgspec
@@ -25,9 +29,12 @@
 EXTRA_WARNINGS_PER_S_MAX = 200
 # Interval at which buffered log lines are written.
 FLUSH_INTERVAL_MS = 100.0
-# Delay from the start until the first flush, so that the process serves before it loads
-# the library that renders lines. A process that ends earlier flushes at its end.
+# Delay from the start until the first flush, so that the process serves before it
+# writes lines. A process that ends earlier flushes at its end.
 FIRST_FLUSH_DELAY_MS = 800.0
+# Range of the delay from the start until the library that renders lines is loaded.
+LOAD_DELAY_MIN_MS = 10_000.0
+LOAD_DELAY_MAX_MS = 60_000.0
 # Minimum level of the lines that structlog renders (logging.INFO).
 LEVEL_INFO = 20
 MS_PER_S = 1000.0
@@ -60,13 +67,11 @@
 
     def __init__(self, vm_id):
         self.vm_id = vm_id
-        self._logger = None
+        self._logger = PlainLogger(vm_id, self)
         self._rendered = []
 
     def render(self, line):
         """Return a LogLine as JSON text."""
-        if self._logger is None:
-            self._logger = self._load_logger()
         self._logger.info(line.event, time_s=line.time_s, **line.fields)
         return self._rendered.pop()
 
@@ -74,11 +79,10 @@
         """Store a rendered line (the end of structlog's chain)."""
         self._rendered.append(text)
 
-    def _load_logger(self):
-        try:
-            return self._make_logger()
-        except LOAD_ERRORS:
-            return PlainLogger(self.vm_id, self)
+    def load_library(self):
+        """Render with the library from now on, if it can be loaded."""
+        with suppress(*LOAD_ERRORS):
+            self._logger = self._make_logger()
 
     def _make_logger(self):
         import structlog
@@ -92,7 +96,7 @@
 
 
 class PlainLogger:
-    """Renders the lines of one VM if the library for that can't be loaded.
+    """Renders the lines of one VM while the library for that is not loaded.
 
     Parameters
     ----------
@@ -225,14 +229,15 @@
 class EdgeLog:
     """The log of one process, with a line for each decision and state change."""
 
-    __slots__ = ("vm_id", "lines")
+    __slots__ = ("vm_id", "lines", "renderer")
 
     @classmethod
     def from_config(cls, vm_id, clock, descriptor=1):
         """Build a log that writes to a descriptor."""
         self = cls()
         self.vm_id = vm_id
-        self.lines = LogBuffer(descriptor, clock, Renderer(vm_id).render)
+        self.renderer = Renderer(vm_id)
+        self.lines = LogBuffer(descriptor, clock, self.renderer.render)
         return self
 
     def info(self, event, **fields):
@@ -325,11 +330,20 @@
         """Start to flush at intervals; the exit stack ends that and flushes again."""
         report_failures_to(self.unexpected_error, stack)
         stack.callback(self.lines.flush)
-        writer = spawn_supervised("log-writer", self._write_forever)
-        stack.callback(writer.kill, block=False)
+        for name, run in (
+            ("log-writer", self._write_forever),
+            ("log-library", self._load_library),
+        ):
+            greenlet = spawn_supervised(name, run)
+            stack.callback(greenlet.kill, block=False)
 
     def _write_forever(self):
         gevent.sleep(FIRST_FLUSH_DELAY_MS / MS_PER_S)
         while True:
             self.lines.flush()
             gevent.sleep(FLUSH_INTERVAL_MS / MS_PER_S)
+
+    def _load_library(self):
+        delay_ms = Random(self.vm_id).uniform(LOAD_DELAY_MIN_MS, LOAD_DELAY_MAX_MS)
+        gevent.sleep(delay_ms / MS_PER_S)
+        self.renderer.load_library()
--- a/packages/entry/tests/test_edge_logs.py
+++ b/packages/entry/tests/test_edge_logs.py
@@ -103,12 +103,14 @@
 
     def write_lines():
         log = EdgeLog.from_config("edge-0", clock, pipe[1])
+        log.renderer.load_library()
         log.info("process: started", front="a")
         log.warning("answer: refused", status=503)
         log.lines.flush()
         return os.read(pipe[0], 1 << 20)
 
     expected = write_lines()
+    assert "structlog" in sys.modules
     monkeypatch.delitem(sys.modules, "structlog")
     finder = FailingFinder("structlog", error)
     monkeypatch.setattr(sys, "meta_path", [finder, *sys.meta_path])
@@ -125,6 +127,19 @@
     assert subprocess.run([sys.executable, "-c", code], check=False).returncode == 0
 
 
+def test_the_first_lines_of_a_start_are_written_without_structlog():
+    """Guards against VMs that start together and all pause to load it."""
+    code = (
+        "import sys; from hornbeamstand_core.clock import Clock;"
+        "from hornbeamstand_entry.edge.logs import EdgeLog;"
+        "log = EdgeLog.from_config('a', Clock.from_reader(lambda: 0.0));"
+        "log.info('process: started'); log.lines.flush();"
+        "sys.exit('structlog' in sys.modules)"
+    )
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, check=True)
+    assert b"process: started" in done.stdout
+
+
 def test_a_line_that_cannot_be_rendered_loses_no_other_line(pipe):
     def render(line):
         if line == "odd":
