Refuse requests at once while the VM's processor can't keep up

Where a host has less processor than its VMs need, they took in every request, and each waited in their event loops behind all others. Callers got neither an answer nor a refusal, and the VMs, busy with work that was too late, served next to nothing. Nobody refused: a late VM asks others to take its work, which are as late.

Cause, by a trace of such VMs: requests read in time then waited in the queue of the event loop's callbacks, 0.2 to 2 s each time, several times each. Neither the ticks (timers overtake that queue) nor the waits in the sockets show it in time. A first trial that limited the requests in progress by these two came too late, with up to 190 of them inside.

The controllers now measure how long a turn of the event loop takes (Admission). While turns stay late, a share of the requests is refused before any work on them, with a 503 that is true and a Retry-After that follows from the backlog; calls end earlier before their deadline, so that their 504 is in time. One pause is no reason to refuse.

Two stubs of existing tests have an Admission now.

--- /dev/null
+++ b/packages/core/hornbeamstand_core/controllers/admission.py
@@ -0,0 +1,180 @@
+"""Refuses requests at once while this VM's processor can't keep up with them.
+
+The measure is the delay of a turn: the time that a piece of work which is due now waits
+until those that were due before it are done. Each request takes several turns. If turns
+stay late, this VM refuses a share of the requests that grows with the part of a
+request's time that its turns would take. A single pause, such as that of a suspended
+machine, delays one turn and is no reason to refuse.
+"""
+
+from ..edge_messages import ANSWER_MARGIN_MS, StateChange
+from ..messages import NOT_RUN, Refusal
+from ..records import Record
+
+OVERLOADED = "vm overloaded"
+# Delay of a turn from which this VM counts as late.
+LATE_TURN_MS = 50.0
+# Least time, and number of ticks, with late turns after which requests are refused.
+STANDING_MS = 500.0
+N_LATE_TICKS_MIN = 3
+# Time without late turns after which all requests are admitted again, and the share by
+# which that of a VM may be longer. VMs that are late together don't stop together.
+CALM_MS = 10_000.0
+CALM_SPREAD = 1.0
+# Number of turns that a request takes, on this VM and the one that it is relayed to.
+N_TURNS = 8
+# Part of a request's time that its turns may take, below which it is always admitted
+# and above which it never is.
+ADMIT_ALL_SHARE = 0.2
+ADMIT_NONE_SHARE = 0.7
+# Factor of that part for the least urgent priority.
+LEAST_URGENT_FACTOR = 1.5
+# Limits of the delay after which a refused caller may retry, and the share by which it
+# may be lengthened.
+RETRY_AFTER_MIN_MS = 200.0
+RETRY_AFTER_MAX_MS = 4000.0
+RETRY_AFTER_SPREAD = 1.0
+# Number of turns from the end of a call to its answer, and the maximum time for that by
+# which a call ends before its deadline.
+N_ANSWER_TURNS = 2
+ANSWER_MARGIN_MAX_MS = 250.0
+
+
+class Arrival(Record):
+    """A request as it is read, before any work on it.
+
+    It has waited unread for ``waited_ms`` of the ``limit_ms`` in which it must be
+    answered.
+    """
+
+    __slots__ = ("waited_ms", "limit_ms", "priority")
+
+    def __init__(self, waited_ms, limit_ms, priority):
+        self.waited_ms = waited_ms
+        self.limit_ms = limit_ms
+        self.priority = priority
+
+
+class Admission:
+    """Decides which requests are refused because this VM is late.
+
+    ``is_limiting`` is whether any may be refused now, and ``n_refused`` counts those
+    that were.
+
+    Parameters
+    ----------
+    rng : Random
+        Draws the requests to refuse, the retry delays and the time until the end.
+    """
+
+    __slots__ = (
+        "is_limiting",
+        "n_refused",
+        "_rng",
+        "_calm_ms",
+        "_turn_began_at_ms",
+        "_turn_ms",
+        "_n_late_ticks",
+        "_late_since_ms",
+        "_late_at_ms",
+        "_priority_min",
+        "_priority_max",
+    )
+
+    def __init__(self, rng):
+        self.is_limiting = False
+        self.n_refused = 0
+        self._rng = rng
+        self._calm_ms = CALM_MS * (1.0 + CALM_SPREAD * rng.random())
+        # Begin of the turn that is measured now, or None.
+        self._turn_began_at_ms = None
+        self._turn_ms = 0.0
+        self._n_late_ticks = 0
+        self._late_since_ms = 0.0
+        self._late_at_ms = 0.0
+        self._priority_min = float("inf")
+        self._priority_max = float("-inf")
+
+    # The delay of a turn.
+
+    def is_measuring(self):
+        """Return whether a turn has begun and not ended."""
+        return self._turn_began_at_ms is not None
+
+    def begin_turn(self, now_ms):
+        """Note that a piece of work became due that measures the delay of a turn."""
+        self._turn_began_at_ms = now_ms
+
+    def end_turn(self, now_ms):
+        """Note that the piece of work is done."""
+        self._turn_ms = now_ms - self._turn_began_at_ms
+        self._turn_began_at_ms = None
+
+    def turn_ms(self, now_ms):
+        """Return the delay of a turn; one that has not ended counts with its age."""
+        if self._turn_began_at_ms is None:
+            return self._turn_ms
+        return max(self._turn_ms, now_ms - self._turn_began_at_ms)
+
+    def note_tick(self, now_ms):
+        """Begin or end to refuse requests; return the resulting messages."""
+        was_limiting = self.is_limiting
+        if self.turn_ms(now_ms) >= LATE_TURN_MS:
+            self._note_late(now_ms)
+        else:
+            self._n_late_ticks = 0
+            if now_ms - self._late_at_ms >= self._calm_ms:
+                self.is_limiting = False
+        if self.is_limiting == was_limiting:
+            return []
+        event = "refuses requests" if self.is_limiting else "admits all requests"
+        detail = f"turn_ms={self.turn_ms(now_ms):.0f} n_refused={self.n_refused}"
+        return [StateChange("vm", event, "", detail)]
+
+    def _note_late(self, now_ms):
+        if self._n_late_ticks == 0:
+            self._late_since_ms = now_ms
+        self._n_late_ticks += 1
+        self._late_at_ms = now_ms
+        has_stood = now_ms - self._late_since_ms >= STANDING_MS
+        if has_stood and self._n_late_ticks >= N_LATE_TICKS_MIN:
+            self.is_limiting = True
+
+    # Requests.
+
+    def answer_margin_ms(self, now_ms):
+        """Return the time by which a call ends before its deadline."""
+        if not self.is_limiting:
+            return ANSWER_MARGIN_MS
+        margin_ms = N_ANSWER_TURNS * self.turn_ms(now_ms)
+        return max(ANSWER_MARGIN_MS, min(ANSWER_MARGIN_MAX_MS, margin_ms))
+
+    def refusal(self, arrival, now_ms):
+        """Return the Refusal of a request, or None if it is admitted."""
+        self._priority_min = min(self._priority_min, arrival.priority)
+        self._priority_max = max(self._priority_max, arrival.priority)
+        if not self.is_limiting:
+            return None
+        turns_ms = N_TURNS * self.turn_ms(now_ms)
+        if self._rng.random() < self._admitted_share(arrival, turns_ms):
+            return None
+        self.n_refused += 1
+        spread = 1.0 + RETRY_AFTER_SPREAD * self._rng.random()
+        retry_ms = min(RETRY_AFTER_MAX_MS, max(RETRY_AFTER_MIN_MS, turns_ms)) * spread
+        return Refusal(OVERLOADED, NOT_RUN, 503, "admit", "", retry_ms)
+
+    def _admitted_share(self, arrival, turns_ms):
+        """Return the share of requests like this one that are admitted."""
+        left_ms = arrival.limit_ms - arrival.waited_ms
+        if left_ms <= 0.0:
+            return 0.0
+        needed = turns_ms / left_ms * self._urgency_factor(arrival.priority)
+        share = (ADMIT_NONE_SHARE - needed) / (ADMIT_NONE_SHARE - ADMIT_ALL_SHARE)
+        return max(0.0, min(1.0, share))
+
+    def _urgency_factor(self, priority):
+        if self._priority_max <= self._priority_min:
+            return 1.0
+        n_priorities = self._priority_max - self._priority_min
+        rank = (priority - self._priority_min) / n_priorities
+        return 1.0 + rank * (LEAST_URGENT_FACTOR - 1.0)
--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -32,6 +32,7 @@
     StopEdge,
 )
 from ..messages import Refusal, Release, Withdraw
+from .admission import Admission
 from .capacity import ServiceCapacity
 from .learning import heard_notice
 from .overload import OverloadDetector
@@ -73,6 +74,7 @@
         "peers",
         "watch_scope",
         "overload",
+        "admission",
         "table",
         "services",
         "revision",
@@ -104,6 +106,7 @@
         # this VM, is available to that peer, or None.
         self._available_to_peer_at_ms = None
         self._rng = Random(f"{me.vm_id}{me.start_id}")
+        self.admission = Admission(Random(f"{me.vm_id}{me.start_id}-admission"))
         self.routing = Routing(self._rng)
         self._records = StoreRecords(
             self.routing, self.table, self.services, self.peers, self._note_config
@@ -337,6 +340,7 @@
             if name in self.services:
                 self.services[name].note_owner(now_ms)
         out = self._note_delay(message.delay_ms, now_ms)
+        out += self.admission.note_tick(now_ms)
         out += self._begin_serving(now_ms)
         out += self._drain_all(now_ms)
         out += self.table.expire_suspects(now_ms)
--- a/packages/core/hornbeamstand_core/edge_messages.py
+++ b/packages/core/hornbeamstand_core/edge_messages.py
@@ -10,6 +10,8 @@
 FIRST = "first"
 RETRY = "retry"
 HEDGE = "hedge"
+# Minimum time between the end of a call and its deadline.
+ANSWER_MARGIN_MS = 5.0
 
 
 class EdgeRequest(Record):
@@ -17,7 +19,8 @@
 
     ``deadline_ms`` is the time that the caller had left when it sent the request, or
     None. The request was read at ``arrived_at_ms``, after it had waited unread for
-    ``waited_ms``.
+    ``waited_ms``. Its call ends ``answer_margin_ms`` before the deadline, so that a
+    refusal or a late answer still reaches the caller in time.
     """
 
     __slots__ = (
@@ -28,6 +31,7 @@
         "deadline_ms",
         "arrived_at_ms",
         "waited_ms",
+        "answer_margin_ms",
     )
 
     def __init__(
@@ -39,6 +43,7 @@
         deadline_ms,
         arrived_at_ms,
         waited_ms=0.0,
+        answer_margin_ms=ANSWER_MARGIN_MS,
     ):
         self.request_id = request_id
         self.host = host
@@ -47,6 +52,7 @@
         self.deadline_ms = deadline_ms
         self.arrived_at_ms = arrived_at_ms
         self.waited_ms = waited_ms
+        self.answer_margin_ms = answer_margin_ms
 
 
 class RequestPolicy(Record):
--- a/packages/core/hornbeamstand_core/filters/find_route.py
+++ b/packages/core/hornbeamstand_core/filters/find_route.py
@@ -5,10 +5,6 @@
 from ..edge_messages import FindRoute
 from ..messages import NOT_RUN, Refusal
 
-# Margin between the deadline of the call and the time limit of the request, so that
-# a refusal or a late answer still reaches the caller in time.
-ANSWER_MARGIN_MS = 5.0
-
 
 def find_route(next_handler):
     """Look up the policy of a request, unless a relaying peer sent it along.
@@ -38,6 +34,6 @@
     limit_ms = call.policy.timeout_ms
     if request.deadline_ms is not None:
         limit_ms = min(limit_ms, request.deadline_ms)
-    limit_ms -= request.waited_ms + ANSWER_MARGIN_MS
+    limit_ms -= request.waited_ms + request.answer_margin_ms
     call.deadline_at_ms = request.arrived_at_ms + limit_ms
     call.objective_at_ms = request.arrived_at_ms + call.policy.objective_ms
--- a/packages/entry/hornbeamstand_entry/edge/control_task.py
+++ b/packages/entry/hornbeamstand_entry/edge/control_task.py
@@ -1,5 +1,6 @@
 """The task that owns the controllers of an edge process."""
 
+import gevent
 from hornbeamstand_core.balancer_messages import Decision, DeferredReply
 from hornbeamstand_core.edge_messages import CheckPeerAlive, FindOwner, StateChange
 from hornbeamstand_core.edge_node_messages import EdgeTick
@@ -131,11 +132,22 @@
         now_ms = self.clock.now_ms()
         delay_ms = max(0.0, now_ms - self._due_at_ms)
         self._deliver(self.node.handle(EdgeTick(delay_ms), now_ms))
+        self._measure_turn()
         is_busy = any(service.waiting for service in self.node.services.values())
         interval_ms = BUSY_TICK_MS if is_busy else IDLE_TICK_MS
         self._due_at_ms = now_ms + interval_ms
         return interval_ms
 
+    def _measure_turn(self):
+        """Measure how long a callback waits for those before it in the event loop."""
+        admission = self.node.admission
+        if not admission.is_measuring():
+            admission.begin_turn(self.clock.now_ms())
+            gevent.get_hub().loop.run_callback(self._end_turn)
+
+    def _end_turn(self):
+        self.node.admission.end_turn(self.clock.now_ms())
+
     def _deliver(self, messages):
         for message in messages:
             self._recipients[type(message)](message)
--- a/packages/entry/hornbeamstand_entry/edge/front.py
+++ b/packages/entry/hornbeamstand_entry/edge/front.py
@@ -2,6 +2,7 @@
 
 from contextlib import suppress
 
+from hornbeamstand_core.controllers.admission import Arrival
 from hornbeamstand_core.edge_messages import RETRY, EdgeCall, EdgeRequest
 from hornbeamstand_core.messages import CANCELLED, NOT_RUN, Refusal
 from hornbeamstand_core.routes import CallerLimits
@@ -28,6 +29,8 @@
 
 # Maximum time in which the body of a request without a deadline arrives.
 BODY_TIMEOUT_MS = 30_000.0
+# Maximum size of the body of a refused request whose connection stays open.
+DROPPED_BODY_MAX_BYTES = 16_384
 MS_PER_S = 1000.0
 PLAIN = ("Content-Type", "text/plain")
 JSON = ("Content-Type", "application/json")
@@ -157,6 +160,11 @@
         arrived_at_ms = self.clock.now_ms()
         context = self._read_context(environ)
         request = self._read_request(environ, context, arrived_at_ms)
+        refusal = self._refuse_if_late(request, policy)
+        if refusal is not None:
+            if not has_short_body(environ):
+                environ["hornbeamstand.refuse_body"]()
+            return respond_outcome(start_response, Err(refusal), context)
         try:
             context.body = self._read_body(environ, request, hold, policy is not None)
         except BodyError as error:
@@ -187,6 +195,24 @@
 
         context.announce_sends = announce_sends
 
+    def _refuse_if_late(self, request, policy):
+        """Return the Refusal of a request that this VM can't take now, or None."""
+        rules = policy or self._find_rules(request)
+        limit_ms = rules.timeout_ms if rules else BODY_TIMEOUT_MS
+        if request.deadline_ms is not None:
+            limit_ms = min(limit_ms, request.deadline_ms)
+        arrival = Arrival(
+            request.waited_ms,
+            limit_ms,
+            rules.priority if rules else 0,
+        )
+        return self.node.admission.refusal(arrival, request.arrived_at_ms)
+
+    def _find_rules(self, request):
+        """Return the HostRoute of a caller's request, or None."""
+        config = self.node.routing.config
+        return config.find(request.host, request.path) if config else None
+
     def _read_body(self, environ, request, hold, is_relayed):
         """Return the body of a request, which must arrive within its deadline.
 
@@ -229,6 +255,7 @@
             read_number(environ.get(f"HTTP_{deadline_name}")),
             arrived_at_ms,
             unread_ms(environ["hornbeamstand.socket"]),
+            self.node.admission.answer_margin_ms(arrived_at_ms),
         )
 
     def _run(self, environ, context, call):
@@ -315,6 +342,13 @@
         return respond(start_response, 200 if is_ready else 503, b"", [PLAIN])
 
 
+def has_short_body(environ):
+    """Return whether a request has no body, or one that can be read and dropped."""
+    if "HTTP_TRANSFER_ENCODING" in environ:
+        return False
+    return int(environ.get("CONTENT_LENGTH") or 0) <= DROPPED_BODY_MAX_BYTES
+
+
 def read_host(text):
     """Return a host name in lower case, without its port."""
     return text.partition(":")[0].lower()
--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -236,6 +236,9 @@
             self.suspensions,
         )
         self.metrics.gauges["body_bytes"] = lambda: body_budget.n_used_bytes
+        admission = self.node.admission
+        self.metrics.gauges["requests_refused_late"] = lambda: admission.n_refused
+        self.metrics.gauges["turn_ms"] = lambda: admission.turn_ms(self.clock.now_ms())
         self.metrics.gauges["requests_inside"] = lambda: self.front.n_requests
         self.metrics.gauges["store_calls"] = lambda: self.store.n_calls
         self.metrics.gauges["config_version"] = lambda: self.node.routing.version
--- a/packages/entry/tests/test_edge_control_task.py
+++ b/packages/entry/tests/test_edge_control_task.py
@@ -1,12 +1,14 @@
 """The control task when a request's wait for its slot fails."""
 
 from contextlib import ExitStack
+from random import Random
 from types import SimpleNamespace
 
 import gevent
 import pytest
 from gevent.queue import SimpleQueue
 from hornbeamstand_core.balancer_messages import DeferredReply
+from hornbeamstand_core.controllers.admission import Admission
 from hornbeamstand_core.edge_messages import AcquireSlot
 from hornbeamstand_core.messages import Permit, Release, Withdraw
 from hornbeamstand_entry.clock import make_process_clock
@@ -39,7 +41,8 @@
             return [DeferredReply(message.request_id, PERMIT)]
         return []
 
-    node = SimpleNamespace(handle=handle, services={})
+    admission = Admission(Random(1))
+    node = SimpleNamespace(handle=handle, services={}, admission=admission)
     log = SimpleNamespace(decision=None, state_change=None)
     clock = make_process_clock()
     with ExitStack() as stack:
--- a/packages/entry/tests/test_edge_front_errors.py
+++ b/packages/entry/tests/test_edge_front_errors.py
@@ -2,10 +2,12 @@
 
 import errno
 from contextlib import ExitStack
+from random import Random
 from types import SimpleNamespace
 
 import pytest
 from gevent import socket
+from hornbeamstand_core.controllers.admission import Admission
 from hornbeamstand_core.edge_messages import (
     Abort,
     AcquireSlot,
@@ -63,7 +65,9 @@
             AwaitEvent: ended,
         }
         classes = (*self.replies, StartSend, Abort, Release, Account, ReportError)
-        node = SimpleNamespace(routing=SimpleNamespace(config=None))
+        node = SimpleNamespace(
+            routing=SimpleNamespace(config=None), admission=Admission(Random(1))
+        )
         clock = make_process_clock()
         self.front = EdgeFront(
             node,
