--- a/packages/entry/tests/test_outgoing_ports.py
+++ b/packages/entry/tests/test_outgoing_ports.py
@@ -5,7 +5,7 @@
 
 import pytest
 from gevent import socket
-from hornbeamstand_entry.edge.addresses import open_listener
+from hornbeamstand_entry.life.addresses import open_listener
 from hornbeamstand_entry.tasks import sockets
 from hornbeamstand_entry.tasks.connections import ConnectionRules
 from hornbeamstand_wire.platform import StoreConnectionPool
