Let others have a turn while answers of many small parts are parsed

What callers saw: nothing yet. Twelve answers of tiny chunks that arrive together held the event loop for most of a second on a busy machine: heartbeats, deadlines and all other requests waited.

Cause: a connection read and parsed up to 64 KB at a time, and every chunk, however small, costs a call of the parser. After a full read it called gevent.sleep(0). The loop resumes 50 greenlets that do so, or one of them 50 times, before it looks at the time and at its sockets again, so this gave up no turn at all.

Change: a connection parses 8 KB at a time. Once the parser has made 256 calls, or a full read was parsed, the greenlet waits for a timer of 0 s, which takes it through a whole turn of the loop.

Evidence: 12 answers of 10,000 chunks that have arrived: 720,624 bytes were parsed in one turn before, 98,304 at most now. An answer of 400,000 bytes, unread when its requester's time is up, is taken; without the wait for unread bytes the test fails.

--- a/packages/entry/hornbeamstand_entry/edge/performers.py
+++ b/packages/entry/hornbeamstand_entry/edge/performers.py
@@ -37,7 +37,7 @@
 from ..context import CALLER_GONE
 from ..encoding import split_request
 from ..header_numbers import read_count
-from ..tasks.exchange import Exchange, ExchangeResult
+from ..tasks.exchange import Exchange, ExchangeResult, receive_unread
 from ..tasks.failures import report_failure
 from ..tasks.response_parser import InterimResponse
 from ..tasks.task import receive
@@ -260,7 +260,10 @@
     def next_event(effect, context):
         if context.pending:
             return context.pending.popleft()
-        return receive(context.mailbox, effect.until_ms - clock.now_ms())
+        message = receive(context.mailbox, effect.until_ms - clock.now_ms())
+        if message is None:
+            message = receive_unread(context.mailbox, context.key_by_exchange)
+        return message
 
     def read_result(key, result, context):
         if type(result) is SendFailure:
--- a/packages/entry/hornbeamstand_entry/tasks/exchange.py
+++ b/packages/entry/hornbeamstand_entry/tasks/exchange.py
@@ -6,7 +6,12 @@
 from hornbeamstand_core.messages import CANCELLED, SendFailure
 from hornbeamstand_core.records import Record
 
-from .task import receive
+from .sockets import has_bytes
+from .task import receive, receive_arrived
+
+# Maximum number of turns of the event loop in which the bytes that have arrived for an
+# exchange are read. In each turn, a connection reads a part of a response.
+N_READ_TURNS_MAX = 128
 
 
 class Exchange:
@@ -102,11 +107,22 @@
         """
         while True:
             message = receive(self.reply_to, timeout_ms)
+            if message is None:
+                message = receive_unread(self.reply_to, [self])
             if type(message) is not ExchangeResult:
                 return message
             if message.exchange is self:
                 return message.result
 
+    def has_unread_bytes(self):
+        """Return whether bytes have arrived that the connection has not handled yet."""
+        connection = self.connection
+        if connection is None or connection.exchange is not self:
+            return False
+        if connection.sock is None or connection.parser is None:
+            return False
+        return connection.parser.has_unparsed or has_bytes(connection.sock)
+
     def report(self, result):
         """Pass a result to the requester."""
         self.reply_to.put(ExchangeResult(self, result))
@@ -163,3 +179,17 @@
     def __init__(self, exchange, result):
         self.exchange = exchange
         self.result = result
+
+
+def receive_unread(mailbox, exchanges):
+    """Return the next message, or None once no exchange has bytes that are unread.
+
+    The rest of a response may have arrived in time though this process was late.
+    """
+    for _ in range(N_READ_TURNS_MAX):
+        if not any(exchange.has_unread_bytes() for exchange in exchanges):
+            return None
+        message = receive_arrived(mailbox)
+        if message is not None:
+            return message
+    return None
--- a/packages/entry/hornbeamstand_entry/tasks/response_parser.py
+++ b/packages/entry/hornbeamstand_entry/tasks/response_parser.py
@@ -14,6 +14,10 @@
 
 # Maximum number of bytes read from the socket by one call.
 READ_BYTES = 65536
+# Maximum number of these bytes that are parsed at a time, and number of the parser's
+# calls after which others get a turn: each chunk, however small, takes one call.
+PARSE_BYTES = 8192
+N_CALLS_PER_TURN = 256
 # Lowest status of a final response. Responses below it are interim (1xx).
 FINAL_STATUS_MIN = 200
 # Lowest status of an error response.
@@ -118,7 +122,9 @@
     ``n_responses`` counts the complete responses of the connection, and
     ``has_echoed_ids`` is set once one of them echoed a request id. ``n_body_bytes``,
     ``n_header_bytes`` and ``n_received_bytes`` count the bytes of bodies, of headers
-    with trailers, and all bytes of the current exchange.
+    with trailers, and all bytes of the current exchange. ``n_calls`` counts the
+    parser's calls since the last turn of the event loop, and ``has_unparsed`` is set
+    while bytes that were read are not parsed.
     """
 
     def __init__(self):
@@ -128,6 +134,7 @@
         self._reports_interim = False
         self.n_responses = 0
         self.has_echoed_ids = False
+        self.has_unparsed = False
         self._pieces = []
         self._is_at_end = False
         self._begin_counts()
@@ -136,6 +143,7 @@
         self.n_body_bytes = 0
         self.n_header_bytes = 0
         self.n_received_bytes = 0
+        self.n_calls = 0
 
     def begin_exchange(self, method, reports_interim=False):
         """Prepare for the response to a request with ``method``."""
@@ -153,6 +161,7 @@
         super(HTTPResponse, self).feed(data)
 
     def _on_header_field(self, string):
+        self.n_calls += 1
         self.n_header_bytes += len(string)
         super()._on_header_field(string)
 
@@ -162,6 +171,7 @@
 
     def _on_body(self, buf):
         super()._on_body(buf)
+        self.n_calls += 1
         self.n_body_bytes += len(buf)
         if len(self._body_buffer) >= PIECE_BYTES:
             self._end_piece()
@@ -236,7 +246,7 @@
     """
     data = sock.recv(READ_BYTES)
     parser.n_received_bytes += len(data)
-    feed(parser, data)
+    parse(parser, data)
     if not data and not parser.complete:
         raise ResponseError(
             "connection closed before the response was complete, after"
@@ -245,7 +255,32 @@
     check_size(parser, exchange, hold, head_max_bytes)
     if len(data) == READ_BYTES:
         # More bytes may be there already, and then the next read would not wait.
-        gevent.sleep(0)
+        take_turn(parser)
+
+
+def parse(parser, data):
+    """Parse bytes, which may take several turns of the event loop."""
+    if len(data) <= PARSE_BYTES:
+        feed(parser, data)
+        return
+    parser.has_unparsed = True
+    for start in range(0, len(data), PARSE_BYTES):
+        if parser.n_calls >= N_CALLS_PER_TURN:
+            take_turn(parser)
+        feed(parser, data[start : start + PARSE_BYTES])
+    parser.has_unparsed = False
+
+
+def take_turn(parser):
+    """Let the event loop handle its sockets and timers before this greenlet goes on.
+
+    ``gevent.sleep(0)`` doesn't: the loop resumes 50 greenlets that call it, or one of
+    them 50 times, before it looks at the time.
+    """
+    parser.n_calls = 0
+    hub = gevent.get_hub()
+    with hub.loop.timer(0.0) as timer:
+        hub.wait(timer)
 
 
 def check_size(parser, exchange, hold, head_max_bytes):
--- a/packages/entry/tests/test_connections.py
+++ b/packages/entry/tests/test_connections.py
@@ -13,7 +13,7 @@
 from gevent.server import StreamServer
 from hornbeamstand_core.messages import SendFailure
 from hornbeamstand_entry.clock import make_process_clock
-from hornbeamstand_entry.tasks import failures
+from hornbeamstand_entry.tasks import failures, response_parser
 from hornbeamstand_entry.tasks import pools as pools_module
 from hornbeamstand_entry.tasks.connections import ConnectionRules
 from hornbeamstand_entry.tasks.exchange import Exchange, ExchangeResult
@@ -341,23 +341,67 @@
     assert current.receive_result(100.0) == "current"
 
 
-def test_an_answer_that_came_while_this_process_was_late_is_taken(stack):
-    """Guards against "no answer" to a request whose answer waits to be read."""
+def send_before(stack, answer, n_requests):
+    """Send requests; return them once a target has sent each its whole answer.
+
+    This process has read nothing of the answers then.
+    """
     listener = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
     address = f"127.0.0.1:{listener.getsockname()[1]}"
     pool = ConnectionPool(address, make_process_clock())
     pool.start(stack)
     not_after_ms = pool.clock.now_ms() + 10_000.0
-    exchange = Exchange("GET", REQUEST, not_after_ms, False, 1000, SimpleQueue())
-    pool.task.post(exchange)
-    while not exchange.is_sent:
+    exchanges = [
+        Exchange("GET", REQUEST, not_after_ms, False, 1 << 20, SimpleQueue())
+        for _ in range(n_requests)
+    ]
+    for exchange in exchanges:
+        pool.task.post(exchange)
+    while not all(exchange.is_sent for exchange in exchanges):
         gevent.sleep(0.001)
-    waiting = gevent.spawn(exchange.receive_result, LATE_MS)
+    waiting = [gevent.spawn(each.receive_result, LATE_MS) for each in exchanges]
     gevent.sleep(0)
-    target = stack.enter_context(listener.accept()[0])
-    target.sendall(ANSWER + b"01")
+    for _ in exchanges:
+        stack.enter_context(listener.accept()[0]).sendall(answer)
+    return waiting
+
+
+# Bodies that a connection reads at once, and in several turns of the event loop.
+@pytest.mark.parametrize("n_body_bytes", [2, 400_000])
+def test_an_answer_that_came_while_this_process_was_late_is_taken(stack, n_body_bytes):
+    """Guards against "no answer" to a request whose answer waits to be read."""
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % n_body_bytes
+    (waiting,) = send_before(stack, head + b"x" * n_body_bytes, 1)
     time.sleep(2.0 * LATE_MS / 1000.0)
-    assert body(waiting.get()) == b"01"
+    assert body(waiting.get()) == b"x" * n_body_bytes
+
+
+N_READERS = 12
+N_TINY_CHUNKS = 10_000
+TINY_CHUNKS = (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    + b"1\r\nx\r\n" * N_TINY_CHUNKS
+    + b"0\r\n\r\n"
+)
+
+
+def test_answers_of_tiny_chunks_leave_turns_to_others(stack, monkeypatch):
+    """Guards against an event loop that stands while several answers are parsed."""
+    n_parsed_bytes = [0]
+    feed = response_parser.feed
+
+    def count_and_feed(parser, data):
+        n_parsed_bytes[-1] += len(data)
+        feed(parser, data)
+
+    monkeypatch.setattr(response_parser, "feed", count_and_feed)
+    turns = gevent.get_hub().loop.prepare()
+    stack.callback(turns.close)
+    stack.callback(turns.stop)
+    turns.start(lambda: n_parsed_bytes.append(0))
+    waiting = send_before(stack, TINY_CHUNKS, N_READERS)
+    assert {len(body(job.get())) for job in waiting} == {N_TINY_CHUNKS}
+    assert max(n_parsed_bytes) <= N_READERS * 8192
 
 
 def test_a_connection_that_opened_while_this_process_was_late_is_used(
