Give the messages between VMs that relay a request a module of their own

What concerns a relay moves, unchanged: Relay, AnnounceSends, EndSending, CheckPeerAlive with PeerStatus, FindOwner and SendsAnnounced.

--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -11,8 +11,6 @@
 )
 from ..edge_messages import (
     AcquireSlot,
-    CheckPeerAlive,
-    FindOwner,
     FindRoute,
     LoadProbeResult,
     NoticeRelayed,
@@ -32,6 +30,7 @@
     StopEdge,
 )
 from ..messages import Refusal, Release, Withdraw
+from ..relay_messages import CheckPeerAlive, FindOwner
 from .admission import Admission
 from .capacity import ServiceCapacity
 from .learning import heard_notice
--- a/packages/core/hornbeamstand_core/controllers/peer_view.py
+++ b/packages/core/hornbeamstand_core/controllers/peer_view.py
@@ -8,13 +8,14 @@
 
 from math import inf
 
-from ..edge_messages import PeerStatus, StateChange
+from ..edge_messages import StateChange
 from ..edge_node_messages import (
     Contacts,
     EdgeHeartbeat,
     SendContacts,
     SendEdgeHeartbeat,
 )
+from ..relay_messages import PeerStatus
 from .peer_records import Contact, Peer, describe_end
 from .ranking import N_PREFERRED, Ranking
 
--- a/packages/core/hornbeamstand_core/edge_messages.py
+++ b/packages/core/hornbeamstand_core/edge_messages.py
@@ -306,37 +306,6 @@
         self.is_idempotent = is_idempotent
 
 
-class Relay(Record):
-    """Start sending the request to a peer; no reply.
-
-    ``n_attempts_max`` is the number of sends that the peer may make, and ``first_kind``
-    the kind of its first one.
-    """
-
-    __slots__ = ("peer_id", "policy", "deadline_at_ms", "n_attempts_max", "first_kind")
-
-    def __init__(
-        self, peer_id, policy, deadline_at_ms, n_attempts_max=None, first_kind=FIRST
-    ):
-        self.peer_id = peer_id
-        self.policy = policy
-        self.deadline_at_ms = deadline_at_ms
-        self.n_attempts_max = n_attempts_max or policy.n_attempts_max
-        self.first_kind = first_kind
-
-
-class AnnounceSends(Record):
-    """Tell the peer that relayed the request how many sends may have run; no reply.
-
-    It counts them if this VM fails. The first one needs no announcement.
-    """
-
-    __slots__ = ("n_sends",)
-
-    def __init__(self, n_sends):
-        self.n_sends = n_sends
-
-
 class Abort(Record):
     """Cancel an exchange, that is a started send or relay; no reply.
 
@@ -349,18 +318,6 @@
         self.key = key
 
 
-class EndSending(Record):
-    """Pass on that the caller sends nothing more, and await the exchange; no reply.
-
-    ``key`` is the Relay.
-    """
-
-    __slots__ = ("key",)
-
-    def __init__(self, key):
-        self.key = key
-
-
 class AwaitEvent(Record):
     """Wait for the next event of this request; the reply is one of those below."""
 
@@ -370,41 +327,6 @@
         self.until_ms = until_ms
 
 
-class CheckPeerAlive(Record):
-    """Check whether a peer is alive by its heartbeats; the reply is a PeerStatus."""
-
-    __slots__ = ("peer_id",)
-
-    def __init__(self, peer_id):
-        self.peer_id = peer_id
-
-
-class PeerStatus(Record):
-    """Whether a peer is alive, and the latest time at which a silent one ran.
-
-    ``ran_until_ms`` allows for the interval of the heartbeats after the last one.
-    """
-
-    __slots__ = ("is_alive", "ran_until_ms")
-
-    def __init__(self, is_alive, ran_until_ms):
-        self.is_alive = is_alive
-        self.ran_until_ms = ran_until_ms
-
-
-class FindOwner(Record):
-    """Find the owner of a service besides peers that failed; the reply is an id.
-
-    The reply is None if it is this VM, or if no other VM holds the targets.
-    """
-
-    __slots__ = ("service_name", "failed_ids")
-
-    def __init__(self, service_name, failed_ids):
-        self.service_name = service_name
-        self.failed_ids = failed_ids
-
-
 # Events that AwaitEvent returns.
 
 
@@ -422,20 +344,6 @@
         self.now_ms = now_ms
 
 
-class SendsAnnounced(Record):
-    """A peer has announced its sends of a relayed request; see AnnounceSends.
-
-    ``key`` is the Relay.
-    """
-
-    __slots__ = ("key", "n_sends", "now_ms")
-
-    def __init__(self, key, n_sends, now_ms):
-        self.key = key
-        self.n_sends = n_sends
-        self.now_ms = now_ms
-
-
 class WaitTimedOut(Record):
     """No event came until the given time."""
 
--- a/packages/core/hornbeamstand_core/filters/attempts.py
+++ b/packages/core/hornbeamstand_core/filters/attempts.py
@@ -8,7 +8,6 @@
     RETRY,
     Abort,
     AcquireSlot,
-    AnnounceSends,
     AwaitEvent,
     CallerDisconnected,
     ProbeLoads,
@@ -30,6 +29,7 @@
     Release,
     SendFailure,
 )
+from ..relay_messages import AnnounceSends
 
 # Share of the latency objective after which a hedge is sent to a second target.
 HEDGE_DELAY_SHARE = 0.35
--- a/packages/core/hornbeamstand_core/filters/relay.py
+++ b/packages/core/hornbeamstand_core/filters/relay.py
@@ -10,11 +10,6 @@
     Abort,
     AwaitEvent,
     CallerDisconnected,
-    CheckPeerAlive,
-    EndSending,
-    FindOwner,
-    Relay,
-    SendsAnnounced,
     StopReached,
     WaitTimedOut,
 )
@@ -28,6 +23,13 @@
     Refusal,
     SendFailure,
 )
+from ..relay_messages import (
+    CheckPeerAlive,
+    EndSending,
+    FindOwner,
+    Relay,
+    SendsAnnounced,
+)
 from .attempts import SHED_RETRY_AFTER_MS, weaken_if_may_have_run
 
 # Interval at which a VM checks, while a relayed request is pending, whether the peer is
--- a/packages/core/tests/test_edge_filters.py
+++ b/packages/core/tests/test_edge_filters.py
@@ -7,22 +7,15 @@
     HEDGE,
     Abort,
     AcquireSlot,
-    AnnounceSends,
     AwaitEvent,
     CallerDisconnected,
-    CheckPeerAlive,
     CheckStop,
     EdgeCall,
     EdgeRequest,
-    EndSending,
     ExchangeEnded,
-    FindOwner,
     FindRoute,
-    PeerStatus,
-    Relay,
     RequestPolicy,
     Routed,
-    SendsAnnounced,
     StartSend,
     StopReached,
     WaitTimedOut,
@@ -45,6 +38,15 @@
     SendFailure,
     UpstreamResponse,
 )
+from hornbeamstand_core.relay_messages import (
+    AnnounceSends,
+    CheckPeerAlive,
+    EndSending,
+    FindOwner,
+    PeerStatus,
+    Relay,
+    SendsAnnounced,
+)
 
 
 class Driver:
--- a/packages/entry/hornbeamstand_entry/edge/control_task.py
+++ b/packages/entry/hornbeamstand_entry/edge/control_task.py
@@ -2,7 +2,7 @@
 
 import gevent
 from hornbeamstand_core.balancer_messages import Decision, DeferredReply
-from hornbeamstand_core.edge_messages import CheckPeerAlive, FindOwner, StateChange
+from hornbeamstand_core.edge_messages import StateChange
 from hornbeamstand_core.edge_node_messages import EdgeTick
 from hornbeamstand_core.messages import (
     CANCELLED,
@@ -12,6 +12,7 @@
     Withdraw,
 )
 from hornbeamstand_core.records import Record
+from hornbeamstand_core.relay_messages import CheckPeerAlive, FindOwner
 
 from ..tasks.task import Ask, Task, start_loop
 
--- a/packages/entry/hornbeamstand_entry/edge/performers.py
+++ b/packages/entry/hornbeamstand_entry/edge/performers.py
@@ -8,19 +8,13 @@
 from hornbeamstand_core.edge_messages import (
     Abort,
     AcquireSlot,
-    AnnounceSends,
     AwaitEvent,
     CallerDisconnected,
-    CheckPeerAlive,
     CheckStop,
-    EndSending,
     ExchangeEnded,
-    FindOwner,
     FindRoute,
     NoticeRelayed,
     ProbeLoads,
-    Relay,
-    SendsAnnounced,
     StartSend,
     StopReached,
     WaitTimedOut,
@@ -33,6 +27,14 @@
     SendFailure,
     Withdraw,
 )
+from hornbeamstand_core.relay_messages import (
+    AnnounceSends,
+    CheckPeerAlive,
+    EndSending,
+    FindOwner,
+    Relay,
+    SendsAnnounced,
+)
 
 from ..context import CALLER_GONE
 from ..encoding import split_request
--- a/packages/entry/tests/test_edge_answers.py
+++ b/packages/entry/tests/test_edge_answers.py
@@ -6,8 +6,9 @@
 import pytest
 from gevent.queue import SimpleQueue
 from gevent.server import StreamServer
-from hornbeamstand_core.edge_messages import LoadReport, Relay, RequestPolicy
+from hornbeamstand_core.edge_messages import LoadReport, RequestPolicy
 from hornbeamstand_core.messages import NOT_RUN, OUTCOME_UNKNOWN, SendFailure
+from hornbeamstand_core.relay_messages import Relay
 from hornbeamstand_entry.clock import make_process_clock
 from hornbeamstand_entry.edge.context import EdgeContext
 from hornbeamstand_entry.edge.dialect import Dialect, HeaderNames
--- a/packages/entry/tests/test_relayed_notices.py
+++ b/packages/entry/tests/test_relayed_notices.py
@@ -7,11 +7,11 @@
 from hornbeamstand_core.edge_messages import (
     AwaitEvent,
     NoticeRelayed,
-    Relay,
     RequestPolicy,
     TargetNotice,
 )
 from hornbeamstand_core.messages import Answer
+from hornbeamstand_core.relay_messages import Relay
 from hornbeamstand_entry.clock import make_process_clock
 from hornbeamstand_entry.edge.dialect import Dialect, HeaderNames
 from hornbeamstand_entry.edge.front import EdgeFront
