Send no request whose deadline passed while it waited for its route or slot

A late VM looked up the route of a request, asked for a slot and sent it to a target or a peer after its deadline had passed: its steps wait in the event loop, and only the first one looked at the time, which was that of the arrival. In a trace of a VM that was late a request with 1.2 s left was sent 3.3 s after it was read, to a caller that had given up, while newer ones waited for it.

The route now comes with the time at which it was found, and the controllers refuse a slot after the deadline, both as "not run". The new tests failed: the call was relayed or sent, and the controllers granted the slot.

--- a/packages/core/hornbeamstand_core/controllers/capacity.py
+++ b/packages/core/hornbeamstand_core/controllers/capacity.py
@@ -130,6 +130,8 @@
         Returns the messages to send: the reply, unless the request waits, and the
         decisions for the log.
         """
+        if now_ms >= message.deadline_at_ms:
+            return self.refuse(message, "deadline passed", now_ms)
         if message.kind != FIRST:
             return self._acquire_retry(message, now_ms)
         if message.n_probe_rounds == 0:
--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -165,7 +165,7 @@
             policy.service_name, now_ms, self.me.failure_domain
         )
         serves_here = owner is None or owner == self.me.ip
-        routed = Routed(policy, None if serves_here else owner)
+        routed = Routed(policy, None if serves_here else owner, now_ms)
         return [DeferredReply(message.request_id, routed)]
 
     def _acquire(self, message, now_ms):
--- a/packages/core/hornbeamstand_core/edge_messages.py
+++ b/packages/core/hornbeamstand_core/edge_messages.py
@@ -160,14 +160,16 @@
 class Routed(Record):
     """A request's policy, and the peer that owns its service.
 
-    ``relay_to`` is None if this VM is the owner or no owner is known.
+    ``relay_to`` is None if this VM is the owner or no owner is known. The policy was
+    found at ``found_at_ms``.
     """
 
-    __slots__ = ("policy", "relay_to")
+    __slots__ = ("policy", "relay_to", "found_at_ms")
 
-    def __init__(self, policy, relay_to):
+    def __init__(self, policy, relay_to, found_at_ms):
         self.policy = policy
         self.relay_to = relay_to
+        self.found_at_ms = found_at_ms
 
 
 class AcquireSlot(Record):
--- a/packages/core/hornbeamstand_core/filters/find_route.py
+++ b/packages/core/hornbeamstand_core/filters/find_route.py
@@ -14,14 +14,16 @@
 
     def handle(call):
         request = call.request
+        now_ms = request.arrived_at_ms
         if call.policy is None:
             routed = yield FindRoute(request.request_id, request.host, request.path)
             if isinstance(routed, Refusal):
                 return Err(routed)
             call.policy = routed.policy
             call.relay_to = routed.relay_to
+            now_ms = routed.found_at_ms
         set_times(call)
-        if call.deadline_at_ms <= request.arrived_at_ms:
+        if call.deadline_at_ms <= now_ms:
             return Err(Refusal("deadline passed", NOT_RUN, 503, "route", request.host))
         return (yield from next_handler(call))
 
--- a/packages/core/tests/test_capacity.py
+++ b/packages/core/tests/test_capacity.py
@@ -12,6 +12,7 @@
     CANCELLED,
     CONNECT_FAILED,
     NO_DESCRIPTOR,
+    NOT_RUN,
     TIMED_OUT,
     Refusal,
     Release,
@@ -35,6 +36,14 @@
     assert is_permit(harness.first_reply(messages))
 
 
+def test_a_request_whose_deadline_has_passed_gets_no_slot():
+    """Guards against a late VM that sends what nobody waits for any more."""
+    harness = ServiceHarness([make_entry("t1")])
+    refusal = harness.acquire(deadline_ms=0.0)
+    assert (refusal.reason, refusal.certainty) == ("deadline passed", NOT_RUN)
+    assert is_permit(harness.acquire())
+
+
 def test_a_draining_target_gets_no_new_requests():
     harness = ServiceHarness([make_entry("t1"), make_entry("t2")])
     harness.table.put(make_entry("t1", state=DRAINING), harness.now_ms)
--- a/packages/core/tests/test_edge_filters.py
+++ b/packages/core/tests/test_edge_filters.py
@@ -65,6 +65,7 @@
         self.next_owners = []
         self.stop_limit = StopLimit()
         self.now_ms = 0.0
+        self.found_at_ms = 0.0
 
     def run(self, *events, is_relayed=False):
         """Run one call with one event for each AwaitEvent; returns the outcome.
@@ -86,7 +87,7 @@
 
     def perform(self, effect, events):
         if isinstance(effect, FindRoute):
-            return Routed(self.policy, self.relay_to)
+            return Routed(self.policy, self.relay_to, self.found_at_ms)
         if isinstance(effect, AcquireSlot):
             return self.acquire_slot(effect)
         if isinstance(effect, CheckPeerAlive):
@@ -583,3 +584,13 @@
         refusal
     ]
     assert len([e for e in driver.effects if isinstance(e, ReportError)]) == 1
+
+
+@pytest.mark.parametrize("relay_to", [None, "10.0.0.9"])
+def test_a_call_whose_time_passed_before_its_route_was_found_is_not_sent(relay_to):
+    """Guards against a late VM that works on requests whose callers have given up."""
+    driver = Driver(relay_to=relay_to)
+    driver.found_at_ms = 1200.0
+    refusal = driver.run().err_value
+    assert (refusal.status, refusal.certainty) == (503, NOT_RUN)
+    assert not driver.effects_of(Relay) + driver.effects_of(AcquireSlot)
--- a/packages/entry/tests/test_edge_front_errors.py
+++ b/packages/entry/tests/test_edge_front_errors.py
@@ -59,7 +59,7 @@
         response = CompleteResponse(200, [("A", header_value)], [b"ok"], "POST", False)
         ended = ExchangeEnded(PERMIT, UpstreamResponse(200, response), 1.0)
         self.replies = {
-            FindRoute: Routed(policy, None),
+            FindRoute: Routed(policy, None, 0.0),
             CheckStop: True,
             AcquireSlot: PERMIT,
             AwaitEvent: ended,
