Let a key that an edit moves wait for the orders of its former primary

What callers could see: an order that ran twice in the product's own mode, if an edit of serving_set_size moved its key while it ran and it was sent again.

Cause: the new primary of a key waited for the orders of all members after a change of the view only. VMs adopt a configuration at different times, and the first one knew nothing of the orders that the former primary went on recording.

Change: a transfer states the version of its sender's configuration, in the query of its path, which VMs of the version before ignore. OrderTransfers, a module of its own, knows which sizes of serving sets some member may still use: a primary of a key that was another VM's under one of them waits until every member has sent its orders under its own configuration. Other keys wait for no edit. A transfer that comes after a later one of the same member lowers no version any more; until then it could hold unknown keys up until the next change of the view.

--- a/packages/core/hornbeamstand_core/assignment.py
+++ b/packages/core/hornbeamstand_core/assignment.py
@@ -59,6 +59,12 @@
     return weights
 
 
+def order_primary(view, service_name, serving_set_size, key):
+    """Return the id of a key's primary, or None if no member is active."""
+    serving = serving_set(view, service_name, serving_set_size)
+    return rank(serving, key)[0] if serving else None
+
+
 def order_holders(view, service_name, spec, key):
     """Return the ids of a key's primary, then of its possible backups by preference.
 
--- a/packages/core/hornbeamstand_core/controllers/orders.py
+++ b/packages/core/hornbeamstand_core/controllers/orders.py
@@ -30,6 +30,7 @@
 from .order_history import OrderHistory
 from .order_record import Order
 from .order_replies import refuse, reply_completed
+from .order_transfers import OrderTransfers
 
 # Time for which an order is kept, so that resends get its outcome.
 RETENTION_MS = 600_000.0
@@ -49,12 +50,10 @@
     retention_ms : float
         Time for which orders are kept.
 
-    A transfer is complete once every other member has sent its orders for a view.
-    ``_transferred_versions`` maps each member to the version of its last transfer, and
-    ``_transferred_view`` is the latest view whose transfer is complete. Until it is,
-    ``_held_messages`` keeps the ReserveOrder messages with an unknown key, and
-    ``_unstarted_orders`` the orders that wait for a backup to store them.
-    ``_n_attempts`` is the number of attempts that this VM has begun.
+    ``_transferred_view`` is the latest view for which all members have transferred
+    their orders. ``_held_messages`` are the ReserveOrder messages that wait for
+    transfers, and ``_unstarted_orders`` the orders that wait for a backup to store
+    them. ``_n_attempts`` is the number of attempts that this VM has begun.
     """
 
     __slots__ = (
@@ -65,7 +64,7 @@
         "_orders",
         "_held_messages",
         "_transferred_view",
-        "_transferred_versions",
+        "_transfers",
         "_orders_with_waiters",
         "_unstarted_orders",
         "_history",
@@ -80,7 +79,7 @@
         self._orders = {}
         self._held_messages = []
         self._transferred_view = View.empty()
-        self._transferred_versions = {}
+        self._transfers = OrderTransfers(member_id)
         self._orders_with_waiters = {}
         self._unstarted_orders = {}
         self._history = OrderHistory(retention_ms)
@@ -106,7 +105,7 @@
         order = self._orders.get((message.service_name, message.key))
         if order is not None:
             return self._answer_resend(order, message)
-        if not self._is_transfer_complete():
+        if not self._has_all_of_key(message):
             self._held_messages.append(message)
             return []
         if self._is_history_lost(message, now_ms):
@@ -121,6 +120,11 @@
             return []
         return order_holders(self.view, service_name, spec, key)
 
+    def _has_all_of_key(self, message):
+        return self._transfers.has_all_of_key(
+            self.view, self.configuration, message.service_name, message.key
+        )
+
     def _redirect_to_primary(self, message, primary_id):
         if message.n_hops == 0:
             return DeferredReply(message.request_id, OrderRedirect(primary_id))
@@ -278,7 +282,7 @@
             out += self._store_copy(stored, now_ms)
         if not message.transfer_version:
             return out
-        self._transferred_versions[message.sender_id] = message.transfer_version
+        self._transfers.note_transfer(message)
         # A VM that joined after the loss does not know which keys it concerns.
         if message.is_history_lost and not self._transferred_view.members:
             self._history.note_all_lost(now_ms)
@@ -316,6 +320,7 @@
     def adopt_epoch(self, message, now_ms):
         """Process an EpochAdopted; return the copies and replies to send."""
         is_new_view = message.view.version != self.view.version
+        self._transfers.note_configuration(self.configuration, message.configuration)
         self.configuration = message.configuration
         if is_new_view:
             self._history.note_view(self._transferred_view, message.view, now_ms)
@@ -336,20 +341,18 @@
                     orders_by_peer[holder_id] += order.copies(now_ms)
         is_history_lost = self._history.is_any_lost(now_ms)
         return [
-            SendOrders(peer_id, orders, self.view.version, is_history_lost)
+            SendOrders(
+                peer_id,
+                orders,
+                self.view.version,
+                is_history_lost,
+                self.configuration.version,
+            )
             for peer_id, orders in orders_by_peer.items()
         ]
 
-    def _is_transfer_complete(self):
-        version = self.view.version
-        return all(
-            self._transferred_versions.get(member_id, 0) >= version
-            for member_id in self.view.members
-            if member_id != self.member_id
-        )
-
     def _release_held(self, now_ms):
-        if not self._is_transfer_complete():
+        if not self._transfers.has_all(self.view):
             return []
         self._transferred_view = self.view
         held, self._held_messages = self._held_messages, []
--- a/packages/core/hornbeamstand_core/order_messages.py
+++ b/packages/core/hornbeamstand_core/order_messages.py
@@ -41,18 +41,33 @@
     """Replicate orders to a peer, until it acknowledges or the deadline passes.
 
     A VM that adopts a view or configuration transfers to each peer all orders that the
-    peer should hold; ``transfer_version`` is then the version of the view. It is 0
-    outside such a transfer. ``is_history_lost`` is set if some orders of the
-    retention window are known to be lost.
+    peer should hold; ``transfer_version`` is then the version of the view, and
+    ``config_version`` that of the configuration. Both are 0 outside such a transfer.
+    ``is_history_lost`` is set if some orders of the retention window are known to be
+    lost.
     """
 
-    __slots__ = ("peer_id", "orders", "transfer_version", "is_history_lost")
+    __slots__ = (
+        "peer_id",
+        "orders",
+        "transfer_version",
+        "is_history_lost",
+        "config_version",
+    )
 
-    def __init__(self, peer_id, orders, transfer_version=0, is_history_lost=False):
+    def __init__(
+        self,
+        peer_id,
+        orders,
+        transfer_version=0,
+        is_history_lost=False,
+        config_version=0,
+    ):
         self.peer_id = peer_id
         self.orders = orders
         self.transfer_version = transfer_version
         self.is_history_lost = is_history_lost
+        self.config_version = config_version
 
 
 class OrdersSent(Record):
@@ -66,15 +81,28 @@
 
 
 class OrdersReceived(Record):
-    """Orders that a peer replicated to this VM; acknowledged once they are stored."""
+    """Orders that a peer replicated to this VM; acknowledged once they are stored.
+
+    The fields are those of SendOrders. ``config_version`` is None if the peer's release
+    does not send it.
+    """
 
-    __slots__ = ("sender_id", "orders", "transfer_version", "is_history_lost")
+    __slots__ = (
+        "sender_id",
+        "orders",
+        "transfer_version",
+        "is_history_lost",
+        "config_version",
+    )
 
-    def __init__(self, sender_id, orders, transfer_version, is_history_lost):
+    def __init__(
+        self, sender_id, orders, transfer_version, is_history_lost, config_version=None
+    ):
         self.sender_id = sender_id
         self.orders = orders
         self.transfer_version = transfer_version
         self.is_history_lost = is_history_lost
+        self.config_version = config_version
 
 
 class EpochAdopted(Record):
--- a/packages/core/tests/test_order_schedules.py
+++ b/packages/core/tests/test_order_schedules.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from tests.order_cluster import DEADLINE_MS, KEY, Cluster
+from tests.order_cluster import DEADLINE_MS, MOVING_KEY, Cluster
 
 from hornbeamstand_core.messages import NOT_RUN, Answer, OrderReserved, Refusal
 from hornbeamstand_core.order_messages import EpochAdopted, OrdersSent
@@ -13,7 +13,7 @@
 
 N_STEPS = 60
 N_LOSSES_MAX = 2
-N_MOVES_MAX = 1
+N_MOVES_MAX = 2
 NOT_RUN_OUTCOME = Refusal("shed", NOT_RUN)
 OUTCOMES = (NOT_RUN_OUTCOME, NOT_RUN_OUTCOME, Answer(200, "receipt"))
 
@@ -26,13 +26,13 @@
     the others that may have run. A removed VM may be dead or only cut off.
     """
 
-    def __init__(self, n_vms=4):
+    def __init__(self):
         self.under_way = []
         self.running = {}
         self.n_ran = 0
         self.n_losses = 0
         self.n_moves = 0
-        super().__init__(n_vms)
+        super().__init__(key=MOVING_KEY)
         for name in self.view.members:
             self.adopt_at(name)
         while self.under_way:
@@ -41,8 +41,8 @@
     def adopt(self, view):
         self.view = view
 
-    def adopt_at(self, name):
-        epoch = EpochAdopted(self.view, self.configuration)
+    def adopt_at(self, name, view=None, configuration=None):
+        epoch = EpochAdopted(view or self.view, configuration or self.configuration)
         self.deliver_from(name, self.books[name].adopt_epoch(epoch, self.now_ms))
 
     def deliver_from(self, name, out):
@@ -103,12 +103,21 @@
         leaving = self.view.members[self.holders()[0]].with_state(LEAVING)
         self.view = self.view.with_member(leaving)
 
+    def edit(self):
+        """Let more VMs serve, so that the key may move."""
+        self.n_moves += 1
+        self.edit_serving_set(self.spec.serving_set_size + 1)
+
     def is_settled(self):
         """Return whether all members hold all records for the latest view."""
         members = self.view.members
         return all(
             self.books[name].view == self.view
-            and self.books[name]._is_transfer_complete()
+            and self.books[name].configuration is self.configuration
+            and self.books[name]._transfers.has_all(self.view)
+            and self.books[name]._transfers._has_all_configurations(
+                self.view, self.configuration
+            )
             for name in members
         )
 
@@ -123,13 +132,16 @@
         requests = [
             partial(self.reserve, name)
             for name in self.live()
-            if self.books[name]._holders("shop", KEY)[:1] == [name]
-        ]
-        views = [
-            partial(self.adopt_at, name)
-            for name in self.view.members
-            if self.books[name].view != self.view and name not in self.down
+            if self.books[name]._holders("shop", self.key)[:1] == [name]
         ]
+        views, edits = [], []
+        for name in [n for n in self.view.members if n not in self.down]:
+            book = self.books[name]
+            if book.view != self.view:
+                of_book = {"configuration": book.configuration}
+                views.append(partial(self.adopt_at, name, **of_book))
+            if book.configuration is not self.configuration:
+                edits.append(partial(self.adopt_at, name, view=book.view))
         ends = [
             partial(self.end_run, request_id, outcome)
             for request_id in self.running
@@ -142,9 +154,9 @@
                 names = self.holders()[:2]
                 losses = [partial(self.lose, n, dead) for n in names for dead in (0, 1)]
             if self.n_moves < N_MOVES_MAX:
-                moves = [self.move_key]
-        kinds = [copies, transfers, timeouts, requests, views, ends, losses, moves]
-        return [*filter(None, kinds), [self.expire]]
+                moves = [self.move_key, self.edit]
+        kinds = [copies, transfers, timeouts, requests, views, edits, ends]
+        return [*filter(None, [*kinds, losses, moves]), [self.expire]]
 
 
 @pytest.mark.fuzz
--- a/packages/core/tests/test_orders.py
+++ b/packages/core/tests/test_orders.py
@@ -1,7 +1,7 @@
 """The order book: crashes between any two steps, resends, moves and lost history."""
 
 import pytest
-from tests.order_cluster import DEADLINE_MS, KEY, Cluster
+from tests.order_cluster import DEADLINE_MS, KEY, MOVING_KEY, Cluster
 
 from hornbeamstand_core.assignment import order_holders
 from hornbeamstand_core.messages import (
@@ -401,3 +401,50 @@
     # An earlier attempt that has run after all ends the wait.
     cluster.record_outcome(primary, Answer(200, "receipt"), earlier)
     assert cluster.replies[resend] == OrderCompleted(Answer(200, "receipt"))
+
+
+def adopt_configuration(cluster, *names):
+    epoch = EpochAdopted(cluster.view, cluster.configuration)
+    out = []
+    for name in names:
+        out += [(name, m) for m in cluster.books[name].adopt_epoch(epoch, 0.0)]
+    cluster.deliver(out)
+
+
+def test_an_edit_that_moves_a_key_lets_its_order_run_once():
+    """Guards against a new primary that has adopted an edit before the former one."""
+    cluster = Cluster(key=MOVING_KEY)
+    former, backup = cluster.holders()[:2]
+    cluster.reserve(former)
+    cluster.edit_serving_set(3)
+    primary = cluster.holders()[0]
+    assert primary not in (former, backup)
+    adopt_configuration(cluster, primary)
+    resend = cluster.reserve(primary)
+    assert resend not in cluster.replies
+    adopt_configuration(cluster, *cluster.books)
+    cluster.record_outcome(former, Answer(200, "receipt"))
+    assert cluster.replies[resend] == OrderCompleted(Answer(200, "receipt"))
+
+
+def test_an_edit_that_moves_no_key_lets_none_wait():
+    """Guards against orders that wait for a VM which has the configuration later."""
+    cluster = Cluster(key="k2")
+    primary = cluster.holders()[0]
+    cluster.edit_serving_set(3)
+    adopt_configuration(cluster, primary)
+    resend = cluster.reserve(primary)
+    assert isinstance(cluster.replies[resend], OrderReserved)
+
+
+def test_a_transfer_that_comes_after_a_later_one_holds_no_key_up():
+    """Guards against unknown keys that wait until the next change of the view."""
+    cluster = Cluster()
+    former = cluster.view
+    cluster.adopt(former.with_member(Member("new", "", "", "fd1")))
+    primary = cluster.holders()[0]
+    for sender in set(former.members) - {primary}:
+        late = OrdersReceived(sender, [], former.version, False)
+        cluster.books[primary].note_received(late, 0.0)
+    request_id = cluster.reserve(primary)
+    assert isinstance(cluster.replies[request_id], OrderReserved)
--- a/packages/entry/hornbeamstand_entry/front.py
+++ b/packages/entry/hornbeamstand_entry/front.py
@@ -12,6 +12,7 @@
 from .header_numbers import read_number
 from .http_server import BodyError, read_body, watch_caller
 from .lookup import answer_lookup
+from .peer_codec import ORDERS_PATH
 from .performers import drive
 from .responses import respond_outcome, respond_refusal
 from .tasks.byte_budget import ByteBudget
@@ -84,9 +85,10 @@
         if path.startswith(LOOKUP_PREFIX):
             name = path.removeprefix(LOOKUP_PREFIX)
             return answer_lookup(self.node, name, start_response)
-        if path == "/peer/orders":
+        if path == ORDERS_PATH:
             raw = environ["wsgi.input"].read(self.settings.body_max_bytes)
-            return self.orders_task.answer_peer(raw, start_response)
+            query = environ["QUERY_STRING"]
+            return self.orders_task.answer_peer(raw, query, start_response)
         refusal = Refusal("unknown path", status=404, step="front")
         return respond_refusal(start_response, refusal, [])
 
--- a/packages/entry/hornbeamstand_entry/peer_codec.py
+++ b/packages/entry/hornbeamstand_entry/peer_codec.py
@@ -8,6 +8,8 @@
 from hornbeamstand_core.peer_messages import HandOverRecord, Heartbeat
 from hornbeamstand_core.records import Record
 
+from .header_numbers import read_count
+
 # Tags of the types of datagrams.
 HEARTBEAT = "h"
 CAPACITY_REPORT = "r"
@@ -15,6 +17,10 @@
 OUTCOME_TAGS = {Answer: "a", Refusal: "f"}
 OUTCOME_CLASSES = {tag: cls for cls, tag in OUTCOME_TAGS.items()}
 
+# Path of replicated orders. Its query has the version of the sender's configuration,
+# which VMs of the version before neither send nor read.
+ORDERS_PATH = "/peer/orders"
+CONFIG_VERSION_FIELD = "config_version="
 # Separates the state of an order from the number of its attempt. VMs of the version
 # before know no numbers and read every such state as OPEN, which lets nothing run.
 ATTEMPT_SEPARATOR = ":"
@@ -105,14 +111,20 @@
     return ENCODER.encode(body)
 
 
-def decode_orders(raw):
-    """Return the OrdersReceived of a body, or None if the body is malformed."""
+def orders_path(message):
+    """Return the path and query to which the orders of a SendOrders are sent."""
+    return f"{ORDERS_PATH}?{CONFIG_VERSION_FIELD}{message.config_version}"
+
+
+def decode_orders(raw, query=""):
+    """Return the OrdersReceived of a body and query, or None if it is malformed."""
     try:
         sender_id, orders, transfer_version, is_lost = ORDERS_DECODER.decode(raw)
         stored = [unpack_order(*fields) for fields in orders]
     except (*DECODE_ERRORS, LookupError):
         return None
-    return OrdersReceived(sender_id, stored, transfer_version, is_lost)
+    config_version = read_count(query.removeprefix(CONFIG_VERSION_FIELD))
+    return OrdersReceived(sender_id, stored, transfer_version, is_lost, config_version)
 
 
 def pack_state(stored):
--- a/packages/entry/hornbeamstand_entry/tasks/orders_task.py
+++ b/packages/entry/hornbeamstand_entry/tasks/orders_task.py
@@ -10,7 +10,7 @@
 )
 
 from ..encoding import encode_request
-from ..peer_codec import KeptResponse, decode_orders, encode_orders
+from ..peer_codec import KeptResponse, decode_orders, encode_orders, orders_path
 from ..responses import respond_json
 from .exchange import Exchange
 from .failures import spawn_supervised
@@ -113,7 +113,7 @@
         address = peer.front_address
         body = encode_orders(self.book.member_id, message)
         request_bytes = encode_request(
-            "POST", "/peer/orders", [("Host", address)], body
+            "POST", orders_path(message), [("Host", address)], body
         )
         mailbox = Task("copy").mailbox
         not_after_ms = self.clock.now_ms() + REPLICATION_TIMEOUT_MS
@@ -126,9 +126,9 @@
             exchange.cancel(has_timed_out=True)
         return getattr(response, "status_code", 0) == 200
 
-    def answer_peer(self, raw, start_response):
+    def answer_peer(self, raw, query, start_response):
         """Store a peer's orders and acknowledge them; returns a WSGI response."""
-        message = decode_orders(raw)
+        message = decode_orders(raw, query)
         if message is None:
             return respond_json(start_response, 400, {"error": "malformed orders"})
         mailbox = Task("ack").mailbox
--- a/packages/entry/tests/test_codecs_fuzz.py
+++ b/packages/entry/tests/test_codecs_fuzz.py
@@ -19,6 +19,7 @@
     decode_orders,
     encode_datagram,
     encode_orders,
+    orders_path,
 )
 from hypothesis import given
 from hypothesis import strategies as st
@@ -108,11 +109,13 @@
 
 @given(names, st.lists(orders, max_size=3), counts, flags)
 def test_orders_are_decoded_as_they_were_encoded(sender_id, sent, version, is_lost):
-    message = SendOrders("peer", sent, version, is_lost)
-    received = decode_orders(encode_orders(sender_id, message))
+    message = SendOrders("peer", sent, version, is_lost, version)
+    query = orders_path(message).partition("?")[2]
+    received = decode_orders(encode_orders(sender_id, message), query)
     assert received.sender_id == sender_id
     assert received.orders == sent
     assert (received.transfer_version, received.is_history_lost) == (version, is_lost)
+    assert received.config_version == version
 
 
 @given(st.binary(max_size=400))
--- a/packages/entry/tests/test_order_copies.py
+++ b/packages/entry/tests/test_order_copies.py
@@ -68,6 +68,6 @@
     with ExitStack() as stack:
         task = OrdersTask(book, None, make_process_clock())
         task.start(stack)
-        task.answer_peer(raw, lambda line, items: statuses.append(line[:3]))
+        task.answer_peer(raw, "", lambda line, items: statuses.append(line[:3]))
     assert statuses == [status]
     assert len(book) == (status == "200")
--- a/tests/order_cluster.py
+++ b/tests/order_cluster.py
@@ -19,13 +19,16 @@
 from hornbeamstand_core.view import Member, View
 
 KEY = "k1"
+# A key that an edit of the serving set moves to a VM that had no record of it.
+MOVING_KEY = "k6"
 DEADLINE_MS = 1000.0
 
 
 class Cluster:
     """Order books of several VMs; copies reach every VM that is not down."""
 
-    def __init__(self, n_vms=4):
+    def __init__(self, n_vms=4, key=KEY):
+        self.key = key
         spec = ServiceSpec({"t": TargetSpec("127.0.0.1:1", "fd0", 3)})
         domains = {f"fd{i}": FailureDomainSpec() for i in range(3)}
         self.configuration = Configuration({"shop": spec}, domains)
@@ -53,7 +56,7 @@
         self.deliver(out)
 
     def holders(self):
-        return order_holders(self.view, "shop", self.spec, KEY)
+        return order_holders(self.view, "shop", self.spec, self.key)
 
     def deliver(self, out):
         for sender, message in out:
@@ -72,7 +75,11 @@
     def store(self, sender, sent):
         book = self.books[sent.peer_id]
         received = OrdersReceived(
-            sender, sent.orders, sent.transfer_version, sent.is_history_lost
+            sender,
+            sent.orders,
+            sent.transfer_version,
+            sent.is_history_lost,
+            sent.config_version,
         )
         if not book.may_store(received):
             return False
@@ -84,20 +91,32 @@
         self.n_requests += 1
         request_id = f"r{self.n_requests}"
         message = ReserveOrder(
-            "shop", KEY, request_id, self.now_ms + DEADLINE_MS, n_hops, is_first_attempt
+            "shop",
+            self.key,
+            request_id,
+            self.now_ms + DEADLINE_MS,
+            n_hops,
+            is_first_attempt,
         )
         out = self.books[vm].reserve(message, self.now_ms)
         self.deliver([(vm, m) for m in out])
         return request_id
 
     def record_outcome(self, vm, outcome, attempt=None):
-        message = RecordOutcome("shop", KEY, outcome, attempt or self.attempt)
+        message = RecordOutcome("shop", self.key, outcome, attempt or self.attempt)
         out = self.books[vm].record_outcome(message, self.now_ms)
         self.deliver([(vm, m) for m in out])
 
     def n_reserved(self):
         return sum(isinstance(r, OrderReserved) for r in self.replies.values())
 
+    def edit_serving_set(self, size):
+        """Publish a configuration; no VM has adopted it yet."""
+        self.spec = ServiceSpec(self.spec.targets, serving_set_size=size)
+        former = self.configuration
+        self.configuration = Configuration({"shop": self.spec}, former.failure_domains)
+        self.configuration.version = former.version + 1
+
     def crash(self, *names):
         self.down |= set(names)
         self.adopt(self.view.without(names, is_clean=False))
