Send the orders of a transfer in parts

What callers saw in the product's own mode: after a change of the view, orders with a new key were refused at their deadline ("home is moving"), if a VM kept more than body_max_bytes (1 MB) of orders for another one. An answer that was larger than that was stored by no backup.

Cause: a transfer was one request, of which the receiver read body_max_bytes. The rest was cut off and the request refused as malformed, and the sender repeated it until the next change.

Change: a transfer is sent in parts of 256 KB, each after the one before is stored. The last one alone is marked as the transfer. The receiver reads as much as an answer may have, and one part. VMs of the version before take the parts like single copies.

Evidence: test_a_transfer_that_is_larger_than_a_request_arrives_as_a_whole, 3 MB of orders, did not end within 5 s before and passes. test_order_copies, test_front_errors, test_http, test_codecs_fuzz and test_processes passed.

--- a/packages/entry/hornbeamstand_entry/front.py
+++ b/packages/entry/hornbeamstand_entry/front.py
@@ -10,9 +10,9 @@
 from .context import RequestContext
 from .encoding import encode_capacity
 from .header_numbers import read_number
-from .http_server import BodyError, read_body, watch_caller
+from .http_server import CLOSE, BodyError, read_body, watch_caller
 from .lookup import answer_lookup
-from .peer_codec import ORDERS_PATH
+from .peer_codec import ORDERS_PATH, PART_MAX_BYTES
 from .performers import drive
 from .responses import respond_outcome, respond_refusal
 from .tasks.byte_budget import ByteBudget
@@ -86,12 +86,20 @@
             name = path.removeprefix(LOOKUP_PREFIX)
             return answer_lookup(self.node, name, start_response)
         if path == ORDERS_PATH:
-            raw = environ["wsgi.input"].read(self.settings.body_max_bytes)
-            query = environ["QUERY_STRING"]
-            return self.orders_task.answer_peer(raw, query, start_response)
+            return self._store_orders(environ, start_response)
         refusal = Refusal("unknown path", status=404, step="front")
         return respond_refusal(start_response, refusal, [])
 
+    def _store_orders(self, environ, start_response):
+        """Store the orders of a peer, whose responses may be as large as any."""
+        max_bytes = self.settings.answer_max_bytes + PART_MAX_BYTES
+        try:
+            raw = read_body(environ, max_bytes, ByteBudget().hold())
+        except BodyError as error:
+            return respond_refusal(start_response, error.refusal, [CLOSE])
+        query = environ["QUERY_STRING"]
+        return self.orders_task.answer_peer(raw, query, start_response)
+
     def _serve_request(self, environ, start_response):
         arrived_at_ms = self.clock.now_ms()
         self.control_task.n_requests += 1
@@ -102,8 +110,7 @@
                 hold = ByteBudget().hold()
                 body = read_body(environ, self.settings.body_max_bytes, hold)
             except BodyError as error:
-                close = ("Connection", "close")
-                return respond_refusal(start_response, error.refusal, [close])
+                return respond_refusal(start_response, error.refusal, [CLOSE])
             context = RequestContext(request, path, forwarded_headers(environ), body)
             outcome = self._run(environ, context)
             # The caller knows the request by the part of the id before "~".
--- a/packages/entry/hornbeamstand_entry/peer_codec.py
+++ b/packages/entry/hornbeamstand_entry/peer_codec.py
@@ -4,7 +4,13 @@
 from hornbeamstand_core.balancer_messages import CapacityReport
 from hornbeamstand_core.controllers.node import SendCapacityReport
 from hornbeamstand_core.messages import Answer, Refusal
-from hornbeamstand_core.order_messages import DONE, OPEN, OrdersReceived, StoredOrder
+from hornbeamstand_core.order_messages import (
+    DONE,
+    OPEN,
+    OrdersReceived,
+    SendOrders,
+    StoredOrder,
+)
 from hornbeamstand_core.peer_messages import HandOverRecord, Heartbeat
 from hornbeamstand_core.records import Record
 
@@ -21,6 +27,10 @@
 # which VMs of the version before neither send nor read.
 ORDERS_PATH = "/peer/orders"
 CONFIG_VERSION_FIELD = "config_version="
+# Maximum size of the orders that are sent in one request, unless one order is larger.
+PART_MAX_BYTES = 256 << 10
+# Size that is counted for an order without its response.
+ORDER_BYTES = 512
 # Separates the state of an order from the number of its attempt. VMs of the version
 # before know no numbers and read every such state as OPEN, which lets nothing run.
 ATTEMPT_SEPARATOR = ":"
@@ -116,6 +126,36 @@
     return f"{ORDERS_PATH}?{CONFIG_VERSION_FIELD}{message.config_version}"
 
 
+def split_transfer(message):
+    """Return the SendOrders messages that together replicate those of a SendOrders.
+
+    The last one alone is marked as the transfer, so it has to be sent last.
+    """
+    parts = []
+    part, n_bytes = [], 0
+    for stored in message.orders:
+        n_order_bytes = ORDER_BYTES + outcome_bytes(stored.outcome)
+        if part and n_bytes + n_order_bytes > PART_MAX_BYTES:
+            parts.append(SendOrders(message.peer_id, part))
+            part, n_bytes = [], 0
+        part.append(stored)
+        n_bytes += n_order_bytes
+    last = SendOrders(
+        message.peer_id,
+        part,
+        message.transfer_version,
+        message.is_history_lost,
+        message.config_version,
+    )
+    return [*parts, last]
+
+
+def outcome_bytes(outcome):
+    """Return the size of the response in an outcome, without its headers."""
+    payload = getattr(outcome, "payload", None)
+    return len(payload.body) if payload is not None else 0
+
+
 def decode_orders(raw, query=""):
     """Return the OrdersReceived of a body and query, or None if it is malformed."""
     try:
--- a/packages/entry/hornbeamstand_entry/tasks/orders_task.py
+++ b/packages/entry/hornbeamstand_entry/tasks/orders_task.py
@@ -10,7 +10,13 @@
 )
 
 from ..encoding import encode_request
-from ..peer_codec import KeptResponse, decode_orders, encode_orders, orders_path
+from ..peer_codec import (
+    KeptResponse,
+    decode_orders,
+    encode_orders,
+    orders_path,
+    split_transfer,
+)
 from ..responses import respond_json
 from .exchange import Exchange
 from .failures import spawn_supervised
@@ -97,14 +103,15 @@
 
     def _replicate(self, message):
         """Replicate orders; a transfer is repeated until it is stored or outdated."""
-        while True:
-            is_stored = self._send_orders(message)
-            if is_stored or not message.transfer_version:
-                break
-            if self.book.view.version != message.transfer_version:
-                return
-            gevent.sleep(TRANSFER_RETRY_MS / 1000.0)
-        self.task.post(OrdersSent(message, is_stored))
+        if not message.transfer_version:
+            self.task.post(OrdersSent(message, self._send_orders(message)))
+            return
+        for part in split_transfer(message):
+            while not self._send_orders(part):
+                if self.book.view.version != message.transfer_version:
+                    return
+                gevent.sleep(TRANSFER_RETRY_MS / 1000.0)
+        self.task.post(OrdersSent(message, True))
 
     def _send_orders(self, message):
         peer = self.book.view.members.get(message.peer_id)
--- a/packages/entry/tests/test_order_copies.py
+++ b/packages/entry/tests/test_order_copies.py
@@ -1,9 +1,11 @@
 """Copies of orders between VMs: mixed versions, and senders that were removed."""
 
 from contextlib import ExitStack
+from types import SimpleNamespace
 
+import gevent
 import pytest
-from hornbeamstand_core.config import Configuration
+from hornbeamstand_core.config import Configuration, ServiceSpec
 from hornbeamstand_core.controllers.orders import OrderBook
 from hornbeamstand_core.messages import NOT_RUN, Answer, Refusal
 from hornbeamstand_core.order_messages import (
@@ -11,11 +13,15 @@
     DROPPED,
     OPEN,
     EpochAdopted,
+    OrdersReceived,
     SendOrders,
     StoredOrder,
 )
+from hornbeamstand_core.routes import CallerLimits
 from hornbeamstand_core.view import Member, View
 from hornbeamstand_entry.clock import make_process_clock
+from hornbeamstand_entry.edge.servers import start_server
+from hornbeamstand_entry.front import Front
 from hornbeamstand_entry.peer_codec import (
     ENCODER,
     ORDERS_DECODER,
@@ -24,6 +30,7 @@
     encode_orders,
 )
 from hornbeamstand_entry.tasks.orders_task import OrdersTask
+from hornbeamstand_entry.tasks.pools import Pools
 
 ANSWER = Answer(200, KeptResponse("POST", [], b"receipt"))
 NOT_RUN_REFUSAL = Refusal("shed", NOT_RUN)
@@ -71,3 +78,36 @@
         task.answer_peer(raw, "", lambda line, items: statuses.append(line[:3]))
     assert statuses == [status]
     assert len(book) == (status == "200")
+
+
+def test_a_transfer_that_is_larger_than_a_request_arrives_as_a_whole():
+    """Guards against keys that wait for orders which never arrive."""
+    large = Answer(200, KeptResponse("POST", [], bytes(100_000)))
+    with ExitStack() as stack:
+        clock = make_process_clock()
+        tasks = [
+            OrdersTask(OrderBook(name, 0.0), Pools(clock, stack), clock)
+            for name in ("vm1", "vm2")
+        ]
+        members = {}
+        for task in tasks:
+            settings = SimpleNamespace(body_max_bytes=1 << 20, answer_max_bytes=1 << 20)
+            front = Front(None, None, None, None, task, clock, settings)
+            server = start_server(
+                "127.0.0.1:0", front.app, stack, lambda: 5000.0, CallerLimits
+            )
+            address = f"127.0.0.1:{server.server_port}"
+            members[task.book.member_id] = Member(task.book.member_id, address, "", "")
+            task.start(stack)
+        sender, receiver = tasks
+        for i in range(30):
+            stored = StoredOrder("shop", f"k{i}", DONE, large, 0.0, "")
+            received = OrdersReceived("vm2", [stored], 0, False)
+            sender.book.note_received(received, clock.now_ms())
+        configuration = Configuration({"shop": ServiceSpec({})}, {})
+        for task in tasks:
+            task.task.post(EpochAdopted(View(1, members), configuration))
+        with gevent.Timeout(5.0):
+            while len(receiver.book) < 30:
+                gevent.sleep(0.01)
+        assert receiver.book._transfers.has_all(receiver.book.view)
