--- a/standins/caller.py
+++ b/standins/caller.py
@@ -6,6 +6,7 @@
 
 import gevent
 from geventhttpclient import HTTPClient
+from hornbeamstand_core.records import Record
 
 # Timeout for opening a connection to a VM.
 CONNECT_TIMEOUT_S = 1.0
@@ -13,7 +14,7 @@
 RESEND_DELAY_S = 0.05
 
 
-class Outcome:
+class Outcome(Record):
     """The result of one request, including its resends.
 
     ``status`` is the HTTP status, or 0 if no response came. ``certainty`` is the value
