Say "not run" for a removed VM's order to its first attempt only

What callers could see in the product's own mode: "not run" for a resend whose first send had run, from a VM that was removed from the view and did not know it.

Cause: a backup that refused the VM's copy counted as one that was silent, and an order without a backup is answered "no second record", "not run".

Change: the end of a copy says whether the peer refused it. Such an order is dropped at once and answered like any other whose key has moved: "not run" to a first attempt, otherwise "outcome unknown".

Evidence: test_a_vm_that_was_removed_starts_no_order asked for "not run" for a resend and asks for "outcome unknown" now, and for "not run" for a first attempt. test_orders, test_order_schedules, test_order_copies and test_performers passed.

--- a/packages/core/hornbeamstand_core/controllers/order_replies.py
+++ b/packages/core/hornbeamstand_core/controllers/order_replies.py
@@ -1,7 +1,7 @@
 """Replies to the requests that wait for the order book."""
 
 from ..balancer_messages import DeferredReply
-from ..messages import OrderCompleted, Refusal
+from ..messages import NOT_RUN, OUTCOME_UNKNOWN, OrderCompleted, Refusal
 
 
 def refuse(message, reason, certainty, status=503):
@@ -10,6 +10,12 @@
     return DeferredReply(message.request_id, refusal)
 
 
+def refuse_moving(message):
+    """Return the reply to a ReserveOrder whose key has another primary by now."""
+    certainty = NOT_RUN if message.is_first_attempt else OUTCOME_UNKNOWN
+    return refuse(message, "home is moving", certainty)
+
+
 def reply_completed(waiters, outcome):
     """Return the replies that end ReserveOrder messages with an order's outcome."""
     completed = OrderCompleted(outcome)
--- a/packages/core/hornbeamstand_core/controllers/orders.py
+++ b/packages/core/hornbeamstand_core/controllers/orders.py
@@ -29,7 +29,7 @@
 from ..view import View
 from .order_history import OrderHistory
 from .order_record import Order
-from .order_replies import refuse, reply_completed
+from .order_replies import refuse, refuse_moving, reply_completed
 from .order_transfers import OrderTransfers
 
 # Time for which an order is kept, so that resends get its outcome.
@@ -128,8 +128,7 @@
     def _redirect_to_primary(self, message, primary_id):
         if message.n_hops == 0:
             return DeferredReply(message.request_id, OrderRedirect(primary_id))
-        certainty = NOT_RUN if message.is_first_attempt else OUTCOME_UNKNOWN
-        return refuse(message, "home is moving", certainty)
+        return refuse_moving(message)
 
     def _answer_resend(self, order, message):
         if order.state == DONE:
@@ -189,6 +188,16 @@
         replies = [refuse(w, "not run", NOT_RUN) for w in waiters]
         return [refuse(reservation, reason, NOT_RUN), *replies]
 
+    def _drop_outdated(self, order):
+        """Refuse an unstarted order of whose key another VM is the primary by now.
+
+        That VM may have run an earlier send of it.
+        """
+        reservation = self._end_reservation(order)
+        del order.attempts[self.member_id]
+        waiters = [] if order.attempts else self._remove(order)
+        return [refuse_moving(message) for message in (reservation, *waiters)]
+
     def _remove(self, order):
         """Remove an order of which no attempt is left; return its waiters."""
         del self._orders[(order.service_name, order.key)]
@@ -262,6 +271,8 @@
             return []
         if message.is_stored:
             return self._start(order)
+        if message.is_refused:
+            return self._drop_outdated(order)
         holders = self._holders(order.service_name, order.key)
         return self._try_backup(order, holders, now_ms)
 
--- a/packages/core/hornbeamstand_core/order_messages.py
+++ b/packages/core/hornbeamstand_core/order_messages.py
@@ -71,13 +71,17 @@
 
 
 class OrdersSent(Record):
-    """The end of the SendOrders ``sent``; ``is_stored`` if the peer acknowledged it."""
+    """The end of the SendOrders ``sent``; ``is_stored`` if the peer acknowledged it.
 
-    __slots__ = ("sent", "is_stored")
+    ``is_refused`` is set if the sender is no member of the peer's view.
+    """
+
+    __slots__ = ("sent", "is_stored", "is_refused")
 
-    def __init__(self, sent, is_stored):
+    def __init__(self, sent, is_stored, is_refused=False):
         self.sent = sent
         self.is_stored = is_stored
+        self.is_refused = is_refused
 
 
 class OrdersReceived(Record):
--- a/packages/entry/hornbeamstand_entry/tasks/orders_task.py
+++ b/packages/entry/hornbeamstand_entry/tasks/orders_task.py
@@ -33,6 +33,9 @@
 # Timeout for storing a peer's orders, after which the peer gets status 503. It is
 # shorter than REPLICATION_TIMEOUT_MS, for which the peer waits.
 ACK_TIMEOUT_MS = 200.0
+# Statuses of a peer's responses: the orders are stored, or the sender is no member.
+STORED = 200
+REFUSED = 409
 # Maximum size of the body of a peer's acknowledgement.
 ACK_MAX_BYTES = 4096
 
@@ -104,19 +107,21 @@
     def _replicate(self, message):
         """Replicate orders; a transfer is repeated until it is stored or outdated."""
         if not message.transfer_version:
-            self.task.post(OrdersSent(message, self._send_orders(message)))
+            status = self._send_orders(message)
+            self.task.post(OrdersSent(message, status == STORED, status == REFUSED))
             return
         for part in split_transfer(message):
-            while not self._send_orders(part):
+            while self._send_orders(part) != STORED:
                 if self.book.view.version != message.transfer_version:
                     return
                 gevent.sleep(TRANSFER_RETRY_MS / 1000.0)
         self.task.post(OrdersSent(message, True))
 
     def _send_orders(self, message):
+        """Send orders to a peer; return the status of its response, 0 without one."""
         peer = self.book.view.members.get(message.peer_id)
         if peer is None:
-            return False
+            return 0
         address = peer.front_address
         body = encode_orders(self.book.member_id, message)
         request_bytes = encode_request(
@@ -131,7 +136,7 @@
         response = exchange.receive_result(REPLICATION_TIMEOUT_MS)
         if response is None:
             exchange.cancel(has_timed_out=True)
-        return getattr(response, "status_code", 0) == 200
+        return getattr(response, "status_code", 0)
 
     def answer_peer(self, raw, query, start_response):
         """Store a peer's orders and acknowledge them; returns a WSGI response."""
@@ -144,8 +149,8 @@
         if is_stored is None:
             return respond_json(start_response, 503, {"error": "busy"})
         if not is_stored:
-            return respond_json(start_response, 409, {"error": "not a member"})
-        return respond_json(start_response, 200, {})
+            return respond_json(start_response, REFUSED, {"error": "not a member"})
+        return respond_json(start_response, STORED, {})
 
 
 def keep_payload(message):
