--- a/tests/test_platform_launchers.py
+++ b/tests/test_platform_launchers.py
@@ -151,6 +151,16 @@
     assert_stops(cell, vm, number)
 
 
+@pytest.mark.parametrize("age_ms", range(0, 61, 12))
+def test_a_blocked_reload_of_any_age_ends_no_start(cell, age_ms):
+    """Guards against SIGHUP's default action while the interpreter starts."""
+    vm = launch(cell, block_all_signals)
+    time.sleep(age_ms / 1000.0)
+    cell.signal(vm, signal.SIGHUP)
+    assert_serves(cell, vm)
+    assert_stops(cell, vm)
+
+
 def close_all(descriptors):
     for number in descriptors:
         os.close(number)
