Let the life of a process serve the product's own program too

What operators and callers saw with `hornbeamstand run`: SIGHUP ended it at any age with all requests inside (status -1, nothing logged). A front, peer or admin address that was taken, or not yet one of the host, ended its start with a traceback and status 1. A file that was half-written at the start ended it with status 2.

Cause: the life of a process (start, signals, reload, addresses, late servers, output, stop, status) was written twice, and each fault was mended in the platform's copy alone.

Change: `hornbeamstand run` goes through `life/`. `program.py` hands in what is its own, `sockets.py` its addresses; the second copies (`stop_signals.py` and most of `process.py`) are gone. `main.py` is the entry point, which notes SIGHUP, SIGTERM and SIGINT before gevent, typer and grpcio are imported; `cli.py` holds the commands. Other commands than `run` keep the usual actions of signals. On SIGHUP stop_deadline_ms, body_max_bytes, answer_max_bytes, caller_idle_ms, n_requests_max and decision_log take effect, other changed fields are named. A second SIGTERM still ends a stop at once: `Signals` counts them.

grpcio binds its own sockets and does not say why it can't. So a socket of the process binds the peer's TCP address first, before callers' address opens; grpcio then binds with so_reuseport off, and a port that is lost in between is one more wait.

Evidence: tests/test_process_life.py runs the same tests on both programs; those for the platform were in test_platform_starts.py and test_platform_launchers.py and check what they did. Two tests of the own mode's signals are replaced by stricter ones of both programs: SIGHUP, which the own mode left blocked, now has to be heard.

--- a/packages/entry/hornbeamstand_entry/life/addresses.py
+++ b/packages/entry/hornbeamstand_entry/life/addresses.py
@@ -62,12 +62,12 @@
             if kind == socket.SOCK_STREAM:
                 sock.listen(StreamServer.backlog)
         except (OSError, OverflowError, TypeError, ValueError) as error:
-            raise address_error(address, error) from error
+            raise make_address_error(address, error) from error
         opened.pop_all()
     return sock
 
 
-def address_error(address, error):
+def make_address_error(address, error):
     """Return the AddressError for an error of a socket, or of the address itself."""
     detail = getattr(error, "strerror", None) or str(error)
     made = AddressError("address.bind", address, detail)
--- a/packages/entry/hornbeamstand_entry/life/signals.py
+++ b/packages/entry/hornbeamstand_entry/life/signals.py
@@ -11,16 +11,22 @@
 class Signals:
     """The signals that were received and not handled yet.
 
-    ``is_stop_requested`` and ``is_reload_requested`` are set when the signal comes.
+    ``n_stop_requests`` counts SIGTERM and SIGINT, and ``is_reload_requested`` is set
+    when SIGHUP comes.
     """
 
-    __slots__ = ("is_stop_requested", "is_reload_requested", "_received")
+    __slots__ = ("n_stop_requests", "is_reload_requested", "_received")
 
     def __init__(self):
-        self.is_stop_requested = False
+        self.n_stop_requests = 0
         self.is_reload_requested = False
         self._received = Event()
 
+    @property
+    def is_stop_requested(self):
+        """Whether SIGTERM or SIGINT came."""
+        return self.n_stop_requests > 0
+
     def install(self, early_signals=()):
         """Handle SIGTERM, SIGINT and SIGHUP from now on.
 
@@ -37,7 +43,7 @@
             handlers[number]()
 
     def _note_stop(self):
-        self.is_stop_requested = True
+        self.n_stop_requests += 1
         self._received.set()
 
     def _note_reload(self):
--- a/packages/entry/hornbeamstand_entry/logs.py
+++ b/packages/entry/hornbeamstand_entry/logs.py
@@ -43,9 +43,9 @@
 
 
 def make_logs(log_format, vm_id, file=None):
-    """Return (bind, flush).
+    """Return (logger, flush).
 
-    ``bind`` maps the name of a part to its logger; ``flush`` writes the buffered lines.
+    Each part binds its name to the logger; ``flush`` writes the buffered lines.
     """
     lines = BufferedLines(file or sys.stdout)
     renderer = render_json
@@ -62,8 +62,4 @@
         wrapper_class=structlog.make_filtering_bound_logger(20),
         cache_logger_on_first_use=True,
     )
-
-    def bind(part):
-        return logger.bind(part=part, vm=vm_id)
-
-    return bind, lines.flush
+    return logger.bind(vm=vm_id), lines.flush
--- a/packages/entry/hornbeamstand_entry/process.py
+++ b/packages/entry/hornbeamstand_entry/process.py
@@ -1,16 +1,12 @@
-"""Builds the tasks of one entry VM and runs them until its planned stop is complete."""
+"""Builds and connects the tasks of one entry VM."""
 
-import gc
 import secrets
-from contextlib import ExitStack
 from random import Random
 
-import gevent
 from hornbeamstand_core.config import Configuration
 from hornbeamstand_core.controllers import choice, limits
-from hornbeamstand_core.controllers.node import BeginStop, Node
+from hornbeamstand_core.controllers.node import Node
 from hornbeamstand_core.controllers.orders import OrderBook
-from hornbeamstand_core.controllers.stopping import STOPPED
 from hornbeamstand_core.filters import build_default_chain
 from hornbeamstand_core.membership_messages import FetchPeerState
 from hornbeamstand_core.messages import Refusal
@@ -20,39 +16,22 @@
 
 from . import headers
 from .admin import make_admin_app
-from .clock import make_process_clock
-from .closing import close_bounded
 from .edge.servers import start_server
 from .front import Front
 from .front_handler import FrontHandler
-from .logs import make_logs
+from .life.late_servers import LateServer
 from .metrics import Metrics
 from .performers import make_performers
-from .process_use import describe_limits
 from .tasks.config_watcher import WATCH_WAIT_MS, ConfigWatcher
 from .tasks.connections import ConnectionRules
 from .tasks.control_task import ControlTask
 from .tasks.datagrams import Datagrams
-from .tasks.failures import handle_loop_failures, report_failures_to, spawn_supervised
 from .tasks.orders_task import OrdersTask
-from .tasks.peer_state import PeerStateFetcher, init_grpc
+from .tasks.peer_state import PeerStateFetcher
 from .tasks.platform_task import PlatformTask
 from .tasks.pools import Pools
 from .tasks.prober import Prober
 
-# Interval at which buffered log lines are written.
-LOG_FLUSH_INTERVAL_MS = 100.0
-# Interval at which a planned stop is checked for completion.
-STOP_POLL_INTERVAL_MS = 20.0
-# Timeout for closing the tasks' resources. Closing grpcio may block forever under
-# gevent, and nothing is lost if it stays open.
-CLOSE_TIMEOUT_MS = 1000.0
-# Thresholds of the garbage collector: net allocations before a collection of the
-# youngest generation, collections of the youngest before one of the middle generation,
-# and collections of the middle before one of the oldest.
-GC_YOUNG_THRESHOLD = 20_000
-GC_MIDDLE_THRESHOLD = 50
-GC_OLD_THRESHOLD = 100
 # Size of the random id that distinguishes successive processes of one VM.
 START_ID_BYTES = 4
 
@@ -73,12 +52,16 @@
 
 
 class Process:
-    """The tasks of one entry VM."""
+    """The tasks of one entry VM.
+
+    ``sockets`` are the ProcessSockets that the servers and the datagrams use.
+    """
 
     __slots__ = (
         "settings",
         "clock",
-        "bind_logger",
+        "log",
+        "sockets",
         "node",
         "control_task",
         "orders_task",
@@ -92,19 +75,18 @@
     )
 
     @classmethod
-    def from_config(cls, settings, stack):
-        """Build the tasks and start them; the exit stack stops and closes them."""
+    def from_config(cls, settings, clock, log, sockets, stack):
+        """Build the tasks and start them; the exit stack stops and closes them.
+
+        The tasks own the ProcessSockets from now on.
+        """
         self = cls()
         self.settings = settings
-        self.clock = make_process_clock()
-        self.bind_logger, flush = make_logs(settings.log_format, settings.vm_id)
-        stack.callback(flush)
-        report_failures_to(self._make_failure_report(flush), stack)
-        flusher = spawn_supervised("log-writer", flush_periodically, flush)
-        stack.callback(flusher.kill, block=False)
+        self.clock = clock
+        self.log = log
+        self.sockets = sockets
         self.node = make_node(settings, self.clock)
-        decision_log = self.bind_logger("decider") if settings.decision_log else None
-        self.control_task = ControlTask(self.node, self.clock, decision_log)
+        self.control_task = ControlTask(self.node, self.clock, self._decision_log())
         rules = ConnectionRules(id_header=headers.REQUEST_ID)
         self.pools = Pools(self.clock, stack, rules)
         self.metrics = Metrics()
@@ -114,18 +96,40 @@
         self._build_front()
         return self
 
-    def _make_failure_report(self, flush):
-        """Return a function that logs unexpected errors; see ``report_failures_to``."""
-        log = self.bind_logger("process")
+    def _decision_log(self):
+        """Return the logger of decisions; None if they are not logged."""
+        is_logged = self.settings.decision_log
+        return self.log.bind(part="decider") if is_logged else None
+
+    def listen(self, stack):
+        """Start the HTTP servers; that of operators may start later.
+
+        Callers' requests don't depend on it, and its address may be taken.
+        """
+        settings = self.settings
+
+        def idle_ms():
+            return settings.caller_idle_ms
+
+        start_server(
+            settings.front_address,
+            self.front.app,
+            stack,
+            idle_ms,
+            CallerLimits,
+            self.sockets.front,
+            FrontHandler,
+        )
+        address, app = settings.admin_address, make_admin_app(self)
+
+        def serve_admin(listener, owner):
+            start_server(address, app, owner, idle_ms, CallerLimits, listener)
 
-        def report(name, error, ends_process):
-            if not ends_process:
-                log.error("process: unexpected error", part=name, error=repr(error))
-                return
-            log.error("process: task failed", task=name, error=repr(error))
-            flush()
+        LateServer(address, serve_admin, self.clock, self.log).start(stack)
 
-        return report
+    def apply_settings(self):
+        """Apply changed settings that are not read where they are used."""
+        self.control_task.log = self._decision_log()
 
     def _build_control(self, stack):
         settings = self.settings
@@ -143,19 +147,22 @@
             watch_client,
             membership,
             self.control_task,
-            self.bind_logger("config"),
+            self.log.bind(part="config"),
         )
-        self.datagrams = Datagrams(settings.peer_address, self.control_task)
+        self.datagrams = Datagrams(self.sockets.datagrams, self.control_task)
         self.prober = Prober(self.pools, self.control_task, self.clock)
         self.peer_state_fetcher = PeerStateFetcher(
-            self.node, self.control_task, self.config_watcher, self.bind_logger("peer")
+            self.node,
+            self.control_task,
+            self.config_watcher,
+            self.log.bind(part="peer"),
         )
         platform_task = PlatformTask(
             platform,
             settings.cell,
             settings.lease_ms,
             self.control_task,
-            self.bind_logger("member"),
+            self.log.bind(part="member"),
         )
         self.control_task.connect(
             platform_task,
@@ -165,7 +172,7 @@
             self.orders_task,
         )
         self.datagrams.start(stack)
-        self.peer_state_fetcher.start(settings.peer_address, stack)
+        self.peer_state_fetcher.start(self.sockets.peer_server, stack)
         platform_task.start(stack)
         self.prober.start(stack)
         self.orders_task.start(stack)
@@ -178,7 +185,7 @@
         settings = self.settings
         chain = build_default_chain(
             lambda name: self.node.ownership.configuration.services.get(name),
-            make_find_refusal(self.control_task, settings.n_requests_max),
+            make_find_refusal(self.control_task, settings),
         )
         performers = make_performers(
             self.node,
@@ -221,7 +228,7 @@
     )
 
 
-def make_find_refusal(control_task, n_requests_max):
+def make_find_refusal(control_task, settings):
     """Return a function that maps a call to its refusal, or None if it may run.
 
     A call is refused if the VM, with this request, serves more requests than a limit.
@@ -231,86 +238,8 @@
 
     def find_refusal(call):
         share = 0.5 + call.service.priority / 18.0
-        if control_task.n_requests <= n_requests_max * share:
+        if control_task.n_requests <= settings.n_requests_max * share:
             return None
         return Refusal("entry VM overloaded", step="admit")
 
     return find_refusal
-
-
-def flush_periodically(flush):
-    """Write the buffered log lines at intervals, forever."""
-    while True:
-        gevent.sleep(LOG_FLUSH_INTERVAL_MS / 1000.0)
-        flush()
-
-
-def run_process(settings, stop_signals, corrections):
-    """Run one entry VM until its planned stop is complete; return the exit status.
-
-    ``stop_signals`` is the queue of the signals that request a stop, and
-    ``corrections`` are those of the inherited state.
-    """
-    init_grpc()
-    with ExitStack() as stack:
-        handle_loop_failures(stack)
-        serve(settings, stop_signals, corrections, stack)
-        close_bounded(stack, CLOSE_TIMEOUT_MS)
-    return 0
-
-
-def serve(settings, stop_signals, corrections, stack):
-    """Serve callers and operators until the planned stop is complete."""
-    process = Process.from_config(settings, stack)
-    log = process.bind_logger("process")
-    if fields := corrections.describe():
-        log.warning("process: inherited state corrected", **fields)
-
-    def idle_ms():
-        return settings.caller_idle_ms
-
-    front_app, admin_app = process.front.app, make_admin_app(process)
-    start_server(
-        settings.front_address,
-        front_app,
-        stack,
-        idle_ms,
-        CallerLimits,
-        handler_class=FrontHandler,
-    )
-    start_server(settings.admin_address, admin_app, stack, idle_ms, CallerLimits)
-    tune_garbage_collector()
-    log.info("process: started", front=settings.front_address, **describe_limits())
-    wait_for_stop(process, log, stop_signals)
-    log.info("process: stopped")
-
-
-def tune_garbage_collector():
-    """Keep garbage collection pauses short.
-
-    The objects that exist by now are frozen: they live as long as the process. Requests
-    create few reference cycles, so full collections are made rare.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(GC_YOUNG_THRESHOLD, GC_MIDDLE_THRESHOLD, GC_OLD_THRESHOLD)
-
-
-def wait_for_stop(process, log, stop_signals):
-    """Wait for SIGTERM or SIGINT, start the planned stop, and wait for its end.
-
-    A second signal ends the planned stop at once.
-    """
-    stop_signals.get()
-    request_stop(process, log)
-    while process.node.stopping.phase != STOPPED:
-        gevent.sleep(STOP_POLL_INTERVAL_MS / 1000.0)
-        if not stop_signals.empty():
-            stop_signals.get()
-            request_stop(process, log)
-
-
-def request_stop(process, log):
-    """Start the planned stop, or end the one in progress at once."""
-    log.info("process: planned stop asked for")
-    process.control_task.task.post(BeginStop(process.settings.stop_deadline_ms))
--- a/packages/entry/hornbeamstand_entry/tasks/datagrams.py
+++ b/packages/entry/hornbeamstand_entry/tasks/datagrams.py
@@ -4,8 +4,6 @@
 replaced by newer ones.
 """
 
-from gevent import socket
-
 from ..peer_codec import datagram_of, decode_datagram
 from .datagram_reads import read_datagram
 from .failures import spawn_supervised
@@ -16,28 +14,24 @@
 
 
 class Datagrams:
-    """The UDP socket of one VM, and counts of the datagrams and bytes sent."""
+    """The bound UDP socket of one VM, and counts of the datagrams and bytes sent."""
 
-    __slots__ = ("address", "control_task", "task", "n_bytes_sent", "n_sent", "_sock")
+    __slots__ = ("control_task", "task", "n_bytes_sent", "n_sent", "_sock")
 
-    def __init__(self, address, control_task):
-        self.address = address
+    def __init__(self, sock, control_task):
         self.control_task = control_task
         self.task = Task("datagrams")
         self.n_bytes_sent = 0
         self.n_sent = 0
-        self._sock = None
+        self._sock = sock
 
     def post(self, message):
         """Put a SendHeartbeat or SendCapacityReport into the task's mailbox."""
         self.task.post(message)
 
     def start(self, stack):
-        """Bind the socket and start to receive and send."""
-        host, _, port = self.address.rpartition(":")
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        """Start to receive and send; the exit stack closes the socket."""
         stack.callback(self._sock.close)
-        self._sock.bind((host, int(port)))
         self.task.start(self._send_loop, stack)
         receiver = spawn_supervised("datagram-receiver", self._receive_loop)
         stack.callback(receiver.kill, block=False)
--- a/packages/entry/hornbeamstand_entry/tasks/peer_state.py
+++ b/packages/entry/hornbeamstand_entry/tasks/peer_state.py
@@ -1,5 +1,7 @@
 """Fetches a newer view or configuration from a peer by gRPC, and serves this VM's."""
 
+import errno
+import os
 from concurrent.futures import ThreadPoolExecutor
 
 import grpc
@@ -10,6 +12,7 @@
 from hornbeamstand_wire.view_codec import view_from_value, view_to_value
 
 from .. import peer_pb2, peer_pb2_grpc
+from ..life.addresses import make_address_error
 from .config_watcher import PeerFiles
 from .task import Task
 
@@ -17,6 +20,8 @@
 FETCH_TIMEOUT_MS = 1000.0
 # Number of threads that serve FetchState calls.
 N_SERVER_WORKERS = 4
+# No other server may listen at the address of this one.
+SERVER_OPTIONS = (("grpc.so_reuseport", 0),)
 
 
 def init_grpc():
@@ -27,6 +32,21 @@
     grpc.experimental.gevent.init_gevent()
 
 
+def open_peer_server(address):
+    """Return a gRPC server that listens at an address, but does not serve yet.
+
+    Raises AddressError, which is temporary: the caller has bound the address before.
+    """
+    server = grpc.server(ThreadPoolExecutor(N_SERVER_WORKERS), options=SERVER_OPTIONS)
+    try:
+        server.add_insecure_port(address)
+    except RuntimeError as error:
+        server.stop(None)
+        taken = OSError(errno.EADDRINUSE, os.strerror(errno.EADDRINUSE))
+        raise make_address_error(address, taken) from error
+    return server
+
+
 class PeerServicer(peer_pb2_grpc.PeerServicer):
     """Serves FetchState from the current state of this VM."""
 
@@ -74,12 +94,13 @@
         """Put a FetchPeerState into the task's mailbox."""
         self.task.post(message)
 
-    def start(self, address, stack):
-        """Start to serve the state of this VM and to fetch that of peers."""
-        server = grpc.server(ThreadPoolExecutor(N_SERVER_WORKERS))
+    def start(self, server, stack):
+        """Start to serve the state of this VM and to fetch that of peers.
+
+        ``server`` is that of ``open_peer_server``.
+        """
         servicer = PeerServicer(self.node, self.config_watcher)
         peer_pb2_grpc.add_PeerServicer_to_server(servicer, server)
-        server.add_insecure_port(address)
         server.start()
         stack.callback(server.stop, None)
         stack.callback(self._close)
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -82,15 +82,21 @@
 
 
 class Vm:
-    """One entry VM process."""
+    """One entry VM; ``process`` is None until its start."""
 
-    __slots__ = ("index", "settings", "process", "log_file")
+    __slots__ = ("index", "settings", "settings_file", "process", "log_file")
 
-    def __init__(self, index, settings, process, log_file):
+    def __init__(self, index, settings, settings_file):
         self.index = index
         self.settings = settings
-        self.process = process
-        self.log_file = log_file
+        self.settings_file = settings_file
+        self.process = None
+        self.log_file = settings_file.with_suffix(".log")
+
+    def write_settings(self, **changed):
+        """Change settings, in the file too; a running process has to be told."""
+        self.settings.update(changed)
+        self.settings_file.write_text(json.dumps(self.settings))
 
     @property
     def front_address(self):
@@ -138,15 +144,16 @@
     def __exit__(self, *exc_info):
         self._stack.close()
 
-    def spawn(self, arguments, log_name):
-        """Start a process that is killed at the end; returns it and its log file."""
-        log_file = self.folder / log_name
-        out = self._stack.enter_context(open(log_file, "wb"))
-        process = subprocess.Popen(
-            arguments, stdout=out, stderr=subprocess.STDOUT, cwd=ROOT
-        )
+    def spawn(self, arguments, log_name, **options):
+        """Start a process that is killed at the end, and return it.
+
+        ``options`` are those of ``subprocess.Popen``.
+        """
+        out = self._stack.enter_context(open(self.folder / log_name, "ab"))
+        options = {"stdout": out, "stderr": subprocess.STDOUT, "cwd": ROOT, **options}
+        process = subprocess.Popen(arguments, **options)
         self._stack.callback(kill_process, process)
-        return process, log_file
+        return process
 
     def start_platform(self):
         """Start the stand-in platform and wait until it answers."""
@@ -166,6 +173,12 @@
 
     def start_vm(self):
         """Start one entry VM; returns it without waiting until it is ready."""
+        vm = self.make_vm()
+        self.launch(vm)
+        return vm
+
+    def make_vm(self):
+        """Write the settings of one entry VM and return it, not started."""
         index = self._n_vms
         self._n_vms += 1
         front, peer, admin = free_addresses(3)
@@ -179,15 +192,17 @@
             "platform_address": self.platform_address,
             **self.overrides,
         }
-        file = self.folder / f"vm{index + 1}.json"
-        file.write_text(json.dumps(settings))
-        binary = str(Path(sys.executable).parent / "hornbeamstand")
-        arguments = [binary, "run", "--settings", str(file)]
-        process, log_file = self.spawn(arguments, f"vm{index + 1}.log")
-        vm = Vm(index, settings, process, log_file)
+        vm = Vm(index, settings, self.folder / f"vm{index + 1}.json")
+        vm.write_settings()
         self.vms.append(vm)
         return vm
 
+    def launch(self, vm, **options):
+        """Start the process of a VM; ``options`` are those of ``subprocess.Popen``."""
+        binary = str(Path(sys.executable).parent / "hornbeamstand")
+        arguments = [binary, "run", "--settings", str(vm.settings_file)]
+        vm.process = self.spawn(arguments, vm.log_file.name, **options)
+
     def publish(self, folder):
         """Publish a configuration folder with hornbeamctl; returns the output."""
         return self.ctl("publish", str(folder), "--platform", self.platform_address)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+import socket
 import subprocess
 import sys
 from contextlib import ExitStack
@@ -11,7 +12,7 @@
 import gevent.socket
 import pytest
 
-from standins.cluster import request
+from standins.cluster import request, wait_until
 
 from .load import Load, run_for, wait_for
 from .processes import control, runs_by_key, start_cluster, total
@@ -122,6 +123,66 @@
     assert vm.process.wait(timeout=5.0) == 0
 
 
+def reload_settings(vm, **changed):
+    """Change settings of a VM and wait until they are in force."""
+    n_reloads = vm.log_file.read_text().count("process: settings reloaded")
+    vm.write_settings(**changed)
+    vm.signal(signal.SIGHUP)
+
+    def is_reloaded():
+        text = vm.log_file.read_text()
+        return text.count("process: settings reloaded") > n_reloads
+
+    wait_until(is_reloaded)
+
+
+def test_reloads_under_load_lose_and_duplicate_nothing(stack):
+    """Guards against SIGHUP that ends a VM with all requests inside."""
+    cluster, targets = start_cluster(stack, 3)
+    load = Load(cluster)
+    for i in range(5):
+        for vm in cluster.vms:
+            vm.write_settings(stop_deadline_ms=30_000 + i)
+            vm.signal(signal.SIGHUP)
+        run_for(0.5)
+    load.stop()
+    assert [vm.process.poll() for vm in cluster.vms] == [None] * 3
+    assert load.failed_queries() == []
+    assert set(load.count_order_outcomes()) == {"ran"}
+    assert duplicate_runs(targets) == {}
+    assert lost_orders(load, targets) == []
+
+
+def test_limits_of_callers_change_with_a_reload(stack):
+    cluster, _ = start_cluster(stack, 1)
+    vm = cluster.vms[0]
+
+    def post():
+        return request(vm.front_address, "POST", "/services/shop/x", b"12345")[0]
+
+    assert post() == 200
+    reload_settings(vm, body_max_bytes=4)
+    assert post() == 413
+    reload_settings(vm, body_max_bytes=100, answer_max_bytes=1)
+    assert post() == 502
+    reload_settings(vm, answer_max_bytes=1000, decision_log=False, caller_idle_ms=100)
+    n_routes = vm.log_file.read_text().count("route:")
+    assert post() == 200
+    host, _, port = vm.front_address.rpartition(":")
+    with socket.create_connection((host, int(port)), timeout=5.0) as caller:
+        assert caller.recv(1) == b""
+    assert vm.log_file.read_text().count("route:") == n_routes
+    assert "process: settings need a restart" not in vm.log_file.read_text()
+
+
+def test_a_planned_stop_ends_at_the_deadline_of_the_last_reload(stack):
+    cluster, _ = start_cluster(stack, 1, lookup_ttl_ms=60_000)
+    vm = cluster.vms[0]
+    reload_settings(vm, stop_deadline_ms=300)
+    vm.signal(signal.SIGTERM)
+    assert vm.process.wait(timeout=5.0) == 0
+
+
 def set_domain_state(folder, state):
     """Set the state of the failure domain fd1 in the configuration folder."""
     file = folder / "10-domains.json"
