--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	$(BIN)/python -m soak --seed $(or $(SEED),0) --n $(or $(N),1) --vms $(or $(VMS),6)
 
 day: $(STAMP)
-	$(BIN)/python -m soak day --seed $(or $(SEED),0) --n $(or $(N),1) --vms $(or $(VMS),17)
+	$(BIN)/python -m soak day --seed $(or $(SEED),0) --n $(or $(N),1) --vms $(or $(VMS),17) --cores $(or $(CORES),0)
 
 fuzz: $(STAMP)
 	$(BIN)/python -m benchmarks.fuzz --minutes $(or $(MINUTES),20)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -62,11 +62,15 @@
     n_seeds: CountOption = 1,
     n_vms: Annotated[int, typer.Option("--vms", min=2, max=N_VMS_MAX)] = N_VMS,
     length_s: Annotated[float, typer.Option("--seconds", min=DAY_MIN_S)] = 60.0,
+    n_cores: Annotated[
+        int, typer.Option("--cores", min=0, help="cores of all VMs; 0 for any")
+    ] = 0,
 ):
     """Run days; print what was lost by each clause, and what the rules excuse."""
     n_failed = 0
     for i in range(n_seeds):
-        report = run_day(seed + i if seed else fresh_seed(), length_s, n_vms)
+        day_seed = seed + i if seed else fresh_seed()
+        report = run_day(day_seed, length_s, n_vms, n_cores=n_cores)
         for line in report.lines():
             print(line, flush=True)
         n_failed += bool(report.findings or report.counted())
--- a/soak/cell.py
+++ b/soak/cell.py
@@ -25,7 +25,8 @@
     say something of themselves. ``senders`` maps a server id and the port of a
     connection to the name of the VM that opened it. ``start_counts`` maps a VM's name
     to the number of starts of its process. ``version`` is the last published
-    configuration version.
+    configuration version. ``cores`` are the numbers of the cores on which the VMs run,
+    or None for all.
     """
 
     def __init__(self, folder, n_vms):
@@ -37,6 +38,7 @@
         self.senders = {}
         self.start_counts = {}
         self.version = 0
+        self.cores = None
 
     def store_address(self):
         """Start a proxy to the store for the next VM; returns its address."""
@@ -85,6 +87,7 @@
     def start_vm(self, vm):
         """Start one edge process under the settings' limits and count the start."""
         vm.limits = ProcessLimits.from_settings()
+        vm.limits.cores = self.cores
         self.start_counts[vm.name] = self.start_counts.get(vm.name, 0) + 1
         super().start_vm(vm)
 
--- a/soak/day/run.py
+++ b/soak/day/run.py
@@ -1,5 +1,6 @@
 """Runs one day and reports what was lost, by the clauses of the rules."""
 
+import os
 import tempfile
 from collections import Counter
 from pathlib import Path
@@ -27,22 +28,27 @@
 
 
 class DayReport(Record):
-    """The result of a day; ``losses`` has a Loss for each clause and attempt."""
+    """The result of a day; ``losses`` has a Loss for each clause and attempt.
+
+    ``statuses`` and ``ends`` map each status and end of an attempt to their number.
+    """
 
     __slots__ = (
         "seed",
         "n_events",
         "statuses",
+        "ends",
         "losses",
         "findings",
         "lag_s",
         "folder",
     )
 
-    def __init__(self, seed, n_events, statuses, losses, findings, lag_s, folder):
+    def __init__(self, seed, n_events, statuses, ends, losses, findings, lag_s, folder):
         self.seed = seed
         self.n_events = n_events
         self.statuses = statuses
+        self.ends = ends
         self.losses = losses
         self.findings = findings
         self.lag_s = lag_s
@@ -56,6 +62,7 @@
         """Return the report as lines of text."""
         yield (
             f"day {self.seed}: {self.n_events} events, answers {self.statuses},"
+            f" ends {self.ends},"
             f" lag of the trial {1000 * self.lag_s:.0f} ms, logs in {self.folder}"
         )
         for finding in self.findings:
@@ -70,12 +77,17 @@
             yield f"    {loss.clause[0]} [{loss.excuse}] {loss.details}"
 
 
-def run_day(seed, length_s, n_vms, folder=None):
-    """Run a day of ``length_s``; returns its DayReport."""
+def run_day(seed, length_s, n_vms, folder=None, n_cores=0):
+    """Run a day of ``length_s``; returns its DayReport.
+
+    If ``n_cores`` is not 0, all VMs share so many cores of those of this process.
+    """
     folder = Path(folder or tempfile.mkdtemp(prefix=f"day-{seed}-"))
     journal = DayJournal()
     events = draw_events(seed, length_s)
     with DayCell(folder, n_vms, journal) as cell:
+        if n_cores:
+            cell.cores = set(sorted(os.sched_getaffinity(0))[:n_cores])
         cell.add_servers()
         cell.publish()
         cell.start_all()
@@ -84,12 +96,14 @@
         findings = [*journal.findings, *check_orders(journal)]
         findings += check_recovered(journal)
     statuses = Counter(attempt.status for attempt in journal.attempts)
+    ends = Counter(attempt.end for attempt in journal.attempts)
     lag_s = max((lag for _, lag in journal.lags), default=0.0)
     losses = find_losses(journal)
     return DayReport(
         seed,
         len(events),
         dict(sorted(statuses.items())),
+        dict(sorted(ends.items())),
         losses,
         findings,
         lag_s,
--- a/standins/process_limits.py
+++ b/standins/process_limits.py
@@ -24,17 +24,25 @@
     n_threads : int, optional
         Maximum number of threads of the process's user, over all of its processes. With
         1, the process can't start a thread. The system does not enforce it for root.
+    cores : set of int, optional
+        Numbers of the cores on which the process runs.
     """
 
-    __slots__ = ("address_space_mb", "data_mb", "n_descriptors", "n_threads")
+    __slots__ = ("address_space_mb", "data_mb", "n_descriptors", "n_threads", "cores")
 
     def __init__(
-        self, address_space_mb=None, data_mb=None, n_descriptors=None, n_threads=None
+        self,
+        address_space_mb=None,
+        data_mb=None,
+        n_descriptors=None,
+        n_threads=None,
+        cores=None,
     ):
         self.address_space_mb = address_space_mb
         self.data_mb = data_mb
         self.n_descriptors = n_descriptors
         self.n_threads = n_threads
+        self.cores = cores
 
     @classmethod
     def from_settings(cls):
@@ -46,6 +54,8 @@
         for kind, value in self._values().items():
             if value is not None:
                 resource.setrlimit(kind, (value, value))
+        if self.cores:
+            os.sched_setaffinity(0, self.cores)
 
     def _values(self):
         return {
