Log a SIGHUP that comes in a planned stop

Operators could not tell that changed settings were ignored: a SIGHUP in a planned stop left no line, in both programs. The common life of a process logs process: reload ignored at the end of the stop.

--- a/packages/core/hornbeamstand_core/edge_messages.py
+++ b/packages/core/hornbeamstand_core/edge_messages.py
@@ -96,8 +96,8 @@
     ``n_sent`` counts this VM's sends to targets. ``n_may_have_run`` counts the sends
     that may have run, including those of a peer that the request was relayed to.
     ``relay_to`` is the peer that the request was last relayed to, or is to be, or None.
-    ``first_kind`` is the
-    kind of the first send: RETRY if a peer that failed may have sent the request.
+    ``first_kind`` is the kind of the first send: RETRY if a peer that failed may have
+    sent the request.
     """
 
     __slots__ = (
--- a/packages/entry/hornbeamstand_entry/life/running.py
+++ b/packages/entry/hornbeamstand_entry/life/running.py
@@ -104,6 +104,8 @@
     """Serve until a stop is requested, and perform it."""
     wait_for_stop(program, process, log, signals)
     program.stop(process, signals)
+    if signals.is_reload_requested:
+        log.info("process: reload ignored", reason="it came in the planned stop")
 
 
 def tune_garbage_collector():
--- a/packages/entry/tests/test_edge_reloading.py
+++ b/packages/entry/tests/test_edge_reloading.py
@@ -7,6 +7,8 @@
 from hornbeamstand_entry.edge.program import make_edge_program
 from hornbeamstand_entry.edge.settings import EdgeSettings
 from hornbeamstand_entry.life.reloading import reload
+from hornbeamstand_entry.life.running import serve_until_stopped
+from hornbeamstand_entry.life.signals import Signals
 from result import Err, Ok
 
 
@@ -62,3 +64,16 @@
     reload_with(process, Err("field Grace is missing"))
     assert [event for event, _ in process.lines] == ["process: reload failed"]
     assert (process.settings, process.messages) == (make_settings(), [])
+
+
+def test_a_reload_in_a_planned_stop_leaves_a_line():
+    """Guards against changed settings that are ignored without notice."""
+    signals, events = Signals(), []
+    signals._note_stop()
+    program = make_edge_program(None, None)
+    program.stop = lambda process, signals: setattr(
+        signals, "is_reload_requested", True
+    )
+    log = SimpleNamespace(info=lambda event, **fields: events.append(event))
+    serve_until_stopped(program, None, log, signals)
+    assert events == ["process: reload ignored"]
