Refuse only while turns are late, and hand services over then

Cause: the refusal asked only whether the VM limits, not whether a turn is late now; and only the delay of ticks moved owners. A VM that refuses now tells its peers that it is overloaded, at once. Both new tests failed before; test_admission and test_edge_peers pass.

--- a/packages/core/hornbeamstand_core/controllers/admission.py
+++ b/packages/core/hornbeamstand_core/controllers/admission.py
@@ -153,9 +153,10 @@
         """Return the Refusal of a request, or None if it is admitted."""
         self._priority_min = min(self._priority_min, arrival.priority)
         self._priority_max = max(self._priority_max, arrival.priority)
-        if not self.is_limiting:
+        turn_ms = self.turn_ms(now_ms)
+        if not self.is_limiting or turn_ms < LATE_TURN_MS:
             return None
-        turns_ms = N_TURNS * self.turn_ms(now_ms)
+        turns_ms = N_TURNS * turn_ms
         if self._rng.random() < self._admitted_share(arrival, turns_ms):
             return None
         self.n_refused += 1
--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -339,7 +339,6 @@
             if name in self.services:
                 self.services[name].note_owner(now_ms)
         out = self._note_delay(message.delay_ms, now_ms)
-        out += self.admission.note_tick(now_ms)
         out += self._begin_serving(now_ms)
         out += self._drain_all(now_ms)
         out += self.table.expire_suspects(now_ms)
@@ -353,13 +352,17 @@
 
     def _note_delay(self, delay_ms, now_ms):
         """Note how late a tick was; tell the peers if this VM is overloaded now."""
-        if not self.overload.note_tick(delay_ms, now_ms):
-            return []
-        self.peers.set_overloaded(self.overload.is_overloaded)
-        self._next_round_ms = now_ms
+        out = self.admission.note_tick(now_ms)
+        has_changed = self.overload.note_tick(delay_ms, now_ms)
+        is_overloaded = self.overload.is_overloaded or self.admission.is_limiting
+        if is_overloaded != self.peers.is_overloaded:
+            self.peers.set_overloaded(is_overloaded)
+            self._next_round_ms = now_ms
+        if not has_changed:
+            return out
         event = "overloaded" if self.overload.is_overloaded else "keeps up"
         detail = f"delay_ms={self.overload.mean_delay_ms:.0f}"
-        return [StateChange("vm", event, self.me.ip, detail)]
+        return [*out, StateChange("vm", event, self.me.ip, detail)]
 
     def _update_watch_scope(self, now_ms):
         """Watch what this VM needs, and drop the targets that it no longer needs."""
--- a/packages/core/tests/test_admission.py
+++ b/packages/core/tests/test_admission.py
@@ -77,6 +77,14 @@
     assert vm.refused_share(limit_ms=300.0) == 1.0
 
 
+def test_turns_in_time_are_no_reason_to_refuse_after_late_ones(vm):
+    """Guards against refusals of short requests while a VM keeps up."""
+    vm.run(4 * LATE_TURN_MS, 2 * STANDING_MS)
+    vm.run(0.9 * LATE_TURN_MS, STANDING_MS)
+    assert vm.admission.is_limiting
+    assert vm.refused_share(limit_ms=100.0) == 0.0
+
+
 def test_a_turn_that_does_not_end_counts_with_its_age(vm):
     """Guards against requests that are admitted while a VM falls behind."""
     vm.run(LATE_TURN_MS, 2 * STANDING_MS)
--- a/packages/core/tests/test_edge_peers.py
+++ b/packages/core/tests/test_edge_peers.py
@@ -235,6 +235,21 @@
     assert sent[False] == 9900.0
 
 
+def test_a_vm_that_refuses_requests_hands_its_services_over():
+    """Guards against refusals by an owner while another VM has room."""
+    node = make_serving_node()
+    node.handle(make_heartbeat("10.0.0.2"), 0.0)
+    for now_ms in range(0, 1500, 100):
+        node.admission.begin_turn(now_ms)
+        node.admission.end_turn(now_ms + 90.0)
+        node.handle(make_heartbeat("10.0.0.2"), now_ms)
+        out = node.handle(EdgeTick(), now_ms)
+    sent = messages_of_kind(out, SendEdgeHeartbeat)
+    assert node.peers.own_heartbeat(1500.0).is_overloaded
+    assert all(message.heartbeat.is_overloaded for message in sent)
+    assert node.peers.ranking.owner("shop", 1500.0, "a") == "10.0.0.2"
+
+
 def test_late_ticks_of_a_start_are_no_overload():
     node = make_node(started_at_ms=0.0)
     overload(node, 100.0)
