Load the log's library before callers are served

A reviewer saw VMs stand for about a second of a slow processor 10 to 60 s after their start, while they served: the library of the log was loaded then (94 ms of processor at once on an idle VM).

The log now loads it when it is started, which comes before the listeners open. The test of the first lines asked that they need no library; it is replaced by one that is as strict for callers: once the log is started, writing lines loads no module. It failed before.

--- a/packages/entry/hornbeamstand_entry/edge/logs.py
+++ b/packages/entry/hornbeamstand_entry/edge/logs.py
@@ -5,14 +5,12 @@
 rate of lines up to a second limit.
 
 Lines are rendered when they are written. The library that renders them makes up a fifth
-of the program's imports, and the process handles nothing else while it is loaded. It is
-loaded some time after the start, at a different time on each VM: all VMs may start at
-once and share a processor. Until then, lines are rendered without it.
+of the program's imports, and the process handles nothing else while it is loaded. So it
+is loaded in the start, before callers are served.
 """
 
 import time
 from contextlib import suppress
-from random import Random
 
 import gevent
 import msgspec
@@ -32,9 +30,6 @@
 # Delay from the start until the first flush, so that the process serves before it
 # writes lines. A process that ends earlier flushes at its end.
 FIRST_FLUSH_DELAY_MS = 800.0
-# Range of the delay from the start until the library that renders lines is loaded.
-LOAD_DELAY_MIN_MS = 10_000.0
-LOAD_DELAY_MAX_MS = 60_000.0
 # Minimum level of the lines that structlog renders (logging.INFO).
 LEVEL_INFO = 20
 MS_PER_S = 1000.0
@@ -330,20 +325,12 @@
         """Start to flush at intervals; the exit stack ends that and flushes again."""
         report_failures_to(self.unexpected_error, stack)
         stack.callback(self.lines.flush)
-        for name, run in (
-            ("log-writer", self._write_forever),
-            ("log-library", self._load_library),
-        ):
-            greenlet = spawn_supervised(name, run)
-            stack.callback(greenlet.kill, block=False)
+        self.renderer.load_library()
+        writer = spawn_supervised("log-writer", self._write_forever)
+        stack.callback(writer.kill, block=False)
 
     def _write_forever(self):
         gevent.sleep(FIRST_FLUSH_DELAY_MS / MS_PER_S)
         while True:
             self.lines.flush()
             gevent.sleep(FLUSH_INTERVAL_MS / MS_PER_S)
-
-    def _load_library(self):
-        delay_ms = Random(self.vm_id).uniform(LOAD_DELAY_MIN_MS, LOAD_DELAY_MAX_MS)
-        gevent.sleep(delay_ms / MS_PER_S)
-        self.renderer.load_library()
