Let a doubled SIGTERM and a late request end in order in the own program

SIGTERM twice within 10 ms, as from a launcher that signals the process and its group, ended the stop at once: 4 of 4 requests of 400 ms were closed without a byte. A request with 400 ms left that waited in a freeze of 0.8 s was run and answered after its deadline (4 of 4).

A second signal within 0.5 s of the first counts as the same, with a line; later ones still end the stop at once. Both new tests failed before.

--- a/packages/entry/hornbeamstand_entry/front.py
+++ b/packages/entry/hornbeamstand_entry/front.py
@@ -16,6 +16,7 @@
 from .performers import drive
 from .responses import respond_outcome, respond_refusal
 from .tasks.byte_budget import ByteBudget
+from .tasks.sockets import unread_ms
 
 LOOKUP_PREFIX = "/lookup/"
 SERVICES_PREFIX = "/services/"
@@ -139,13 +140,16 @@
         # A caller may use an id again. The part after "~" makes it unique in this VM.
         base_request_id = environ.get("HTTP_HORNBEAM_REQUEST_ID")
         base_request_id = base_request_id or f"{self.settings.vm_id}-{self._n_received}"
+        deadline_ms = read_number(environ.get("HTTP_HORNBEAM_DEADLINE_MS"))
+        if deadline_ms is not None:
+            deadline_ms -= unread_ms(environ["hornbeamstand.socket"])
         request = Request(
             f"{base_request_id}~{self._n_received}",
             name,
             environ["REQUEST_METHOD"],
             path.partition("?")[0],
             environ.get("HTTP_IDEMPOTENCY_KEY"),
-            read_number(environ.get("HTTP_HORNBEAM_DEADLINE_MS")),
+            deadline_ms,
             arrived_at_ms,
             int(read_number(environ.get("HTTP_HORNBEAM_HOPS")) or 0),
             environ.get("HTTP_HORNBEAM_RECORDED") == "1",
--- a/packages/entry/hornbeamstand_entry/program.py
+++ b/packages/entry/hornbeamstand_entry/program.py
@@ -16,6 +16,8 @@
 LOG_FLUSH_INTERVAL_MS = 100.0
 # Interval at which a planned stop is checked for completion.
 STOP_POLL_INTERVAL_MS = 20.0
+# Time after the first request to stop in which another one is taken for the same.
+REPEATED_SIGNAL_MS = 500.0
 MS_PER_S = 1000.0
 # Fields that take effect at once. The others need a restart: sockets, tasks, the VM's
 # identity and what its cell has agreed on are made from them.
@@ -89,10 +91,18 @@
 
 
 def stop(process, signals):
-    """Perform the planned stop; a second request to stop ends it at once."""
+    """Perform the planned stop; a later request to stop ends it at once.
+
+    A launcher may signal a process twice, once with its group.
+    """
     n_requests = 0
+    repeated_until_ms = process.clock.now_ms() + REPEATED_SIGNAL_MS
     while process.node.stopping.phase != STOPPED:
-        if signals.n_stop_requests > n_requests:
+        is_repeated = n_requests and process.clock.now_ms() < repeated_until_ms
+        if signals.n_stop_requests > n_requests and is_repeated:
+            n_requests = signals.n_stop_requests
+            process.log.info("process: repeated signal ignored")
+        elif signals.n_stop_requests > n_requests:
             n_requests += 1
             process.log.info("process: planned stop asked for")
             message = BeginStop(process.settings.stop_deadline_ms)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -123,6 +123,40 @@
     assert vm.process.wait(timeout=5.0) == 0
 
 
+def test_a_signal_that_is_sent_twice_at_once_cuts_no_request(stack):
+    """Guards against a launcher that signals the process and its group."""
+    cluster, targets = start_cluster(stack, 1)
+    (vm,) = cluster.vms
+    for target in targets:
+        control(target, service_ms=400)
+    calls = [
+        gevent.spawn(request, vm.front_address, "GET", "/services/shop/x")
+        for _ in range(4)
+    ]
+    gevent.sleep(0.15)
+    vm.signal(signal.SIGTERM)
+    gevent.sleep(0.02)
+    vm.signal(signal.SIGTERM)
+    assert [call.get()[0] for call in calls] == [200] * 4
+    assert vm.process.wait(timeout=20.0) == 0
+
+
+def test_a_deadline_counts_from_the_arrival_of_a_request_in_a_freeze(stack):
+    """Guards against work that is begun after its caller gave up."""
+    cluster, targets = start_cluster(stack, 1)
+    (vm,) = cluster.vms
+    n_runs = total(targets, "n_runs")
+    vm.signal(signal.SIGSTOP)
+    items = {"Hornbeam-Deadline-Ms": "400"}
+    call = gevent.spawn(
+        request, vm.front_address, "GET", "/services/shop/x", headers=items
+    )
+    gevent.sleep(0.8)
+    vm.signal(signal.SIGCONT)
+    assert call.get()[0] == 504
+    assert total(targets, "n_runs") == n_runs
+
+
 def reload_settings(vm, **changed):
     """Change settings of a VM and wait until they are in force."""
     n_reloads = vm.log_file.read_text().count("process: settings reloaded")
