Forget the transfers of former members and repeated edits

Seen by a reviewer: 1,000 restarts of a peer left 1,000 entries in OrderTransfers, and 1,000 edits of a serving set as many sizes, for the life of the process.

A new view drops members that it has lost, but not those that transferred their orders for a later view; sizes that are recorded already are not recorded again.

--- a/packages/core/hornbeamstand_core/controllers/order_transfers.py
+++ b/packages/core/hornbeamstand_core/controllers/order_transfers.py
@@ -32,9 +32,22 @@
         if former is None:
             return
         sizes = serving_set_sizes(former)
-        if sizes != serving_set_sizes(configuration):
+        is_new = sizes not in self._former_sizes
+        if is_new and sizes != serving_set_sizes(configuration):
             self._former_sizes.append(sizes)
 
+    def note_view(self, view):
+        """Forget the members that a view has lost; ids are never used again.
+
+        A member that this view does not have yet may have transferred its orders for a
+        later one.
+        """
+        self._versions = {
+            member_id: versions
+            for member_id, versions in self._versions.items()
+            if member_id in view.members or versions[0] > view.version
+        }
+
     def note_transfer(self, message):
         """Record an OrdersReceived that is part of a transfer.
 
--- a/packages/core/hornbeamstand_core/controllers/orders.py
+++ b/packages/core/hornbeamstand_core/controllers/orders.py
@@ -336,6 +336,7 @@
         if is_new_view:
             self._history.note_view(self._transferred_view, message.view, now_ms)
             self.view = message.view
+            self._transfers.note_view(message.view)
         out = self._send_transfers(now_ms)
         return out + self._release_held(now_ms)
 
--- a/packages/core/tests/test_orders.py
+++ b/packages/core/tests/test_orders.py
@@ -451,3 +451,16 @@
         cluster.books[primary].note_received(late, 0.0)
     request_id = cluster.reserve(primary)
     assert isinstance(cluster.replies[request_id], OrderReserved)
+
+
+def test_former_members_and_repeated_edits_take_no_memory():
+    cluster = Cluster(3)
+    survivor = sorted(cluster.books)[0]
+    for size in (2, 3) * 20:
+        cluster.edit_serving_set(size)
+        cluster.adopt(cluster.view)
+    transfers = cluster.books[survivor]._transfers
+    assert len(transfers._former_sizes) <= 2
+    others = set(cluster.books) - {survivor}
+    cluster.adopt(cluster.view.without(others, is_clean=True))
+    assert transfers._versions == {}
