Make a build that has lost files again, and let other users run it

A reviewer removed a package of the build in place: every start failed until the sources changed, since a build that exists counted as whole. With a umask of 077 another user could neither run nor build. The build now compares the names of its sources, sets its modes, and opens its lock for reading.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -38,6 +38,9 @@
 # Time for which a build is kept after another one took its place: processes may import
 # from it. The build before the one in place is kept longer.
 KEEP_S = 24 * 3600.0
+# Mode of the lock, and the mask of all modes: another user may run what one has built.
+FILE_MODE = 0o644
+MODE_MASK = 0o022
 N_KEY_CHARS = 16
 
 
@@ -46,6 +49,7 @@
 
     ``install`` installs a requirements file into a folder; by default, with pip.
     """
+    os.umask(MODE_MASK)
     deps = root / "target" / "deps"
     deps.mkdir(parents=True, exist_ok=True)
     with hold_lock(deps / ".lock"):
@@ -54,6 +58,8 @@
         libs_key = make_key({REQUIREMENTS: requirements.read_bytes()})
         sources = read_sources(root)
         made = deps / (BUILD_PREFIX + make_key({**sources, "libs": libs_key.encode()}))
+        if made.exists() and not has_files(made, sources):
+            remove(made)
         if not made.exists():
             libs = deps / (LIBS_PREFIX + libs_key)
             make_libs(libs, requirements, install or install_with_pip)
@@ -66,9 +72,13 @@
 @contextmanager
 def hold_lock(path):
     """Hold the lock of a file. The system releases it if the process ends."""
-    with open(path, "ab") as file:
-        fcntl.flock(file, fcntl.LOCK_EX)
+    # Another user of the checkout may have made the file.
+    descriptor = os.open(path, os.O_RDONLY | os.O_CREAT, FILE_MODE)
+    try:
+        fcntl.flock(descriptor, fcntl.LOCK_EX)
         yield
+    finally:
+        os.close(descriptor)
 
 
 def read_sources(root):
@@ -103,6 +113,11 @@
     return deps / os.readlink(link).partition("/")[0]
 
 
+def has_files(made, sources):
+    """Return whether a build still has all files of its sources."""
+    return all((made / name).exists() for name in sources)
+
+
 def make_libs(libs, requirements, install):
     """Install the dependencies, unless they are installed."""
     if libs.exists():
--- a/tests/test_deploy_build.py
+++ b/tests/test_deploy_build.py
@@ -192,6 +192,26 @@
     assert not (checkout.in_place() / "half.py").exists()
 
 
+def test_a_build_that_has_lost_a_package_is_made_again(checkout):
+    """Guards against starts that fail until the sources change."""
+    checkout.build()
+    shutil.rmtree(checkout.in_place() / "hornbeamstand_entry")
+    checkout.build()
+    with checkout.launch(BY_PATH) as process:
+        assert process.communicate("\n") == ("started\n1 1\n", "")
+
+
+def test_what_is_built_can_be_run_by_other_users(checkout):
+    mask = os.umask(0o077)
+    try:
+        checkout.build()
+    finally:
+        os.umask(mask)
+    modes = [path.stat().st_mode for path in checkout.in_place().rglob("*.py")]
+    assert checkout.in_place().stat().st_mode & 0o055 == 0o055
+    assert all(mode & 0o044 == 0o044 for mode in modes)
+
+
 def test_a_source_that_cannot_be_compiled_changes_nothing_in_place(checkout):
     checkout.build()
     first = checkout.in_place()
