Build in processes of their own in the test of starts beside builds

The whole suite hung in test_starts_beside_builds_find_their_modules (no end after 8 minutes), though the file alone passes. Cause: modules of other tests replace the threads of the process by greenlets; the builders, which never wait, then kept every other greenlet from running. They are processes now, which end in order, and whose status the test checks too; no check is left out. The file passes alone and behind test_ctl and test_own_program.

--- a/tests/test_deploy_build.py
+++ b/tests/test_deploy_build.py
@@ -5,7 +5,6 @@
 import subprocess
 import sys
 import sysconfig
-import threading
 import time
 from importlib.util import find_spec, module_from_spec, spec_from_file_location
 from pathlib import Path
@@ -99,11 +98,24 @@
     return made
 
 
-def build_until(checkout, module, stop):
-    """Build again and again, from other sources each time."""
-    while not stop.is_set():
-        checkout.write(module, f"TIME_NS = {time.time_ns()}\n")
-        checkout.build()
+# Builds again and again, from other sources each time. It is a process of its own: an
+# earlier test may have replaced the threads of this one by greenlets.
+BUILDER = """
+import sys, time
+from pathlib import Path
+sys.path.insert(0, sys.argv[1])
+from build import build
+root, module, stop = map(Path, sys.argv[2:])
+while not stop.exists():
+    module.write_text(f"TIME_NS = {time.time_ns()}\\n")
+    build(root)
+"""
+
+
+def start_builder(checkout, module, stop):
+    """Start a process that builds until the file ``stop`` exists."""
+    arguments = [ROOT / "deploy", checkout.root, module, stop]
+    return subprocess.Popen([sys.executable, "-c", BUILDER, *map(str, arguments)])
 
 
 def test_starts_beside_builds_find_their_modules(tmp_path):
@@ -113,14 +125,11 @@
         for package in ROOT.glob(pattern):
             shutil.copytree(package, checkout.root / package.relative_to(ROOT))
     checkout.build()
-    stop = threading.Event()
-    changed = [checkout.entry / f"changed_{i}.py" for i in range(2)]
+    stop = tmp_path / "stop"
     builders = [
-        threading.Thread(target=build_until, args=(checkout, module, stop))
-        for module in changed
+        start_builder(checkout, checkout.entry / f"changed_{i}.py", stop)
+        for i in range(2)
     ]
-    for builder in builders:
-        builder.start()
     try:
         for i in range(N_STARTS):
             process = checkout.launch(
@@ -131,9 +140,9 @@
             _, rest = process.communicate()
             assert (process.returncode, first_line[:6]) == (0, "error:"), rest
     finally:
-        stop.set()
-        for builder in builders:
-            builder.join()
+        stop.touch()
+        statuses = [builder.wait() for builder in builders]
+    assert statuses == [0, 0]
     assert len(checkout.names("build-")) > 2
     assert checkout.names("partial-") == set()
 
