Tell no owner that is not known yet of a target's notice

The last line: process: task failed, heartbeats, TypeError of sendto, not NoneType.

Cause: a VM that hears from a target that it is cold or leaves tells the owners of its service in all failure domains. The domains came from the present candidates, the owners from a ranking that may be 40 ms old. In the first 40 ms in which a VM serves, or has heard the first VM of a domain, the ranking is empty, the owner is None, and the datagram to nobody ended the task, and with it the process. With a second owner the sorting itself would have failed in the control task.

Why this works: an unknown owner is left out; the notice is shared again with the next answer. The new test failed before in both cases; test_edge_peers passes.

--- a/packages/core/hornbeamstand_core/controllers/peer_view.py
+++ b/packages/core/hornbeamstand_core/controllers/peer_view.py
@@ -342,7 +342,8 @@
             self.ranking.owner(service_name, now_ms, failure_domain)
             for failure_domain in self._candidate_domains(now_ms)
         }
-        return sorted(owners - {self.me.ip})
+        # The ranking may be from before the first VM of a domain was heard.
+        return sorted(owners - {self.me.ip, None})
 
     def _candidate_domains(self, now_ms):
         return {heartbeat.failure_domain for heartbeat in self.candidates(now_ms)}
--- a/packages/core/tests/test_edge_peers.py
+++ b/packages/core/tests/test_edge_peers.py
@@ -1,5 +1,6 @@
 """Heartbeats between VMs, and the VMs that lookups return and that own services."""
 
+import pytest
 from tests.edge_nodes import (
     deliver_heartbeats,
     make_heartbeat,
@@ -250,6 +251,16 @@
     assert node.peers.ranking.owner("shop", 1500.0, "a") == "10.0.0.2"
 
 
+@pytest.mark.parametrize("n_heard", [1, 2])
+def test_a_vm_that_has_just_heard_its_first_peers_tells_no_unknown_owner(n_heard):
+    """Guards against the end of a young VM when a target says that it leaves."""
+    node = make_node()
+    assert node.peers.ranking.owner("shop", 0.0, "a") is None
+    for i in range(n_heard):
+        node.handle(make_heartbeat(f"10.0.0.{2 + i}", domain="ab"[i]), 1.0)
+    assert None not in node.peers.other_owners("shop", 2.0)
+
+
 def test_late_ticks_of_a_start_are_no_overload():
     node = make_node(started_at_ms=0.0)
     overload(node, 100.0)
