Open gRPC servers of a test in processes of their own

Cause: tests of the own program opened gRPC servers in the test process, and grpcio runs code in each child that is forked later, in the children that the build's tests start. The program itself starts no process.

--- a/packages/entry/tests/test_own_program.py
+++ b/packages/entry/tests/test_own_program.py
@@ -1,7 +1,8 @@
 """What the product's own program opens, and what it applies while it runs."""
 
 import socket
-from contextlib import ExitStack
+import subprocess
+import sys
 from types import SimpleNamespace
 
 import pytest
@@ -9,13 +10,6 @@
 from hornbeamstand_entry.life.addresses import AddressError, open_listener, open_socket
 from hornbeamstand_entry.process import make_find_refusal
 from hornbeamstand_entry.sockets import ProcessSockets
-from hornbeamstand_entry.tasks.peer_state import open_peer_server
-
-
-@pytest.fixture
-def stack():
-    with ExitStack() as exit_stack:
-        yield exit_stack
 
 
 def free_address():
@@ -23,27 +17,46 @@
         return f"127.0.0.1:{listener.getsockname()[1]}"
 
 
-def test_a_peer_address_that_is_lost_between_its_check_and_its_use_is_waited_for(stack):
-    """Guards against a start that ends with a traceback of grpcio."""
-    address = free_address()
-    holder = stack.enter_context(open_listener(address))
-    with pytest.raises(AddressError) as raised:
+# grpcio runs code in each child that a process forks, so it has a process of its own.
+PEER_SERVERS = """
+import os
+from hornbeamstand_entry.life.addresses import AddressError, open_listener
+from hornbeamstand_entry.tasks.peer_state import open_peer_server
+
+def assert_refused(address):
+    try:
         open_peer_server(address)
-    assert raised.value.is_temporary
-    assert raised.value.peer == address
-    holder.close()
-    stack.callback(open_peer_server(address).stop, None)
+    except AddressError as error:
+        assert error.is_temporary and error.peer == address, error
+    else:
+        raise AssertionError("the address was bound")
+
+with open_listener("127.0.0.1:0") as listener:
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+"""
 
 
-def test_two_processes_never_share_a_peer_address(stack):
+def run_peer_servers(steps):
+    """Run steps behind PEER_SERVERS, without a wait for grpcio's threads."""
+    code = f"{PEER_SERVERS}{steps}os._exit(0)\n"
+    subprocess.run([sys.executable, "-c", code], check=True, timeout=30.0)
+
+
+def test_a_peer_address_that_is_lost_between_its_check_and_its_use_is_waited_for():
+    """Guards against a start that ends with a traceback of grpcio."""
+    run_peer_servers(
+        "with open_listener(address):\n"
+        "    assert_refused(address)\n"
+        "server = open_peer_server(address)\n"
+    )
+
+
+def test_two_processes_never_share_a_peer_address():
     """Guards against calls that reach the process of an earlier start."""
-    address = free_address()
-    stack.callback(open_peer_server(address).stop, None)
-    with pytest.raises(AddressError):
-        open_peer_server(address)
+    run_peer_servers("server = open_peer_server(address)\nassert_refused(address)\n")
 
 
-def test_no_address_is_held_while_another_can_not_be_had(stack, monkeypatch):
+def test_no_address_is_held_while_another_can_not_be_had(monkeypatch):
     """Guards against callers that wait at a process that does not serve."""
     front, peer = free_address(), free_address()
     settings = SimpleNamespace(front_address=front, peer_address=peer)
