--- a/packages/core/hornbeamstand_core/controllers/admission.py
+++ b/packages/core/hornbeamstand_core/controllers/admission.py
@@ -86,7 +86,7 @@
         self.n_refused = 0
         self._rng = rng
         self._calm_ms = CALM_MS * (1.0 + CALM_SPREAD * rng.random())
-        # Begin of the turn that is measured now, or None.
+        # When the turn in progress began, or None.
         self._turn_began_at_ms = None
         self._turn_ms = 0.0
         self._n_late_ticks = 0
