Read the store again when it has come back from an older copy

Callers got 404 for the routes of a configuration that the store had acknowledged, from every VM and until the next change. Cause: the store had come back from an older copy and given out revisions again. Watches that came back when the revisions had passed the old one were answered, without what had been written in between; revisions were only ever compared by size.

The era that the store states in each answer is part of every call now: an answer of an earlier era is dropped, the first one of a later era ends the watch and the kept revisions, and all that is watched is read again, not stale, within 200 ms. The VM's entry gets a new lease; the id of the old one may be another VM's. Heartbeats carry the era in the high bits of a field that earlier builds read as a larger count, and a peer that knows a later era has the watch begun again at once.

What the copy lacks is still taken over as it is.

--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -6,6 +6,7 @@
 from ..discovery import (
     StoreAvailable,
     StoreChanges,
+    StoreEraNoted,
     StoreSnapshot,
     StoreUnavailable,
 )
@@ -132,6 +133,7 @@
             StoreSnapshot: self._apply_snapshot,
             StoreUnavailable: self._note_store_unavailable,
             StoreAvailable: self._note_store_available,
+            StoreEraNoted: self._note_era,
             EdgeHeartbeat: self._note_heartbeat,
             Contacts: self._note_contacts,
             EdgeTick: self._tick,
@@ -301,6 +303,19 @@
             self.peers.expedite_local()
             self._next_round_ms = now_ms
 
+    def _note_era(self, message, now_ms):
+        """Begin an era of the store: revisions seen before it mean nothing in it."""
+        self.peers.era = message.era
+        if message.earlier_era is None:
+            return []
+        detail = f"era={message.era} from={message.earlier_era} seen={self.revision}"
+        self.revision = 0
+        self.peers.revision = 0
+        return [
+            StateChange("store", "new era", "", detail),
+            *self._records.begin_era(now_ms),
+        ]
+
     def _note_store_unavailable(self, message, now_ms):
         return self._store.note_unavailable(message.detail, now_ms)
 
@@ -317,11 +332,18 @@
         if heartbeat.config_version > self.routing.version:
             self.watch_scope.note_behind(now_ms)
             return out + self._fetch_config(heartbeat, now_ms)
-        if heartbeat.is_watching and self.watch_scope.scope == WATCH_ALL:
-            if heartbeat.revision > self.revision:
-                self._store.note_behind_peer(now_ms)
+        if not heartbeat.is_watching:
+            return out
+        out += self.watch_scope.note_peer_era(heartbeat.era, self.peers.era)
+        if self.watch_scope.scope == WATCH_ALL and self._is_behind(heartbeat):
+            self._store.note_behind_peer(now_ms)
         return out
 
+    def _is_behind(self, heartbeat):
+        """Return whether a peer has seen a later revision of the store."""
+        seen = (self.peers.era, self.revision)
+        return (heartbeat.era, heartbeat.revision) > seen
+
     def _fetch_config(self, heartbeat, now_ms):
         if now_ms - self._fetch_sent_at_ms < CONFIG_FETCH_INTERVAL_MS:
             return []
--- a/packages/core/hornbeamstand_core/controllers/peer_view.py
+++ b/packages/core/hornbeamstand_core/controllers/peer_view.py
@@ -66,6 +66,7 @@
         "is_watching",
         "is_overloaded",
         "revision",
+        "era",
         "config_version",
         "ranking",
         "settling",
@@ -88,6 +89,7 @@
         self.is_watching = False
         self.is_overloaded = False
         self.revision = 0
+        self.era = 0
         self.config_version = 0
         self.ranking = Ranking(self.candidates, self._is_overloaded)
         self.settling = Settling(me.started_at_ms)
@@ -111,6 +113,7 @@
             len(self.peers),
             self.config_version,
             self.revision,
+            self.era,
         )
 
     def note_contact(self, ip):
--- a/packages/core/hornbeamstand_core/controllers/store_records.py
+++ b/packages/core/hornbeamstand_core/controllers/store_records.py
@@ -53,6 +53,10 @@
         """Return the set of the failure domains that are out of service."""
         return frozenset(self._domains_by_key.values())
 
+    def begin_era(self, now_ms):
+        """Begin an era of the store, which has lost changes; return messages."""
+        return []
+
     def apply_changes(self, message, now_ms):
         """Apply the records of StoreChanges; return state changes for the log."""
         out = []
--- a/packages/core/hornbeamstand_core/controllers/watch_scope.py
+++ b/packages/core/hornbeamstand_core/controllers/watch_scope.py
@@ -73,6 +73,7 @@
         "_behind_since_ms",
         "_self_watch_until_ms",
         "_has_delayed_read",
+        "_peer_era",
     )
 
     def __init__(self, peers, is_seed):
@@ -86,6 +87,8 @@
         self._behind_since_ms = None
         self._self_watch_until_ms = float("-inf")
         self._has_delayed_read = False
+        # The latest era of the store that a peer has stated.
+        self._peer_era = 0
 
     def note_serving(self, now_ms):
         """Record that this VM has read a configuration and the targets, and serves."""
@@ -120,6 +123,17 @@
         if self._behind_since_ms is None:
             self._behind_since_ms = now_ms
 
+    def note_peer_era(self, peer_era, own_era):
+        """Return a list with a Resync if a peer is the first to state a later era.
+
+        The answer to the watch that it begins states the era. An earlier watch may
+        wait for changes on a connection that the store knows nothing of any more.
+        """
+        if peer_era <= max(own_era, self._peer_era):
+            return []
+        self._peer_era = peer_era
+        return [] if self.scope == WATCH_NOTHING else [Resync(self.peers.revision)]
+
     def update_scope(self, is_owner, lacks_owners, has_targets, now_ms):
         """Update what is watched; return messages if it changes.
 
--- a/packages/core/hornbeamstand_core/discovery.py
+++ b/packages/core/hornbeamstand_core/discovery.py
@@ -145,3 +145,18 @@
     """The store answers this VM again."""
 
     __slots__ = ()
+
+
+class StoreEraNoted(Record):
+    """The store's answers state an era; with each later one it has lost changes.
+
+    The store has then come back from an older copy of itself: revisions and leases of
+    ``earlier_era`` mean nothing in ``era``. ``earlier_era`` is None if no answer had
+    stated an era before.
+    """
+
+    __slots__ = ("era", "earlier_era")
+
+    def __init__(self, era, earlier_era=None):
+        self.era = era
+        self.earlier_era = earlier_era
--- a/packages/core/hornbeamstand_core/edge_node_messages.py
+++ b/packages/core/hornbeamstand_core/edge_node_messages.py
@@ -21,7 +21,8 @@
     does not keep up with its work. ``capacity`` is its size class,
     greater for larger VMs; ``n_peers`` is the number of peers that it receives
     heartbeats from. ``config_version`` is the version of its configuration, and
-    ``revision`` the latest revision of the store that it has seen.
+    ``revision`` the latest revision that it has seen in the store's era ``era``, which
+    is 0 if the store states none.
     """
 
     __slots__ = (
@@ -38,6 +39,7 @@
         "n_peers",
         "config_version",
         "revision",
+        "era",
     )
 
     def __init__(
@@ -55,6 +57,7 @@
         n_peers,
         config_version,
         revision,
+        era=0,
     ):
         self.ip = ip
         self.failure_domain = failure_domain
@@ -69,6 +72,7 @@
         self.n_peers = n_peers
         self.config_version = config_version
         self.revision = revision
+        self.era = era
 
 
 class SendEdgeHeartbeat(Record):
--- a/packages/entry/hornbeamstand_entry/edge/dialect.py
+++ b/packages/entry/hornbeamstand_entry/edge/dialect.py
@@ -50,7 +50,8 @@
     ``decode_page`` returns the StorePage of a range, ``decode_events`` that of a watch,
     and ``decode_lease`` a lease id; they raise ValueError if the answer is malformed.
     ``decode_config_copy`` returns a ConfigEntry, or an InvalidEntry, of a configuration
-    copied from a peer. Operators write keys below ``operator_prefix``.
+    copied from a peer. Operators write keys below ``operator_prefix``. The header
+    ``era_header`` of the store's answers states its era, see StoreEraNoted.
     """
 
     __slots__ = (
@@ -64,6 +65,7 @@
         "decode_lease",
         "decode_config_copy",
         "operator_prefix",
+        "era_header",
     )
 
     def __init__(
@@ -78,6 +80,7 @@
         decode_lease,
         decode_config_copy,
         operator_prefix,
+        era_header="",
     ):
         self.range_request = range_request
         self.watch_request = watch_request
@@ -89,6 +92,7 @@
         self.decode_lease = decode_lease
         self.decode_config_copy = decode_config_copy
         self.operator_prefix = operator_prefix
+        self.era_header = era_header
 
 
 def no_notice(status, get):
--- a/packages/entry/hornbeamstand_entry/edge/heartbeats.py
+++ b/packages/entry/hornbeamstand_entry/edge/heartbeats.py
@@ -28,14 +28,21 @@
 # Size of an IPv4 address in a datagram.
 IP_BYTES = 4
 # Fields on the wire, in order: those of an EdgeHeartbeat, whose ``is_overloaded`` comes
-# before ``capacity``. The receiver takes the sender's address from the socket.
+# before ``capacity`` and whose ``era`` is part of ``n_peers``. The receiver takes the
+# sender's address from the socket.
 HEARTBEAT_FIELDS = tuple(
-    name for name in EdgeHeartbeat.__slots__ if name not in ("ip", "is_overloaded")
+    name
+    for name in EdgeHeartbeat.__slots__
+    if name not in ("ip", "is_overloaded", "era")
 )
 CAPACITY_INDEX = HEARTBEAT_FIELDS.index("capacity")
 # An overloaded VM sends its capacity lowered by this. VMs of versions that know no
 # overload rank it last then.
 OVERLOADED_CAPACITY = 1000
+# Bits of ``n_peers`` on the wire; the era is above them. VMs of versions that know no
+# era take it for many peers, to which they need not send contacts.
+N_PEERS_BITS = 42
+N_PEERS_INDEX = HEARTBEAT_FIELDS.index("n_peers")
 HEARTBEAT_DECODER = msgspec.msgpack.Decoder(
     tuple[str, int, bool, bool, bool, bool, bool, int, int, int, int]
 )
@@ -46,6 +53,7 @@
     fields = [getattr(heartbeat, name) for name in HEARTBEAT_FIELDS]
     if heartbeat.is_overloaded:
         fields[CAPACITY_INDEX] -= OVERLOADED_CAPACITY
+    fields[N_PEERS_INDEX] += heartbeat.era << N_PEERS_BITS
     return msgspec.msgpack.encode(fields)
 
 
@@ -55,6 +63,8 @@
         values = HEARTBEAT_DECODER.decode(raw)
     except msgspec.DecodeError:
         return None
+    values = list(values)
+    era, values[N_PEERS_INDEX] = divmod(values[N_PEERS_INDEX], 1 << N_PEERS_BITS)
     capacity = values[CAPACITY_INDEX]
     is_overloaded = capacity < -OVERLOADED_CAPACITY / 2
     if is_overloaded:
@@ -65,6 +75,7 @@
         is_overloaded,
         capacity,
         *values[CAPACITY_INDEX + 1 :],
+        era,
     )
 
 
--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -35,9 +35,11 @@
 from .load_probes import LoadProber
 from .metrics import EdgeMetrics
 from .performers import make_performers
+from .registration import Registration
 from .servers import PEER_IDLE_MS, PEER_MIN_IDLE_MS, PEER_REUSE_MS, start_server
 from .store_client import StoreClient
-from .store_watcher import Registration, StoreWatcher
+from .store_era import StoreEra
+from .store_watcher import StoreWatcher
 from .suspensions import Suspensions, make_boot_clock
 
 # Timeouts for opening a connection.
@@ -144,8 +146,15 @@
         settings, dialect = self.settings, self.dialect
         rules = ConnectionRules(STORE_CONNECT_MS, TCP_USER_TIMEOUT_MS, keepalive_s=1)
         pools = Pools(self.clock, stack, rules)
+        eras = StoreEra(self.log)
+        eras.report = self.note_era
         self.store = StoreClient(
-            settings.store_address, dialect.store, pools, self.clock, STORE_TIMEOUT_MS
+            settings.store_address,
+            dialect.store,
+            pools,
+            self.clock,
+            STORE_TIMEOUT_MS,
+            eras,
         )
         self.store_watcher = StoreWatcher(
             self.store,
@@ -194,6 +203,13 @@
         self.store_watcher.set_watch(message)
         self.registration.set_watch(message)
 
+    def note_era(self, message):
+        """Pass a StoreEraNoted to the tasks that depend on the store's revisions."""
+        self.control_task.post(message)
+        if message.earlier_era is not None:
+            self.store_watcher.begin_era()
+            self.registration.begin_era()
+
     def _build_front(self, stack):
         """Build the load prober, the performers, the front end and the gauges."""
         body_budget = self.body_budget
@@ -249,6 +265,7 @@
         self.metrics.gauges["turn_ms"] = lambda: admission.turn_ms(self.clock.now_ms())
         self.metrics.gauges["requests_inside"] = lambda: self.front.n_requests
         self.metrics.gauges["store_calls"] = lambda: self.store.n_calls
+        self.metrics.gauges["store_era"] = lambda: self.store.eras.era or 0
         self.metrics.gauges["config_version"] = lambda: self.node.routing.version
         self.metrics.gauges["log_lines_left_out"] = lambda: self.log.lines.n_dropped
 
--- a/packages/entry/hornbeamstand_entry/edge/store_client.py
+++ b/packages/entry/hornbeamstand_entry/edge/store_client.py
@@ -41,16 +41,19 @@
     timeout_ms : float
         Maximum wait for an answer, in addition to the time for which the call allows
         the store to hold it.
+    eras : StoreEra
+        Checks the era that each answer states.
     """
 
-    __slots__ = ("address", "codec", "pools", "clock", "timeout_ms", "n_calls")
+    __slots__ = ("address", "codec", "pools", "clock", "timeout_ms", "eras", "n_calls")
 
-    def __init__(self, address, codec, pools, clock, timeout_ms):
+    def __init__(self, address, codec, pools, clock, timeout_ms, eras):
         self.address = address
         self.codec = codec
         self.pools = pools
         self.clock = clock
         self.timeout_ms = timeout_ms
+        self.eras = eras
         self.n_calls = 0
 
     def _call(self, step, request, decode):
@@ -79,6 +82,9 @@
             # The peer is the address, which the error names already, and a reason.
             reason = answer.peer.removeprefix(self.address)
             return Err(StoreError(step, self.address, f"{answer.kind}{reason}"))
+        outdated = self.eras.check(answer.get(self.codec.era_header))
+        if outdated is not None:
+            return Err(StoreError(step, self.address, outdated))
         if answer.status_code != STATUS_OK:
             detail = f"status {answer.status_code}, expected {STATUS_OK}"
             return Err(StoreError(step, self.address, detail, answer.status_code))
--- a/packages/entry/hornbeamstand_entry/edge/store_watcher.py
+++ b/packages/entry/hornbeamstand_entry/edge/store_watcher.py
@@ -1,4 +1,6 @@
-"""The tasks that watch the platform's store and register this VM in it."""
+"""The task that watches the platform's store."""
+
+from random import random
 
 import gevent
 from hornbeamstand_core.discovery import (
@@ -28,18 +30,13 @@
 # succession are read by one call.
 BATCH_DELAY_MS = 500.0
 # Minimum and maximum delay before a failed call is repeated. The delay doubles with
-# every failure. A failed registration waits up to ten times the maximum.
+# every failure.
 BACKOFF_MIN_MS = 60.0
 BACKOFF_MAX_MS = 1200.0
 # Status of a watch from a revision whose later changes the store no longer keeps.
 STATUS_HISTORY_GONE = 410
-STATUS_LEASE_NOT_FOUND = 404
-# Time for which a VM watches the targets before it registers itself.
-REGISTRATION_DELAY_MS = 1500.0
-# Time after which the store removes the entry of a VM that does not renew its lease.
-LEASE_MS = 60_000.0
-# Interval between two renewals of the lease.
-LEASE_RENEWAL_MS = 20_000.0
+# Maximum delay, a random one for each VM, before the read that begins an era.
+ERA_READ_SPREAD_MS = 200.0
 MS_PER_S = 1000.0
 
 
@@ -122,6 +119,20 @@
         self._backoff_ms = BACKOFF_MIN_MS
         self._restart()
 
+    def begin_era(self):
+        """Read what is watched again: revisions of an earlier era mean nothing now."""
+        self._revision = None
+        self._targets_revision = None
+        self._may_read_stale = False
+        self._backoff_ms = BACKOFF_MIN_MS
+        delay_ms = random() * ERA_READ_SPREAD_MS
+        if self._has_first_read:
+            self._restart(delay_ms)
+        elif self._is_first_read_due:
+            self.first_read_delay_ms = delay_ms
+            self._stop()
+            self._greenlet = spawn_supervised("store-watcher", self._run_first_read)
+
     def delay_first_read(self, message):
         """Wait for another time, if the wait for the first read is not over."""
         if not self._is_first_read_due:
@@ -154,9 +165,9 @@
         self._scope = message.scope
         self._restart()
 
-    def _restart(self):
+    def _restart(self, delay_ms=0.0):
         self._stop()
-        self._greenlet = spawn_supervised("store-watcher", self._run)
+        self._greenlet = spawn_supervised("store-watcher", self._run, delay_ms)
 
     def _skip_first_read(self):
         self._stop()
@@ -174,7 +185,8 @@
         if self._pending_watch is not None:
             self.set_watch(self._pending_watch)
 
-    def _run(self):
+    def _run(self, delay_ms):
+        gevent.sleep(delay_ms / MS_PER_S)
         while self._scope != WATCH_NOTHING:
             self._retry_until_ok(
                 self._read_all if self._revision is None else self._watch
@@ -299,77 +311,3 @@
             by_key[record.key] = record
     revision = max(page.revision, changes.revision)
     return StorePage(list(by_key.values()), revision)
-
-
-class Registration:
-    """Keeps this VM's entry in the store while it watches all keys.
-
-    New VMs find this one by its entry. They find VMs without an entry through the VMs
-    that have one, and through the seeds.
-
-    Parameters
-    ----------
-    store : StoreClient
-        Client of the store.
-    key : str
-        Key of the entry.
-    value : bytes
-        Value of the entry.
-    log : EdgeLog
-        Logs failed registrations and ended leases.
-    """
-
-    __slots__ = ("store", "key", "value", "log", "_greenlet")
-
-    def __init__(self, store, key, value, log):
-        self.store = store
-        self.key = key
-        self.value = value
-        self.log = log
-        self._greenlet = None
-
-    def start(self, stack):
-        """Let the stack end the greenlet that ``set_watch`` starts."""
-        stack.callback(self._stop)
-
-    def set_watch(self, message):
-        """Keep the entry while all keys are watched; otherwise let it expire."""
-        if message.scope != WATCH_ALL:
-            self._stop()
-        elif self._greenlet is None:
-            self._greenlet = spawn_supervised("registration", self._run)
-
-    def _stop(self):
-        if self._greenlet is not None:
-            self._greenlet.kill(block=False)
-            self._greenlet = None
-
-    def _run(self):
-        gevent.sleep(REGISTRATION_DELAY_MS / MS_PER_S)
-        backoff_ms = BACKOFF_MIN_MS
-        while True:
-            result = self._register()
-            if result.is_ok():
-                backoff_ms = BACKOFF_MIN_MS
-                self._renew_until_ended(result.ok_value)
-                continue
-            detail = f"{result.err_value}; retrying in {backoff_ms:.0f} ms"
-            self.log.info("store: registration failed", error=detail)
-            gevent.sleep(backoff_ms / MS_PER_S)
-            backoff_ms = min(10 * BACKOFF_MAX_MS, 2.0 * backoff_ms)
-
-    def _register(self):
-        lease = self.store.grant_lease(LEASE_MS)
-        if lease.is_err():
-            return lease
-        written = self.store.put(self.key, self.value, lease.ok_value)
-        return lease if written.is_ok() else written
-
-    def _renew_until_ended(self, lease_id):
-        """Renew the lease until the store reports that it has ended."""
-        while True:
-            gevent.sleep(LEASE_RENEWAL_MS / MS_PER_S)
-            renewed = self.store.renew_lease(lease_id)
-            if renewed.is_err() and renewed.err_value.status == STATUS_LEASE_NOT_FOUND:
-                self.log.info("store: lease ended", lease=lease_id)
-                return
--- a/packages/entry/tests/test_codecs_fuzz.py
+++ b/packages/entry/tests/test_codecs_fuzz.py
@@ -13,6 +13,7 @@
     encode_contacts,
     encode_heartbeat,
 )
+from hornbeamstand_entry.edge.store_era import ERA_MAX
 from hornbeamstand_entry.peer_codec import (
     KeptResponse,
     decode_datagram,
@@ -74,6 +75,7 @@
     counts,
     counts,
     counts,
+    st.integers(0, ERA_MAX),
 )
 kept_responses = st.builds(
     KeptResponse, names, st.lists(st.lists(names, min_size=2, max_size=2)), st.binary()
--- a/packages/entry/tests/test_edge_store_watcher.py
+++ b/packages/entry/tests/test_edge_store_watcher.py
@@ -319,3 +319,40 @@
     changes = [m for m in control_task.posted if type(m) is StoreChanges]
     assert changes == []
     assert [call[0] for call in store.calls[-3:]] == ["stale read", "watch", "watch"]
+
+
+def begin_era(task, monkeypatch):
+    monkeypatch.setattr(store_watcher, "ERA_READ_SPREAD_MS", 1.0)
+    task.begin_era()
+    gevent.sleep(0.01)
+
+
+def test_an_era_is_begun_with_a_current_read_of_what_is_watched(parts, monkeypatch):
+    store, control_task, task, begin = parts
+    begin()
+    set_watch(task, WATCH_OPERATOR_KEYS)
+    store.calls.clear()
+    begin_era(task, monkeypatch)
+    assert store.calls[0] == ("read", "op/")
+    assert control_task.posted[-1] == StoreSnapshot([], 5, False)
+
+
+def test_targets_of_an_earlier_era_are_read_again(parts, monkeypatch):
+    """The revision that they were read at is one of other changes now."""
+    store, _, task, begin = parts
+    begin()
+    begin_era(task, monkeypatch)
+    assert store.calls[-1] == ("watch", "", 5, store_watcher.CATCH_UP_WATCH_WAIT_MS)
+    set_watch(task, WATCH_ALL)
+    assert ("read", "") in store.calls
+
+
+def test_a_first_read_in_which_an_era_begins_is_begun_again(monkeypatch):
+    store = Store()
+    with ExitStack() as stack:
+        task = StoreWatcher(store, ControlTask(), Log())
+        store.read_all = lambda *args: gevent.sleep(60)
+        start(task, stack)
+        del store.read_all
+        begin_era(task, monkeypatch)
+        assert store.calls[0] == ("read", "")
--- a/packages/entry/tests/test_response_fuzz.py
+++ b/packages/entry/tests/test_response_fuzz.py
@@ -180,6 +180,19 @@
 @pytest.mark.parametrize("is_overloaded", [True, False])
 def test_heartbeats_are_decoded_as_they_were_encoded(is_overloaded):
     sent = EdgeHeartbeat(
-        "10.0.0.1", "a", 7, True, False, True, True, True, is_overloaded, -2, 8, 3, 12
+        "10.0.0.1",
+        "a",
+        7,
+        True,
+        False,
+        True,
+        True,
+        True,
+        is_overloaded,
+        -2,
+        8,
+        3,
+        12,
+        4,
     )
     assert decode_heartbeat(encode_heartbeat(sent), "10.0.0.1") == sent
--- a/packages/entry/tests/test_task_failures.py
+++ b/packages/entry/tests/test_task_failures.py
@@ -30,7 +30,7 @@
 from types import SimpleNamespace
 from hornbeamstand_core.edge_node_messages import WATCH_ALL, SetWatch
 from hornbeamstand_entry.edge.dialect import StorePage
-from hornbeamstand_entry.edge.store_watcher import Registration, StoreWatcher
+from hornbeamstand_entry.edge.store_watcher import StoreWatcher
 from result import Ok
 
 store = SimpleNamespace(codec=SimpleNamespace(operator_prefix="op/"))
@@ -55,8 +55,9 @@
 pools.Pools(make_process_clock(), stack)
 """
 START_REGISTRATION = """
-from hornbeamstand_entry.edge import store_watcher
-store_watcher.REGISTRATION_DELAY_MS = 1.0
+from hornbeamstand_entry.edge import registration as registration_module
+from hornbeamstand_entry.edge.registration import Registration
+registration_module.REGISTRATION_DELAY_MS = 1.0
 store.grant_lease = lambda ttl_ms: fail()
 registration = Registration(store, "key", b"", log)
 registration.start(stack)
--- a/packages/entry/tests/test_unexpected_errors.py
+++ b/packages/entry/tests/test_unexpected_errors.py
@@ -14,6 +14,7 @@
 from hornbeamstand_entry.edge import heartbeats, store_client
 from hornbeamstand_entry.edge.config_copies import ConfigCopies, compress_copy
 from hornbeamstand_entry.edge.store_client import StoreClient
+from hornbeamstand_entry.edge.store_era import StoreEra
 from hornbeamstand_entry.tasks import connections, datagram_reads, datagrams
 from hornbeamstand_entry.tasks.exchange import Exchange
 from hornbeamstand_entry.tasks.failures import report_failures_to
@@ -196,8 +197,11 @@
             method="GET", path="/", body=b"", wait_ms=0.0
         ),
         decode_page=fail,
+        era_header="Era",
+    )
+    client = StoreClient(
+        "127.0.0.1:1", codec, None, make_process_clock(), 100.0, StoreEra(None)
     )
-    client = StoreClient("127.0.0.1:1", codec, None, make_process_clock(), 100.0)
     assert "can't start" in str(client.read_all("").err_value)
     assert [name for name, _, _ in reports] == ["store-client"]
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -40,6 +40,20 @@
         }
 
 
+class StoreCopy:
+    """The keys, history and leases of a store at one moment."""
+
+    __slots__ = ("items", "events", "leases", "revision", "oldest_revision", "n_leases")
+
+    def __init__(self, store, n_leases):
+        self.items = dict(store.items)
+        self.events = list(store.events)
+        self.leases = dict(store.leases)
+        self.revision = store.revision
+        self.oldest_revision = store.oldest_revision
+        self.n_leases = n_leases
+
+
 class Store:
     """Keys, leases and a history of events.
 
@@ -47,10 +61,13 @@
     429, ``silent`` never responds, and ``lost`` carries out writes without responding.
     Calls from ``refused_ips`` get 503. ``leases`` maps a lease id to (time to live in
     ms, end in s); ``oldest_revision`` is where the history starts. ``silent_peers`` are
-    the addresses of the connections that are never answered any more.
+    the addresses of the connections that are never answered any more. ``era`` counts
+    the returns from an older copy; the answers state it if ``states_era`` is set.
     """
 
     __slots__ = (
+        "era",
+        "states_era",
         "items",
         "events",
         "leases",
@@ -67,6 +84,8 @@
     )
 
     def __init__(self):
+        self.era = 1
+        self.states_era = True
         self.items = {}
         self.events = []
         self.leases = {}
@@ -115,6 +134,28 @@
         self.oldest_revision = self.revision
         self._notify_watches()
 
+    def take_copy(self):
+        """Return a StoreCopy from which ``come_back`` may restore the store."""
+        return StoreCopy(self, self._n_leases)
+
+    def come_back(self, copy):
+        """Lose all that was acknowledged since a copy was taken.
+
+        Revisions and lease ids are given out again. Watches that wait are cut.
+        """
+        self.era += 1
+        self.items = dict(copy.items)
+        self.events = list(copy.events)
+        self.revision = copy.revision
+        self.oldest_revision = copy.oldest_revision
+        self._n_leases = copy.n_leases
+        now_s = gevent.get_hub().loop.now()
+        self.leases = {
+            lease_id: (ttl_ms, now_s + ttl_ms / MS_PER_S)
+            for lease_id, (ttl_ms, _) in copy.leases.items()
+        }
+        self._notify_watches()
+
     def silence_connections(self):
         """Never answer again on the connections that have carried a call until now."""
         self.silent_peers |= self._seen_peers
@@ -149,7 +190,7 @@
         self._seen_peers.add(peer)
         refusal_status = self._refusal_status(environ)
         if refusal_status is not None:
-            return respond(start_response, refusal_status, {})
+            return self._respond(start_response, refusal_status, {})
         path = environ["PATH_INFO"]
         query = {k: v[0] for k, v in parse_qs(environ["QUERY_STRING"], True).items()}
         raw = environ["wsgi.input"].read()
@@ -158,7 +199,19 @@
         is_lost = self.mode == "lost" and environ["REQUEST_METHOD"] == "POST"
         if is_lost or peer in self.silent_peers:
             gevent.sleep(3600)
-        return respond(start_response, status, response_body)
+        return self._respond(start_response, status, response_body)
+
+    def _respond(self, start_response, status, response_body):
+        """Return a response with a JSON body and the era."""
+        raw = msgspec.json.encode(response_body)
+        items = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(raw))),
+        ]
+        if self.states_era:
+            items.append(("Store-Era", str(self.era)))
+        start_response(f"{status} X", items)
+        return [raw]
 
     def _refusal_status(self, environ):
         if environ["REMOTE_ADDR"] in self.refused_ips:
@@ -193,8 +246,13 @@
     def _watch(self, query):
         after = int(query["after"])
         wait_s = int(query["WaitMs"]) / MS_PER_S
+        era = self.era
         with gevent.Timeout(wait_s, False):
             while True:
+                if era != self.era:
+                    return 503, {}
+                if after > self.revision:
+                    return 410, {}
                 if after < self.oldest_revision - 1 or (
                     after < self.oldest_revision and not self.events
                 ):
@@ -239,11 +297,3 @@
         ttl_ms = self.leases[lease_id][0]
         self._extend_lease(lease_id, ttl_ms)
         return 200, {"Ttl_time": f"{int(ttl_ms)}ms"}
-
-
-def respond(start_response, status, response_body):
-    """Return a response with a JSON body."""
-    raw = msgspec.json.encode(response_body)
-    items = [("Content-Type", "application/json"), ("Content-Length", str(len(raw)))]
-    start_response(f"{status} X", items)
-    return [raw]
--- /dev/null
+++ b/tests/test_platform_store_copies.py
@@ -0,0 +1,55 @@
+"""A store that comes back from an older copy, without what it acknowledged since."""
+
+import gevent
+import pytest
+
+from standins.edge_cell import EdgeCell
+
+N_VMS = 6
+# Time in which a new configuration comes into force on every VM.
+CONFIG_APPLY_S = 2.0
+# Time from the copy to the return from it, and until the VMs reach the store again.
+COPY_AGE_S = 1.0
+AWAY_S = 0.6
+# Number of changes after the return, so that the revisions pass those before it.
+N_CHANGES = 40
+ROUTES = {"/read/": ("shop", "idempotent")}
+NEW_ROUTES = ROUTES | {"/new/": ("shop", "idempotent")}
+
+
+@pytest.fixture(scope="module")
+def cell(tmp_path_factory):
+    with EdgeCell(tmp_path_factory.mktemp("cell"), N_VMS) as cell:
+        cell.set_config(1, ROUTES)
+        for i in range(4):
+            cell.add_server(f"i-{i}", domain=("ub-a", "ub-b", "ub-c")[i % 3])
+        cell.start_all()
+        gevent.sleep(3.0)
+        yield cell
+
+
+def lose_changes(cell):
+    """Let the store come back from a copy, while no VM reaches it."""
+    copy = cell.store.take_copy()
+    for server in cell.servers * 4:
+        cell.write_entry(server)
+    gevent.sleep(COPY_AGE_S)
+    cell.store.mode = "busy"
+    cell.store.come_back(copy)
+
+
+def overtake_revisions(cell):
+    """Make changes until the revisions have passed those before the return."""
+    for _ in range(N_CHANGES):
+        cell.write_entry(cell.servers[0])
+
+
+def test_a_change_that_no_watch_can_return_reaches_every_vm(cell):
+    lose_changes(cell)
+    cell.set_config(2, NEW_ROUTES)
+    overtake_revisions(cell)
+    gevent.sleep(AWAY_S)
+    cell.store.mode = "ok"
+    gevent.sleep(CONFIG_APPLY_S)
+    statuses = [cell.send(vm, "/new/a").status for vm in cell.vms]
+    assert statuses == [200] * N_VMS
--- a/tests/test_store_answer_cuts.py
+++ b/tests/test_store_answer_cuts.py
@@ -9,6 +9,7 @@
 from hornbeamstand_entry.edge.calls import call
 from hornbeamstand_entry.edge.config_copies import compress_copy, decompress_copy
 from hornbeamstand_entry.edge.store_client import StoreClient
+from hornbeamstand_entry.edge.store_era import StoreEra
 from hornbeamstand_entry.encoding import encode_request
 from hornbeamstand_entry.tasks.connections import ConnectionRules
 from hornbeamstand_entry.tasks.pools import Pools
@@ -60,7 +61,14 @@
 def test_a_page_of_the_store_that_breaks_off_is_an_error(stack, framing):
     server, clock = CutServer(stack, framed(PAGE, framing)), make_process_clock()
     pools = Pools(clock, stack, ConnectionRules())
-    client = StoreClient(server.address, make_dialect().store, pools, clock, TIMEOUT_MS)
+    client = StoreClient(
+        server.address,
+        make_dialect().store,
+        pools,
+        clock,
+        TIMEOUT_MS,
+        StoreEra(None),
+    )
     assert all(r.is_err() for r in server.results(lambda: client.read_all("")))
     assert client.read_all("").is_ok() == (framing != "neither")
 
