Get targets from peers when their owners are lost while the store is away

What callers saw: up to half of all requests got 503 ("no target", "waited too long") for as long as the store was away, once the VMs that held the targets of a failure domain were lost. The VMs in their place were ready, named to callers and got relayed requests.

Cause: only the two preferred VMs of a domain follow the targets; the others drop theirs 3 s after their first read, and could only read them again from the store.

A VM that has to serve without targets now asks its peers for theirs, once the store fails or has not answered within 150 ms. If none has any, it asks the targets that it has dropped whether they are still the same ones. If nobody can help it refuses at once.

--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -31,6 +31,7 @@
 )
 from ..messages import Refusal, Release, Withdraw
 from ..relay_messages import CheckPeerAlive, FindOwner, RelayEnded
+from ..target_copy_messages import TargetsConfirmed, TargetsFetched
 from .admission import Admission
 from .capacity import ServiceCapacity
 from .learning import heard_notice
@@ -42,6 +43,7 @@
 from .routing import Routing
 from .store_following import StoreFollowing
 from .store_records import StoreRecords
+from .target_recovery import TargetRecovery
 from .target_table import TargetTable
 from .target_wait import TargetWait
 from .watch_scope import WatchScope
@@ -85,6 +87,7 @@
         "services",
         "revision",
         "config_raw",
+        "recovery",
         "_store",
         "_target_wait",
         "_records",
@@ -109,7 +112,6 @@
         self.table = TargetTable(self.find_service)
         self.revision = 0
         self.config_raw = b""
-        self._store = StoreFollowing(self.peers, self.table, self.watch_scope)
         self._target_wait = TargetWait(me.ip, self.owner_paths, self.table)
         self._rng = Random(f"{me.vm_id}{me.start_id}")
         self.admission = Admission(Random(f"{me.vm_id}{me.start_id}-admission"))
@@ -117,6 +119,9 @@
         self._records = StoreRecords(
             self.routing, self.table, self.services, self.peers, self._note_config
         )
+        following = (self.peers, self.table, self.watch_scope)
+        self.recovery = TargetRecovery(*following, self._records, self.routing)
+        self._store = StoreFollowing(*following, self.recovery)
         self._next_round_ms = 0.0
         self._fetch_sent_at_ms = float("-inf")
         self._handlers = {
@@ -134,6 +139,8 @@
             StoreUnavailable: self._note_store_unavailable,
             StoreAvailable: self._note_store_available,
             StoreEraNoted: self._note_era,
+            TargetsFetched: self._take_targets,
+            TargetsConfirmed: self._take_targets,
             EdgeHeartbeat: self._note_heartbeat,
             Contacts: self._note_contacts,
             EdgeTick: self._tick,
@@ -189,10 +196,13 @@
 
     def _note_target_wait(self, now_ms):
         if self.watch_scope.scope == WATCH_ALL:
-            is_hindered = self._store.is_unavailable
+            is_fruitless = self.recovery.is_fruitless
+            is_hindered = self._store.is_unavailable or is_fruitless
+            self._target_wait.is_fruitless = self._store.is_unavailable and is_fruitless
         else:
             # Nothing is read before the heartbeats tell that the owners are gone.
             is_hindered = bool(self.peer_failures.passed_over_ips())
+            self._target_wait.is_fruitless = False
         self._target_wait.note(is_hindered, now_ms)
 
     def is_cut_off(self, now_ms):
@@ -273,7 +283,12 @@
         out = self._records.apply_changes(message, now_ms)
         return out + self._finish_update(message.revision, now_ms)
 
+    def _take_targets(self, message, now_ms):
+        return self.recovery.handle(message, now_ms) + self._drain_all(now_ms)
+
     def _apply_snapshot(self, message, now_ms):
+        if message.has_targets:
+            self.recovery.note_read(now_ms)
         out = self._records.apply_snapshot(message, now_ms)
         return out + self._finish_update(message.revision, now_ms)
 
@@ -320,6 +335,7 @@
         return self._store.note_unavailable(message.detail, now_ms)
 
     def _note_store_available(self, message, now_ms):
+        self.recovery.note_store_available()
         return self._store.note_available(now_ms)
 
     # Peers and time.
@@ -381,7 +397,7 @@
             is_owner = lacks_owners or self._owns_any_service(now_ms)
             out += self._store.update_scope(is_owner, lacks_owners, now_ms)
         out += self.watch_scope.request_resync(self.revision, now_ms)
-        return out
+        return out + self.recovery.update(self._store.is_unavailable, now_ms)
 
     def _note_delay(self, delay_ms, now_ms):
         """Note how late a tick was; tell the peers if this VM is overloaded now."""
--- a/packages/core/hornbeamstand_core/controllers/store_following.py
+++ b/packages/core/hornbeamstand_core/controllers/store_following.py
@@ -21,20 +21,24 @@
         The targets that were read.
     watch_scope : WatchScope
         Decides what to watch.
+    recovery : TargetRecovery
+        Keeps the targets that are dropped.
     """
 
     __slots__ = (
         "peers",
         "table",
         "watch_scope",
+        "recovery",
         "is_unavailable",
         "_available_to_peer_at_ms",
     )
 
-    def __init__(self, peers, table, watch_scope):
+    def __init__(self, peers, table, watch_scope, recovery):
         self.peers = peers
         self.table = table
         self.watch_scope = watch_scope
+        self.recovery = recovery
         self.is_unavailable = False
         # When a peer's heartbeat first showed that the store, which is unavailable to
         # this VM, is available to that peer, or None.
@@ -91,10 +95,11 @@
     def update_scope(self, is_owner, lacks_owners, now_ms):
         """Watch what this VM needs, and drop the targets that it no longer needs."""
         if self.table.is_filled and not self.watch_scope.needs_targets(now_ms):
+            self.recovery.keep_former(now_ms)
             self.table.clear()
-        out = self.watch_scope.update_scope(
-            is_owner, lacks_owners, self.table.is_filled, now_ms
-        )
+        # The store's changes since targets that are not from the store are unknown.
+        has_targets = self.table.is_filled and not self.recovery.is_old
+        out = self.watch_scope.update_scope(is_owner, lacks_owners, has_targets, now_ms)
         self.update_watching()
         return out
 
--- a/packages/core/hornbeamstand_core/controllers/store_records.py
+++ b/packages/core/hornbeamstand_core/controllers/store_records.py
@@ -53,6 +53,20 @@
         """Return the set of the failure domains that are out of service."""
         return frozenset(self._domains_by_key.values())
 
+    def domains_out(self):
+        """Return a DomainOutOfService for each domain that is out of service."""
+        return [DomainOutOfService(*item) for item in self._domains_by_key.items()]
+
+    def apply_domains(self, domains_out, now_ms):
+        """Take over which domains are out of service; return state changes."""
+        keys = {record.key for record in domains_out}
+        out = []
+        for record in domains_out:
+            out += self._note_domain_out_of_service(record)
+        for key in [key for key in self._domains_by_key if key not in keys]:
+            out += self._note_domain_in_service(key, now_ms)
+        return out
+
     def begin_era(self, now_ms):
         """Begin an era of the store, which has lost changes; return messages."""
         return []
--- /dev/null
+++ b/packages/core/hornbeamstand_core/controllers/target_recovery.py
@@ -0,0 +1,265 @@
+"""How a VM that has to serve gets targets while it can't read them from the store.
+
+It asks peers that may hold targets. If none does, it takes those that it has dropped
+itself, each after it has answered. Such targets are used like those of an old read of
+the store: the store is still read as soon as it answers.
+"""
+
+from ..edge_messages import StateChange
+from ..edge_node_messages import WATCH_ALL
+from ..target_copy_messages import (
+    FetchTargets,
+    HeldTarget,
+    TargetCopy,
+    TargetsFetched,
+    with_cold_start,
+)
+from .former_table import FormerTable
+from .target_sources import target_sources
+
+# Time that a read of the store takes at most while the store is in order. A store that
+# is silent is known to be unavailable only much later.
+STORE_READ_MAX_MS = 150.0
+# Time that a copy takes at most from peers that can be reached.
+COPY_MAX_MS = 150.0
+# Minimum and maximum interval between two rounds in which no peer had targets. It
+# doubles with each.
+FETCH_INTERVAL_MIN_MS = 250.0
+FETCH_INTERVAL_MAX_MS = 2000.0
+
+
+class TargetRecovery:
+    """Gets the targets of a VM that has to serve without the store.
+
+    ``is_fruitless`` is whether nobody that was asked could give targets, and
+    ``is_old`` whether those in the table are not from a read of the store.
+
+    Parameters
+    ----------
+    peers : PeerView
+        The peers of this VM.
+    table : TargetTable
+        The targets of this VM.
+    watch_scope : WatchScope
+        What this VM watches: all keys while it has to serve.
+    records : StoreRecords
+        Knows the failure domains that are out of service.
+    routing : Routing
+        Holds the configuration, with the paths of the health endpoints.
+    """
+
+    __slots__ = (
+        "is_fruitless",
+        "is_old",
+        "_peers",
+        "_table",
+        "_records",
+        "_routing",
+        "_watch_scope",
+        "_former",
+        "_needed_since_ms",
+        "_current_at_ms",
+        "_n_rounds",
+        "_fetch_at_ms",
+        "_interval_ms",
+        "_fetching_since_ms",
+    )
+
+    def __init__(self, peers, table, watch_scope, records, routing):
+        self.is_fruitless = False
+        self.is_old = False
+        self._peers = peers
+        self._table = table
+        self._records = records
+        self._routing = routing
+        self._watch_scope = watch_scope
+        self._former = FormerTable()
+        # Since when this VM has had to serve without targets, or None.
+        self._needed_since_ms = None
+        # When the targets in the table were last known to be current.
+        self._current_at_ms = 0.0
+        # Rounds in which no peer had targets, and the time of the next one.
+        self._n_rounds = 0
+        self._fetch_at_ms = float("-inf")
+        self._interval_ms = FETCH_INTERVAL_MIN_MS
+        # Since when peers have been asked, or None.
+        self._fetching_since_ms = None
+
+    def handle(self, message, now_ms):
+        """Take the outcome of a request for targets; return messages."""
+        if type(message) is TargetsFetched:
+            return self._take_copy(message, now_ms)
+        return self._take_confirmed(message, now_ms)
+
+    def note_read(self, now_ms):
+        """Record that the targets have been read from the store, before their use."""
+        if self.is_old:
+            # A target that is new to an old table need not have just started.
+            self._table.is_filled = False
+        self.is_old = False
+        self._current_at_ms = now_ms
+        self._former.forget()
+
+    def keep_former(self, now_ms):
+        """Keep the targets of the table, which are about to be dropped."""
+        held = [
+            item for item in held_targets(self._table, now_ms) if not item.is_leaving
+        ]
+        if self.is_old and self._former:
+            self._former.add(held)
+        else:
+            self._former.keep(held, self._current_at_ms)
+        self.is_old = False
+
+    def copy(self, now_ms):
+        """Return the TargetCopy for a peer that asks, or None without targets."""
+        if not self._table.is_filled or not self._table.by_key:
+            return None
+        return TargetCopy(
+            held_targets(self._table, now_ms),
+            self._records.domains_out(),
+            max(0.0, now_ms - self._current_at_ms),
+            self._peers.revision,
+            self._peers.era,
+        )
+
+    def update(self, is_store_unavailable, now_ms):
+        """Ask for targets if this VM needs them; return messages."""
+        self._note_current(is_store_unavailable, now_ms)
+        if not self._needs_targets():
+            self._reset()
+            return self._confirm_more(now_ms)
+        if self._needed_since_ms is None:
+            self._needed_since_ms = now_ms
+        is_late = now_ms - self._needed_since_ms >= STORE_READ_MAX_MS
+        if not is_store_unavailable and not is_late:
+            return []
+        out = self._fetch(now_ms)
+        return out if self._may_get_copy(now_ms) else out + self._confirm(now_ms)
+
+    def _may_get_copy(self, now_ms):
+        """Return whether the first peers that were asked may still answer soon."""
+        if self._n_rounds > 0 or self._fetching_since_ms is None:
+            return False
+        return now_ms - self._fetching_since_ms < COPY_MAX_MS
+
+    def note_store_available(self):
+        """Record that the store answers: a read of the targets is due to follow."""
+        self._reset()
+
+    def _note_current(self, is_store_unavailable, now_ms):
+        is_followed = self._watch_scope.scope == WATCH_ALL and not is_store_unavailable
+        if self._table.is_filled and is_followed and not self.is_old:
+            self._current_at_ms = now_ms
+
+    def _needs_targets(self):
+        return self._watch_scope.scope == WATCH_ALL and not self._table.is_filled
+
+    def _uses_old(self):
+        return self._table.is_filled and self.is_old
+
+    def _reset(self):
+        self._needed_since_ms = None
+        self._n_rounds = 0
+        self._fetch_at_ms = float("-inf")
+        self._interval_ms = FETCH_INTERVAL_MIN_MS
+        self.is_fruitless = False
+
+    # Peers.
+
+    def _fetch(self, now_ms):
+        if self._fetching_since_ms is not None or now_ms < self._fetch_at_ms:
+            return []
+        ips = target_sources(self._peers, self._n_rounds, now_ms)
+        if not ips:
+            self.is_fruitless = not self._former
+            return []
+        self._fetching_since_ms = now_ms
+        detail = " ".join(ips)
+        return [FetchTargets(ips), StateChange("targets", "asking peers", "", detail)]
+
+    def _take_copy(self, message, now_ms):
+        """Use the copy in a TargetsFetched; return messages.
+
+        It is left out if the targets are no longer needed or were read meanwhile.
+        Former targets that were confirmed before it came give way to it.
+        """
+        self._fetching_since_ms = None
+        if not self._needs_targets() and not self._uses_old():
+            return []
+        if message.copy is None:
+            if not self._needs_targets():
+                return []
+            self._note_round(now_ms)
+            return [StateChange("targets", "no copy", ""), *self._confirm(now_ms)]
+        copy = message.copy
+        self._former.forget()
+        self._table.is_filled = False
+        out = self._records.apply_domains(copy.domains_out, now_ms)
+        out += self._use(copy.targets, now_ms - copy.age_ms, now_ms)
+        detail = f"n={len(copy.targets)} age_ms={copy.age_ms:.0f}"
+        detail += f" revision={copy.revision} era={copy.era}"
+        return [StateChange("targets", "copied", message.ip, detail), *out]
+
+    def _note_round(self, now_ms):
+        self._fetch_at_ms = now_ms + self._interval_ms
+        self._interval_ms = min(FETCH_INTERVAL_MAX_MS, 2.0 * self._interval_ms)
+        self._n_rounds += 1
+        self.is_fruitless = not self._former
+
+    # Targets that were dropped.
+
+    def _confirm(self, now_ms):
+        domain = self._peers.me.failure_domain
+        out = self._former.request(self._routing.config, domain, now_ms)
+        if not out:
+            return []
+        detail = f"n={len(out[0].targets)}"
+        detail += f" age_ms={now_ms - self._former.held_at_ms:.0f}"
+        return [*out, StateChange("targets", "asking former", "", detail)]
+
+    def _confirm_more(self, now_ms):
+        """Ask former targets again that have not answered, while others are used."""
+        if not self.is_old or not self._former:
+            return []
+        return self._confirm(now_ms)
+
+    def _take_confirmed(self, message, now_ms):
+        """Use the former targets that have answered; return messages."""
+        confirmed = self._former.take_confirmed(message, now_ms)
+        if not self._needs_targets() and not self._uses_old():
+            return []
+        detail = f"n={len(confirmed)} unanswered={len(self._former)}"
+        out = [StateChange("targets", "confirmed", "", detail)]
+        if not confirmed:
+            self.is_fruitless = True
+            return out
+        return out + self._use(confirmed, self._former.held_at_ms, now_ms)
+
+    def _use(self, targets, current_at_ms, now_ms):
+        """Add HeldTargets to the table; return state changes for the log."""
+        self.is_old = True
+        self.is_fruitless = False
+        self._current_at_ms = current_at_ms
+        out = []
+        for held in targets:
+            out += self._table.put(held.entry, now_ms)
+            target = self._table.by_key[held.entry.key]
+            target.is_leaving = target.is_leaving or held.is_leaving
+            if held.pause_ms > 0.0:
+                target.paused_until_ms = now_ms + held.pause_ms
+        self._table.is_filled = True
+        return out
+
+
+def held_targets(table, now_ms):
+    """Return the HeldTargets of a table, without those whose entries close them."""
+    return [
+        HeldTarget(
+            with_cold_start(target.entry, max(0.0, target.cold_until_ms - now_ms)),
+            target.is_leaving,
+            max(0.0, target.paused_until_ms - now_ms),
+        )
+        for target in table.by_key.values()
+        if target.is_open
+    ]
--- /dev/null
+++ b/packages/core/hornbeamstand_core/controllers/target_sources.py
@@ -0,0 +1,48 @@
+"""Which peers a VM asks for the targets that it can't read from the store."""
+
+from .candidates import is_serving_on
+
+# Maximum number of peers that are asked in one round.
+N_ASKED_MAX = 6
+
+
+def target_sources(view, n_rounds, now_ms):
+    """Return the addresses of the peers to ask, the one that should be asked first.
+
+    Peers that are heard come before VMs that were heard earlier, preferred ones first,
+    because they hold the targets, and those of this failure domain before others. One
+    that stops still answers. Each later round begins with peers that were not asked in
+    the one before.
+
+    Parameters
+    ----------
+    view : PeerView
+        The peers and contacts of this VM.
+    n_rounds : int
+        Number of earlier rounds without success.
+    now_ms : float
+        The local time.
+    """
+    heard = [
+        peer.heartbeat
+        for peer in view.peers.values()
+        if peer.heartbeat.is_serving and not view.is_silent(peer, now_ms)
+    ]
+    heard_ips = {heartbeat.ip for heartbeat in heard}
+    earlier = [
+        contact.last_heartbeat
+        for ip, contact in view.contacts.items()
+        if contact.last_heartbeat is not None and ip not in heard_ips
+    ]
+    earlier = [item for item in earlier if is_serving_on(item)]
+    domain = view.me.failure_domain
+
+    def sort_key(heartbeat):
+        return not heartbeat.is_preferred, heartbeat.failure_domain != domain
+
+    ips = [item.ip for item in sorted(heard, key=sort_key)]
+    ips += [item.ip for item in sorted(earlier, key=sort_key)]
+    if not ips:
+        return []
+    first = n_rounds * N_ASKED_MAX % len(ips)
+    return (ips[first:] + ips[:first])[:N_ASKED_MAX]
--- a/packages/core/hornbeamstand_core/controllers/target_wait.py
+++ b/packages/core/hornbeamstand_core/controllers/target_wait.py
@@ -10,7 +10,8 @@
 class TargetWait:
     """Since when this VM has had no targets, and a reason not to get them.
 
-    ``since_ms`` is None while it has them, or nothing shows that they won't come.
+    ``since_ms`` is None while it has them, or nothing shows that they won't come. Once
+    nobody can give them, ``is_fruitless`` is set, and the wait is over.
 
     Parameters
     ----------
@@ -22,13 +23,21 @@
         The targets that were read.
     """
 
-    __slots__ = ("ip", "owner_paths", "table", "since_ms", "_was_cut_off")
+    __slots__ = (
+        "ip",
+        "owner_paths",
+        "table",
+        "since_ms",
+        "is_fruitless",
+        "_was_cut_off",
+    )
 
     def __init__(self, ip, owner_paths, table):
         self.ip = ip
         self.owner_paths = owner_paths
         self.table = table
         self.since_ms = None
+        self.is_fruitless = False
         # Whether this VM was cut off at its last tick.
         self._was_cut_off = False
 
@@ -48,7 +57,7 @@
         """Return whether requests should not wait for the targets any more."""
         if self.since_ms is None:
             return False
-        return now_ms - self.since_ms >= TARGET_WAIT_MAX_MS
+        return self.is_fruitless or now_ms - self.since_ms >= TARGET_WAIT_MAX_MS
 
     def is_awaiting(self, now_ms):
         """Return whether this VM lacks the targets but may still get them."""
--- a/packages/entry/hornbeamstand_entry/edge/dialect.py
+++ b/packages/entry/hornbeamstand_entry/edge/dialect.py
@@ -11,7 +11,8 @@
     ``seal``. ``did_not_run`` states that the target did not run the request, and
     ``load`` has its load figures. A request to a target names the target in
     ``expected_target``. ``retry_after`` tells a caller that was refused when to retry,
-    in seconds.
+    in seconds. ``target_id`` holds the id of the target in its answers; it is empty if
+    targets don't state it.
     """
 
     __slots__ = (
@@ -22,6 +23,7 @@
         "expected_target",
         "load",
         "retry_after",
+        "target_id",
     )
 
     def __init__(
@@ -33,6 +35,7 @@
         expected_target,
         load,
         retry_after="Retry-After",
+        target_id="",
     ):
         self.request_id = request_id
         self.deadline_ms = deadline_ms
@@ -41,6 +44,7 @@
         self.expected_target = expected_target
         self.load = load
         self.retry_after = retry_after
+        self.target_id = target_id
 
 
 class StoreCodec(Record):
--- a/packages/entry/hornbeamstand_entry/edge/front.py
+++ b/packages/entry/hornbeamstand_entry/edge/front.py
@@ -13,6 +13,7 @@
 from ..http_server import BodyError, has_left, has_short_body, read_body, watch_caller
 from ..performers import drive
 from ..responses import length_items, status_line
+from ..tasks.failures import report_failure
 from ..tasks.sockets import unread_ms
 from .config_copies import COPY_PATH, compress_copy
 from .context import STOP_ENDS, AnswerBody, EdgeContext
@@ -26,6 +27,8 @@
     read_policy,
     response_items,
 )
+from .target_copies import TARGETS_PATH
+from .target_copy_codec import encode_target_copy
 
 # Maximum time in which the body of a request without a deadline arrives.
 BODY_TIMEOUT_MS = 30_000.0
@@ -122,9 +125,12 @@
         return self._serve(environ, start_response, None, self._respond_caller)
 
     def serve_peer(self, environ, start_response):
-        """Serve a request that a peer relayed, or a configuration copy (WSGI)."""
-        if environ["PATH_INFO"] == COPY_PATH and "HTTP_HORNBEAM_TERMS" not in environ:
-            return self._serve_config_copy(start_response)
+        """Serve a request that a peer relayed, or a copy for a peer (WSGI)."""
+        if "HTTP_HORNBEAM_TERMS" not in environ:
+            if environ["PATH_INFO"] == COPY_PATH:
+                return self._serve_config_copy(start_response)
+            if environ["PATH_INFO"] == TARGETS_PATH:
+                return self._serve_target_copy(start_response)
         text = environ.get("HTTP_HORNBEAM_TERMS")
         policy = read_policy(text) if text else None
         if policy is None:
@@ -141,6 +147,19 @@
             self._config_copy = compress_copy(raw)
         return respond(start_response, 200, self._config_copy, [BINARY])
 
+    def _serve_target_copy(self, start_response):
+        """Respond with a compressed copy of the targets that this VM holds."""
+        copy = self.node.recovery.copy(self.clock.now_ms())
+        if copy is None:
+            return respond(start_response, 404, b"", [PLAIN])
+        try:
+            body = encode_target_copy(copy)
+        except (OverflowError, ValueError) as error:
+            # An entry of another writer may hold what MessagePack has no form for.
+            report_failure("target-copies", error)
+            return respond(start_response, 404, b"", [PLAIN])
+        return respond(start_response, 200, body, [BINARY])
+
     def _serve(self, environ, start_response, policy, respond_outcome):
         self.n_requests += 1
         try:
--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -20,6 +20,7 @@
 from hornbeamstand_core.filters.edge_chain import build_edge_chain
 from hornbeamstand_core.identity import EdgeIdentity
 from hornbeamstand_core.routes import CallerLimits
+from hornbeamstand_core.target_copy_messages import ConfirmTargets, FetchTargets
 
 from ..life.late_servers import LateServer
 from ..tasks.byte_budget import ByteBudget
@@ -41,6 +42,8 @@
 from .store_era import StoreEra
 from .store_watcher import StoreWatcher
 from .suspensions import Suspensions, make_boot_clock
+from .target_confirmations import TargetConfirmations
+from .target_copies import TargetCopies
 
 # Timeouts for opening a connection.
 TARGET_CONNECT_MS = 250.0
@@ -187,6 +190,15 @@
             self.log,
         )
         self.control_task.connect(FetchConfig, copies.post)
+        target_copies = TargetCopies(
+            self.peer_pools,
+            settings.peer_port,
+            self.control_task,
+            self.clock,
+            self.log,
+        )
+        self.control_task.connect(FetchTargets, target_copies.post)
+        target_copies.start(stack)
         heartbeats.start(stack)
         self.control_task.start(stack)
         copies.start(stack)
@@ -233,8 +245,13 @@
         prober = LoadProber(target_pools, self.control_task, self.dialect, self.clock)
         self.control_task.connect(SendProbe, prober.post)
         prober.start(stack)
+        confirmations = TargetConfirmations(
+            target_pools, self.control_task, self.dialect, self.clock
+        )
+        self.control_task.connect(ConfirmTargets, confirmations.post)
+        confirmations.start(stack)
         self.metrics.gauges["looks"] = lambda: (
-            prober.n_sent + self.metrics.n_load_probes
+            prober.n_sent + confirmations.n_sent + self.metrics.n_load_probes
         )
         performers = make_performers(
             self.control_task,
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -19,6 +19,7 @@
     "learning.py",
     "peer_view.py",
     "routing.py",
+    "target_recovery.py",
     "target_table.py",
 }
 
