Renew copied targets while only this VM can't reach the store

A VM that serves with a peer's targets heard of none that left until it reached the store again itself. While a peer reaches the store, it now asks for a newer copy each second, and sends nothing more to targets that this one lacks.

Evidence: test_target_recovery.py, test_a_vm_that_alone_lacks_the_store_hears_that_a_target_has_left; without the renewal no second FetchTargets comes.

--- a/packages/core/hornbeamstand_core/controllers/target_recovery.py
+++ b/packages/core/hornbeamstand_core/controllers/target_recovery.py
@@ -15,7 +15,7 @@
     with_cold_start,
 )
 from .former_table import FormerTable
-from .target_sources import target_sources
+from .target_sources import target_sources, watching_sources
 
 # Time that a read of the store takes at most while the store is in order. A store that
 # is silent is known to be unavailable only much later.
@@ -26,6 +26,9 @@
 # doubles with each.
 FETCH_INTERVAL_MIN_MS = 250.0
 FETCH_INTERVAL_MAX_MS = 2000.0
+# Interval at which a VM that alone can't reach the store renews its copy, so that it
+# learns in time of targets that leave.
+REFRESH_INTERVAL_MS = 1000.0
 
 
 class TargetRecovery:
@@ -62,6 +65,7 @@
         "_n_rounds",
         "_fetch_at_ms",
         "_interval_ms",
+        "_copied_at_ms",
         "_fetching_since_ms",
     )
 
@@ -82,6 +86,8 @@
         self._n_rounds = 0
         self._fetch_at_ms = float("-inf")
         self._interval_ms = FETCH_INTERVAL_MIN_MS
+        # When the latest copy came, or was last asked for in its place.
+        self._copied_at_ms = float("-inf")
         # Since when peers have been asked, or None.
         self._fetching_since_ms = None
 
@@ -128,7 +134,7 @@
         self._note_current(is_store_unavailable, now_ms)
         if not self._needs_targets():
             self._reset()
-            return self._confirm_more(now_ms)
+            return self._refresh(is_store_unavailable, now_ms)
         if self._needed_since_ms is None:
             self._needed_since_ms = now_ms
         is_late = now_ms - self._needed_since_ms >= STORE_READ_MAX_MS
@@ -182,7 +188,7 @@
         """Use the copy in a TargetsFetched; return messages.
 
         It is left out if the targets are no longer needed or were read meanwhile.
-        Former targets that were confirmed before it came give way to it.
+        Older targets, and former ones that were confirmed before, give way to it.
         """
         self._fetching_since_ms = None
         if not self._needs_targets() and not self._uses_old():
@@ -193,10 +199,18 @@
             self._note_round(now_ms)
             return [StateChange("targets", "no copy", ""), *self._confirm(now_ms)]
         copy = message.copy
+        current_at_ms = now_ms - copy.age_ms
+        if self._uses_old() and current_at_ms <= self._current_at_ms:
+            return []
+        self._copied_at_ms = now_ms
         self._former.forget()
         self._table.is_filled = False
         out = self._records.apply_domains(copy.domains_out, now_ms)
-        out += self._use(copy.targets, now_ms - copy.age_ms, now_ms)
+        named = {held.entry.key for held in copy.targets}
+        for key in self._table.by_key:
+            if key not in named:
+                self._table.close(key)
+        out += self._use(copy.targets, current_at_ms, now_ms)
         detail = f"n={len(copy.targets)} age_ms={copy.age_ms:.0f}"
         detail += f" revision={copy.revision} era={copy.era}"
         return [StateChange("targets", "copied", message.ip, detail), *out]
@@ -207,6 +221,19 @@
         self._n_rounds += 1
         self.is_fruitless = not self._former
 
+    def _refresh(self, is_store_unavailable, now_ms):
+        """Ask for newer targets, or for the rest of those that were dropped."""
+        if not self._uses_old() or self._watch_scope.scope != WATCH_ALL:
+            return []
+        out = self._confirm(now_ms)
+        ips = watching_sources(self._peers, now_ms) if is_store_unavailable else ()
+        is_due = now_ms - self._copied_at_ms >= REFRESH_INTERVAL_MS
+        if ips and is_due and self._fetching_since_ms is None:
+            self._fetching_since_ms = now_ms
+            self._copied_at_ms = now_ms
+            out.append(FetchTargets(ips))
+        return out
+
     # Targets that were dropped.
 
     def _confirm(self, now_ms):
@@ -218,12 +245,6 @@
         detail += f" age_ms={now_ms - self._former.held_at_ms:.0f}"
         return [*out, StateChange("targets", "asking former", "", detail)]
 
-    def _confirm_more(self, now_ms):
-        """Ask former targets again that have not answered, while others are used."""
-        if not self.is_old or not self._former:
-            return []
-        return self._confirm(now_ms)
-
     def _take_confirmed(self, message, now_ms):
         """Use the former targets that have answered; return messages."""
         confirmed = self._former.take_confirmed(message, now_ms)
--- a/packages/core/hornbeamstand_core/controllers/target_sources.py
+++ b/packages/core/hornbeamstand_core/controllers/target_sources.py
@@ -46,3 +46,14 @@
         return []
     first = n_rounds * N_ASKED_MAX % len(ips)
     return (ips[first:] + ips[:first])[:N_ASKED_MAX]
+
+
+def watching_sources(view, now_ms):
+    """Return the addresses of peers that hold the targets and reach the store."""
+    return [
+        ip
+        for ip, peer in view.peers.items()
+        if peer.heartbeat.is_watching
+        and peer.heartbeat.is_preferred
+        and not view.is_silent(peer, now_ms)
+    ][:N_ASKED_MAX]
--- a/packages/core/tests/test_target_recovery.py
+++ b/packages/core/tests/test_target_recovery.py
@@ -14,6 +14,7 @@
 from hornbeamstand_core.controllers.target_recovery import (
     COPY_MAX_MS,
     FETCH_INTERVAL_MIN_MS,
+    REFRESH_INTERVAL_MS,
     STORE_READ_MAX_MS,
 )
 from hornbeamstand_core.discovery import (
@@ -129,6 +130,27 @@
     assert len(node.table.by_key) == 2
 
 
+def test_a_vm_that_alone_lacks_the_store_hears_that_a_target_has_left():
+    """Guards against requests to targets that left long after the copy was made."""
+    node, now_ms, _ = make_successor()
+    held = [HeldTarget(make_entry(name)) for name in ("t1", "t2")]
+    node.handle(TargetsFetched("10.0.0.9", TargetCopy(held, [], 0.0)), now_ms)
+    node.handle(make_heartbeat("10.0.0.9", "b", is_watching=True), now_ms)
+    assert messages_of_kind(node.handle(EdgeTick(), now_ms), FetchTargets) == []
+    now_ms += REFRESH_INTERVAL_MS
+    node.handle(make_heartbeat("10.0.0.9", "b", is_watching=True), now_ms)
+    out = node.handle(EdgeTick(), now_ms)
+    assert messages_of_kind(out, FetchTargets) == [FetchTargets(["10.0.0.9"])]
+    older = TargetCopy(held[1:], [], 2.0 * REFRESH_INTERVAL_MS)
+    node.handle(TargetsFetched("10.0.0.9", older), now_ms)
+    offered = node.find_service("shop").offered_targets
+    assert [target.entry.target_id for target in offered()] == ["t1", "t2"]
+    newer = TargetCopy(held[:1], [], 0.0)
+    node.handle(EdgeTick(), now_ms)
+    node.handle(TargetsFetched("10.0.0.9", newer), now_ms + 10.0)
+    assert [target.entry.target_id for target in offered()] == ["t1"]
+
+
 def test_targets_of_a_copy_are_read_again_by_the_next_watch():
     node, now_ms, _ = make_successor()
     copy = TargetCopy([HeldTarget(make_entry("t1"))], [], 0.0)
--- a/packages/entry/tests/test_target_copies.py
+++ b/packages/entry/tests/test_target_copies.py
@@ -111,6 +111,7 @@
         SILENT,
         SendFailure(CONNECT_FAILED, False, "a"),
         Answer(404),
+        Answer(400, b"no terms"),
         Answer(200, b"none"),
         Answer(200, compress_copy(b"\xc1")),
         Answer(200, compress_copy(msgspec.msgpack.encode([[], [], -1, 0, 0]))),
