Keep old targets for a while after a silence of the store that no call showed

A VM that took over less than 1.6 s before a silent store answered again hadn't noticed that the store was away: two calls must fail for that. Entries that had lapsed in the silence removed all its targets at once. A read that comes 500 ms or more after old targets came into use now tells the same, and targets have 2 s to register again.

Evidence: test_entries_that_lapsed_while_the_store_was_silent_remove_no_target_at_once, before: no target was offered after the read.

--- a/packages/core/hornbeamstand_core/controllers/target_recovery.py
+++ b/packages/core/hornbeamstand_core/controllers/target_recovery.py
@@ -20,6 +20,8 @@
 # Time that a read of the store takes at most while the store is in order. A store that
 # is silent is known to be unavailable only much later.
 STORE_READ_MAX_MS = 150.0
+# Time from which on a read that is late tells that the store was away meanwhile.
+SILENT_READ_MIN_MS = 500.0
 # Time that a copy takes at most from peers that can be reached.
 COPY_MAX_MS = 150.0
 # Minimum and maximum interval between two rounds in which no peer had targets. It
@@ -62,6 +64,8 @@
         "_former",
         "_needed_since_ms",
         "_current_at_ms",
+        "_old_since_ms",
+        "_was_unavailable",
         "_n_rounds",
         "_fetch_at_ms",
         "_interval_ms",
@@ -82,6 +86,10 @@
         self._needed_since_ms = None
         # When the targets in the table were last known to be current.
         self._current_at_ms = 0.0
+        # Since when old targets have been used, and whether the store was known to be
+        # unavailable since.
+        self._old_since_ms = 0.0
+        self._was_unavailable = False
         # Rounds in which no peer had targets, and the time of the next one.
         self._n_rounds = 0
         self._fetch_at_ms = float("-inf")
@@ -102,10 +110,20 @@
         if self.is_old:
             # A target that is new to an old table need not have just started.
             self._table.is_filled = False
+            self._note_silence(now_ms)
         self.is_old = False
         self._current_at_ms = now_ms
         self._former.forget()
 
+    def _note_silence(self, now_ms):
+        """Let targets register again after a silence of the store that no call showed.
+
+        Their entries may have lapsed in it.
+        """
+        is_late = now_ms - self._old_since_ms >= SILENT_READ_MIN_MS
+        if is_late and not self._was_unavailable:
+            self._table.note_store_available(now_ms)
+
     def keep_former(self, now_ms):
         """Keep the targets of the table, which are about to be dropped."""
         held = [
@@ -132,6 +150,7 @@
     def update(self, is_store_unavailable, now_ms):
         """Ask for targets if this VM needs them; return messages."""
         self._note_current(is_store_unavailable, now_ms)
+        self._was_unavailable = self._was_unavailable or is_store_unavailable
         if not self._needs_targets():
             self._reset()
             return self._refresh(is_store_unavailable, now_ms)
@@ -259,6 +278,9 @@
 
     def _use(self, targets, current_at_ms, now_ms):
         """Add HeldTargets to the table; return state changes for the log."""
+        if not self.is_old:
+            self._old_since_ms = now_ms
+            self._was_unavailable = False
         self.is_old = True
         self.is_fruitless = False
         self._current_at_ms = current_at_ms
--- a/packages/core/tests/test_target_recovery.py
+++ b/packages/core/tests/test_target_recovery.py
@@ -15,8 +15,10 @@
     COPY_MAX_MS,
     FETCH_INTERVAL_MIN_MS,
     REFRESH_INTERVAL_MS,
+    SILENT_READ_MIN_MS,
     STORE_READ_MAX_MS,
 )
+from hornbeamstand_core.controllers.target_table import REREGISTER_MS
 from hornbeamstand_core.discovery import (
     DomainOutOfService,
     StoreAvailable,
@@ -173,6 +175,21 @@
     assert len(messages_of_kind(out, FetchTargets)) == 1
 
 
+def test_entries_that_lapsed_while_the_store_was_silent_remove_no_target_at_once():
+    """Guards against no target after a silence that was over before a call failed."""
+    node, now_ms, _ = make_successor(is_store_away=False)
+    now_ms += STORE_READ_MAX_MS
+    node.handle(EdgeTick(), now_ms)
+    copy = TargetCopy([HeldTarget(make_entry("t1"))], [], 0.0)
+    node.handle(TargetsFetched("10.0.0.9", copy), now_ms)
+    now_ms += SILENT_READ_MIN_MS
+    node.handle(make_snapshot(revision=9), now_ms)
+    offered = node.find_service("shop").offered_targets
+    assert [target.entry.target_id for target in offered()] == ["t1"]
+    node.handle(EdgeTick(), now_ms + REREGISTER_MS)
+    assert list(offered()) == []
+
+
 def test_dropped_targets_are_used_once_they_have_answered():
     entries = [make_entry(name) for name in ("t1", "t2", "t3")]
     node, now_ms, out = make_successor(*entries)
