Refuse calls of the own program that its late turns leave no time for

Callers of a VM of the own program that was late got an answer after their deadline, or 504 for an order whose outcome nobody knew. Cause: what the platform's program does when its turns are late stood there alone: the own program sent a request whose two steps so far had been late, and calls in progress kept the margin that they had begun with.

A call that was not sent yet is refused as not run (decision 0014's rule, the same function), and calls in progress end sooner when the margin of answers grows.

--- a/packages/core/hornbeamstand_core/filters/deadline.py
+++ b/packages/core/hornbeamstand_core/filters/deadline.py
@@ -3,7 +3,7 @@
 from result import Err
 
 from ..messages import Refusal
-from .margins import limit_margin
+from .margins import keep_margin
 
 
 def deadline(next_handler):
@@ -19,9 +19,10 @@
             requested_ms = call.service.deadline_ms
         if requested_ms <= 0:
             return Err(Refusal("deadline passed", status=504, step="deadline"))
-        granted_ms = min(requested_ms, call.service.deadline_max_ms)
-        granted_ms -= limit_margin(call.request.answer_margin_ms, granted_ms)
-        call.deadline_at_ms = call.request.arrived_at_ms + granted_ms
+        call.limit_ms = min(requested_ms, call.service.deadline_max_ms)
+        call.limit_at_ms = call.request.arrived_at_ms + call.limit_ms
+        call.deadline_at_ms = call.limit_at_ms
+        keep_margin(call, call.request.answer_margin_ms)
         return (yield from next_handler(call))
 
     return handle
--- a/packages/core/hornbeamstand_core/filters/find_route.py
+++ b/packages/core/hornbeamstand_core/filters/find_route.py
@@ -26,7 +26,7 @@
             now_ms = routed.found_at_ms
         set_times(call)
         if not may_end_in_time(call, now_ms):
-            return Err(late_refusal(call, now_ms))
+            return Err(late_refusal(call, now_ms, "route", request.host))
         return (yield from next_handler(call))
 
     return handle
--- a/packages/core/hornbeamstand_core/filters/margins.py
+++ b/packages/core/hornbeamstand_core/filters/margins.py
@@ -24,18 +24,19 @@
     """Return whether a call that was not sent has the time for its remaining turns.
 
     They are expected to take as long as both of its own steps so far: its wait until it
-    was read, and the search for its route. A single pause delays one of them only.
+    was read, and the search for its route or target. A single pause delays one of them
+    only.
     """
     request = call.request
     seen_ms = min(request.waited_ms, now_ms - request.arrived_at_ms)
     return call.deadline_at_ms - now_ms > N_TURNS_LEFT * seen_ms
 
 
-def late_refusal(call, now_ms):
+def late_refusal(call, now_ms, step, peer):
     """Return the Refusal of a call that can't end in time.
 
-    The caller can't get an answer within the same time by another attempt.
+    ``step`` is where it ends, and ``peer`` the host or target that it was for. The
+    caller can't get an answer within the same time by another attempt.
     """
     retry_ms = max(RETRY_AFTER_MIN_MS, call.limit_at_ms - now_ms)
-    host = call.request.host
-    return Refusal("deadline passed", NOT_RUN, 503, "route", host, retry_ms)
+    return Refusal("deadline passed", NOT_RUN, 503, step, peer, retry_ms)
--- a/packages/core/hornbeamstand_core/messages.py
+++ b/packages/core/hornbeamstand_core/messages.py
@@ -15,7 +15,7 @@
     the entry VMs that forwarded the request. ``is_recorded`` is set if the order's
     primary has recorded it; ``is_first_attempt`` if the caller states that it never
     sent this idempotency key before. The call ends ``answer_margin_ms`` before its
-    deadline.
+    deadline. The request waited unread for ``waited_ms`` before it arrived.
     """
 
     __slots__ = (
@@ -30,6 +30,7 @@
         "is_recorded",
         "is_first_attempt",
         "answer_margin_ms",
+        "waited_ms",
     )
 
     def __init__(
@@ -45,6 +46,7 @@
         is_recorded=False,
         is_first_attempt=False,
         answer_margin_ms=0.0,
+        waited_ms=0.0,
     ):
         self.request_id = request_id
         self.service_name = service_name
@@ -57,18 +59,22 @@
         self.is_recorded = is_recorded
         self.is_first_attempt = is_first_attempt
         self.answer_margin_ms = answer_margin_ms
+        self.waited_ms = waited_ms
 
 
 class Call(Record):
     """The state of one request as it passes through the filter chain.
 
     ``service`` is the ServiceSpec of the request's service, or None before the filter
-    that finds it.
+    that finds it. It has ``limit_ms``, until ``limit_at_ms``, to be answered, and ends
+    at ``deadline_at_ms``.
     """
 
     __slots__ = (
         "request",
         "service",
+        "limit_ms",
+        "limit_at_ms",
         "deadline_at_ms",
         "is_idempotent",
         "n_dispatches",
@@ -80,6 +86,8 @@
     def __init__(self, request):
         self.request = request
         self.service = None
+        self.limit_ms = None
+        self.limit_at_ms = None
         self.deadline_at_ms = None
         self.is_idempotent = False
         self.n_dispatches = 0
--- a/packages/entry/hornbeamstand_entry/context.py
+++ b/packages/entry/hornbeamstand_entry/context.py
@@ -1,6 +1,7 @@
 """The state of one request, owned by the greenlet that serves it."""
 
 from gevent.queue import SimpleQueue
+from hornbeamstand_core.messages import Call
 from hornbeamstand_core.records import Record
 
 
@@ -10,10 +11,19 @@
     ``path`` is the path after the service name, with the query, as the caller sent it.
     ``header_items`` are the headers to forward, as (name, value) pairs. ``mailbox``
     receives the replies of the tasks and the results of exchanges. ``is_caller_gone``
-    is set once the caller has closed its connection.
+    is set once the caller has closed its connection. ``call`` is the request's Call in
+    the filter chain.
     """
 
-    __slots__ = ("request", "path", "header_items", "body", "mailbox", "is_caller_gone")
+    __slots__ = (
+        "request",
+        "path",
+        "header_items",
+        "body",
+        "mailbox",
+        "is_caller_gone",
+        "call",
+    )
 
     def __init__(self, request, path, header_items, body):
         self.request = request
@@ -22,6 +32,7 @@
         self.body = body
         self.mailbox = SimpleQueue()
         self.is_caller_gone = False
+        self.call = Call(request)
 
 
 class CallerGone(Record):
--- a/packages/entry/hornbeamstand_entry/front.py
+++ b/packages/entry/hornbeamstand_entry/front.py
@@ -5,7 +5,7 @@
 """
 
 from hornbeamstand_core.controllers.admission import Arrival
-from hornbeamstand_core.messages import Call, Refusal, Request
+from hornbeamstand_core.messages import Refusal, Request
 
 from . import headers
 from .context import RequestContext
@@ -65,6 +65,7 @@
         "clock",
         "settings",
         "_n_received",
+        "_mailboxes",
     )
 
     def __init__(
@@ -78,6 +79,8 @@
         self.clock = clock
         self.settings = settings
         self._n_received = 0
+        # The mailboxes of the calls in progress.
+        self._mailboxes = set()
 
     def app(self, environ, start_response):
         """Serve one HTTP request (the WSGI application)."""
@@ -132,12 +135,19 @@
     def _run(self, environ, context):
         sock = environ["hornbeamstand.socket"]
         watcher = watch_caller(sock, context.mailbox)
+        self._mailboxes.add(context.mailbox)
         try:
-            return drive(self.chain, Call(context.request), context, self.performers)
+            return drive(self.chain, context.call, context, self.performers)
         finally:
+            self._mailboxes.discard(context.mailbox)
             watcher.stop()
             watcher.close()
 
+    def lengthen_margins(self, message):
+        """Pass an AnswerMarginGrown to the calls in progress."""
+        for mailbox in self._mailboxes:
+            mailbox.put(message)
+
     def _refuse_if_late(self, request, waited_ms):
         """Return the Refusal of a request that this VM can't take now, or None."""
         service = self.node.ownership.configuration.services.get(request.service_name)
@@ -174,6 +184,7 @@
             environ.get("HTTP_HORNBEAM_RECORDED") == "1",
             environ.get("HTTP_HORNBEAM_ATTEMPT") == "1",
             self.node.admission.answer_margin_ms,
+            waited_ms,
         )
         return request, path
 
--- a/packages/entry/hornbeamstand_entry/performers.py
+++ b/packages/entry/hornbeamstand_entry/performers.py
@@ -5,6 +5,8 @@
 """
 
 from hornbeamstand_core.balancer_messages import CapacityReport
+from hornbeamstand_core.event_messages import AnswerMarginGrown
+from hornbeamstand_core.filters.margins import keep_margin
 from hornbeamstand_core.messages import (
     BROKEN_RESPONSE,
     CANCELLED,
@@ -78,9 +80,21 @@
         """Return the next message; drop late results of cancelled exchanges."""
         while True:
             reply = context.mailbox.get()
-            if type(reply) is not ExchangeResult:
+            if type(reply) is AnswerMarginGrown:
+                keep_margin(context.call, reply.margin_ms)
+            elif type(reply) is not ExchangeResult:
                 return reply
 
+    def receive_result(exchange, effect, context):
+        """Return the result of an exchange, CALLER_GONE, or None at its deadline."""
+        until_ms = effect.deadline_at_ms
+        while True:
+            reply = exchange.receive_result(until_ms - clock.now_ms())
+            if type(reply) is not AnswerMarginGrown:
+                return reply
+            keep_margin(context.call, reply.margin_ms)
+            until_ms = min(until_ms, context.call.deadline_at_ms)
+
     def acquire(effect, context):
         control_task.task.post(Ask(effect, context.mailbox))
         reply = next_reply(context)
@@ -105,7 +119,7 @@
             expected_id,
         )
         pools.post(address, exchange)
-        reply = exchange.receive_result(effect.deadline_at_ms - clock.now_ms())
+        reply = receive_result(exchange, effect, context)
         if reply is None:
             exchange.cancel(has_timed_out=True)
             return SendFailure(TIMED_OUT, exchange.is_sent, address)
--- a/packages/entry/hornbeamstand_entry/process.py
+++ b/packages/entry/hornbeamstand_entry/process.py
@@ -205,6 +205,7 @@
             self.clock,
             settings,
         )
+        self.control_task.connect_front(self.front)
 
 
 def make_node(settings, clock):
--- a/packages/entry/hornbeamstand_entry/tasks/control_task.py
+++ b/packages/entry/hornbeamstand_entry/tasks/control_task.py
@@ -99,7 +99,7 @@
             Decision: self._log_decision,
             OwnershipChange: self._log_ownership_change,
             StateChange: self._log_state_change,
-            # Calls in progress keep the deadline that they began with.
+            # No call is in progress before ``connect_front``.
             AnswerMarginGrown: lambda message: None,
         }
 
@@ -116,6 +116,10 @@
         self._recipients[FetchPeerState] = peer_state_fetcher.post
         self._recipients[EpochAdopted] = orders_task.task.post
 
+    def connect_front(self, front):
+        """Set the Front, whose calls in progress end sooner on a VM that is late."""
+        self._recipients[AnswerMarginGrown] = front.lengthen_margins
+
     def start(self, stack):
         """Start the task."""
         start_loop(self.task, self._handle, self._tick, self.clock, stack)
--- a/packages/entry/tests/test_performers.py
+++ b/packages/entry/tests/test_performers.py
@@ -5,6 +5,7 @@
 import pytest
 from gevent.queue import SimpleQueue
 from hornbeamstand_core.balancer_messages import CapacityReport
+from hornbeamstand_core.event_messages import AnswerMarginGrown
 from hornbeamstand_core.messages import (
     CONNECT_FAILED,
     NOT_RUN,
@@ -55,6 +56,22 @@
     assert [exchange.expected_id for exchange in exchanges] == ["r~1"]
 
 
+def test_a_send_in_progress_ends_sooner_once_the_vm_is_late():
+    """Guards against late answers of a VM that got late after the send."""
+    pools = SimpleNamespace(post=lambda address, exchange: None)
+    settings = SimpleNamespace(answer_max_bytes=1000)
+    clock = make_process_clock()
+    performers = make_performers(None, None, None, pools, None, clock, settings)
+    context = RequestContext(Request("r~1", "shop"), "/", [], b"")
+    context.call.limit_ms = 2000.0
+    context.call.limit_at_ms = context.call.deadline_at_ms = clock.now_ms() + 300.0
+    permit = Permit("shop", "t1", "127.0.0.1:1", "r~1", clock.now_ms())
+    context.mailbox.put(AnswerMarginGrown(250.0))
+    began_ms = clock.now_ms()
+    performers[Send](Send(permit, context.call.deadline_at_ms, True), context)
+    assert clock.now_ms() - began_ms < 200.0
+
+
 @pytest.mark.parametrize("status", [200, 400, 408, 431, 500])
 def test_an_answer_that_only_the_peers_server_wrote_is_no_answer(status):
     """Guards against a peer's own error that callers get as an answer that ran."""
