--- a/packages/ctl/hornbeamstand_ctl/explain.py
+++ b/packages/ctl/hornbeamstand_ctl/explain.py
@@ -15,7 +15,14 @@
 CONTEXT_BEFORE_MS = 5000.0
 CONTEXT_AFTER_MS = 500.0
 # Prefixes of events that concern a VM as a whole; they are included whatever they name.
-VM_EVENTS = ("store: away", "store: back", "domain: ", "config: ", "process: ")
+VM_EVENTS = (
+    "store: away",
+    "store: back",
+    "store: new era",
+    "domain: ",
+    "config: ",
+    "process: ",
+)
 # Prefixes of events that are included if they name an involved target or peer.
 SUBJECT_EVENTS = ("target: ", "peer: ", "route: eject")
 
--- a/packages/ctl/tests/test_explain.py
+++ b/packages/ctl/tests/test_explain.py
@@ -6,7 +6,7 @@
 
 import pytest
 from hornbeamstand_ctl.explain import describe_timeline, explain
-from hornbeamstand_ctl.log_lines import parse_line, read_logs
+from hornbeamstand_ctl.log_lines import LogLine, parse_line, read_logs
 
 LOGS = Path(__file__).resolve().parents[3] / "tests/logs"
 
@@ -26,6 +26,15 @@
     assert events[-1] == ("answer: refused", False)
 
 
+def test_the_return_of_the_store_from_a_copy_is_shown_beside_a_request():
+    lines = read_logs([LOGS / "waited.log"]).ok_value.lines
+    about = next(line for line in lines if line.request_id == "6392be85827f7d60")
+    era = LogLine(about.vm, about.at_ms, "store: new era", {"detail": "era=2 from=1"})
+    timeline = explain([*lines, era], "6392be85827f7d60")
+    events = [(step.event, step.is_context) for step in timeline.steps]
+    assert ("store: new era", True) in events
+
+
 def test_a_request_that_timed_out_is_traced_to_its_target_and_the_budget():
     timeline = timeline_of("timed-out.log", "035e6fd46f78f690")
     assert timeline.cause.startswith("504 after 1192 ms, outcome-unknown: timed-out")
