--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -76,12 +76,24 @@
     has_cuts: Annotated[
         bool, typer.Option("--cuts", help="cut paths between VMs too")
     ] = False,
+    has_drills: Annotated[
+        bool, typer.Option("--drills", help="let the store come back from copies too")
+    ] = False,
 ):
     """Run days; print what was lost by each clause, and what the rules excuse."""
     n_failed = 0
     for i in range(n_seeds):
         day_seed = seed + i if seed else fresh_seed()
-        plan = DayPlan(day_seed, length_s, n_vms, n_cores, only, n_keeping, has_cuts)
+        plan = DayPlan(
+            day_seed,
+            length_s,
+            n_vms,
+            n_cores,
+            only,
+            n_keeping,
+            has_cuts,
+            has_drills,
+        )
         report = run_day(plan)
         for line in report.lines():
             print(line, flush=True)
--- a/soak/day/cell.py
+++ b/soak/day/cell.py
@@ -5,12 +5,15 @@
 from standins.edge_cell import DOMAINS, EdgeCell
 
 from ..cell import SoakCell
+from ..senders import find_owner
 from .peer_network import PeerNetwork
 from .records import now_s
 from .site import GRACE_S, KINDS, SERVICES
 from .target import DayTarget
 
 MS_PER_S = 1000
+# Service that runs the requests of probes.
+PROBED_SERVICE = "tubo-lookup"
 # Peer port of the first VM, if the paths between VMs can be cut: each VM has another.
 FIRST_PEER_PORT = 31_000
 # Prefix of the route that configurations move between services, and its kind.
@@ -69,6 +72,7 @@
     def start_vm(self, vm):
         """Start one edge process and note when."""
         self.started_s[vm.name] = now_s()
+        self.journal.starts.append((vm.name, now_s()))
         self.young_vms.add(vm.name)
         super().start_vm(vm)
 
@@ -91,11 +95,15 @@
         """Start a target, at a given port or any, and write its entry; returns it."""
         name = f"i-{len(self.servers)}"
         target = DayTarget(name, service, domain, self.journal, Random(name))
+        target.find_sender = self._find_sender
         target.start(self.stack, port)
         self.servers.append(target)
         self.write_entry(target)
         return target
 
+    def _find_sender(self, client_address, target_address):
+        return find_owner(self.vms, client_address, target_address)
+
     def write_entry(self, server, cold_remaining_ms=0):
         """Write the entry of a target, with its own address."""
         EdgeCell.write_entry(self, server, cold_remaining_ms)
@@ -109,12 +117,23 @@
         return [server for server in self.servers if server.state == "ready"]
 
     def publish(self):
-        """Publish the next configuration version with the current routes."""
+        """Publish the next configuration version with the current routes.
+
+        It has a route for probes that all later versions have too, and one that none
+        of them has.
+        """
         self.version += 1
+        self.publish_again()
+
+    def publish_again(self):
+        """Write the newest configuration version."""
         prefixes = {
             prefix: (service, "non_idempotent" if kind.is_order else "idempotent")
             for prefix, (service, kind, _) in self.routes.items()
         }
+        probes = [f"/sonda{i}/" for i in range(1, self.version + 1)]
+        for prefix in [*probes, f"/sola{self.version}/"]:
+            prefixes[prefix] = (PROBED_SERVICE, "idempotent")
         fields = {
             prefix: {
                 "Timeout": f"{timeout_s * MS_PER_S:.0f}ms",
@@ -123,6 +142,7 @@
             for prefix, (_, kind, timeout_s) in self.routes.items()
         }
         self.set_config(self.version, prefixes, fields=fields)
+        self.journal.config_acked_s[self.version] = now_s()
 
     def change_routes(self, rng):
         """Draw one change of the routes: a timeout, a move, a new route or a split."""
--- a/soak/day/operations.py
+++ b/soak/day/operations.py
@@ -7,9 +7,11 @@
 from standins.edge_cell import DOMAINS
 
 from ..proxy import ONE_WAY, PASS, SILENT
+from .probes import Prober
 from .processes import Processes
 from .records import now_s
 from .site import GRACE_S, SERVICES
+from .store_drills import StoreDrills
 
 # Time from a configuration to a stop beside it, either way.
 BESIDE_S = 0.6
@@ -20,6 +22,8 @@
 # Number of VMs that are stopped in turn, and the pause between two.
 N_IN_TURN = 4
 IN_TURN_PAUSE_S = 0.5
+# Time for which a failure domain is out of service.
+OUT_S = 9.0
 SLOW_SPEED = 4.0
 # Time for which all VMs are down before the last part of the day.
 DURATION_ALL_S = 0.2
@@ -31,13 +35,23 @@
 class Operations:
     """Plays events on a DayCell and records them in its DayJournal."""
 
-    __slots__ = ("cell", "journal", "rng", "processes", "_players")
+    __slots__ = (
+        "cell",
+        "journal",
+        "rng",
+        "processes",
+        "prober",
+        "store_drills",
+        "_players",
+    )
 
     def __init__(self, cell, journal, seed):
         self.cell = cell
         self.journal = journal
         self.rng = Random(f"{seed}-operations")
         self.processes = Processes(cell, journal)
+        self.prober = Prober(cell, journal)
+        self.store_drills = StoreDrills(self, Random(f"{seed}-drills"))
         self._players = {
             "stop": self._stop,
             "stop-two": self._stop_two,
@@ -47,8 +61,10 @@
             "stop-beside-removal": self._stop_beside_removal,
             "stop-without-store": self._stop_without_store,
             "reload": self._reload,
-            "config": self._publish,
+            "config": lambda event: self.publish(),
             "drain": self._drain,
+            "leave": self._leave,
+            "domain-out": self._take_domain_out,
             "add-vm": self._add_vm,
             "add-many": self._add_many,
             "freeze": self._freeze,
@@ -68,6 +84,10 @@
             "store-refuses-one": self._refuse_one,
             "store-reset": self._reset_store,
             "store-forgets": lambda event: cell.store.compact_history(),
+            "restart-all": lambda event: self.kill_all(),
+            "store-copy": self.store_drills.come_back_from_copy,
+            "store-down": self.store_drills.kill_owners,
+            "cut-store": self.store_drills.cut_from_store,
         }
         for mode in ("busy", "many", "silent", "lost"):
             self._players[f"store-{mode}"] = self._make_store_mode(mode)
@@ -103,10 +123,10 @@
             self.processes.stop(vm)
 
     def _stop_beside_config(self, event):
-        job = gevent.spawn(self._publish, event)
+        job = gevent.spawn(self.publish)
         gevent.sleep(self.rng.random() * BESIDE_S)
         self._stop(event)
-        self._publish(event)
+        self.publish()
         job.join()
 
     def _stop_beside_removal(self, event):
@@ -121,11 +141,13 @@
         self.cell.write_settings(vm, self.rng.choice(LOOKUP_TTLS_S))
         self.processes.reload(vm)
 
-    def _publish(self, event):
+    def publish(self):
+        """Publish a version with one change of the routes."""
         work = self.journal.add_planned("config")
         self.cell.change_routes(self.rng)
         self.cell.publish()
         work.end_s = now_s()
+        gevent.spawn(self.prober.check_applied, self.cell.version)
 
     def _drain(self, event):
         targets = self.cell.live_targets()
@@ -133,11 +155,37 @@
         self.cell.add_target(target.service, target.domain)
         target.state = "draining"
         self.cell.write_entry(target)
+        self.journal.left_s[target.server_id] = now_s()
         gevent.sleep(DRAINING_S)
+        self._remove(target)
+
+    def _leave(self, event):
+        """Let a target leave that never reports that it drains."""
+        targets = self.cell.live_targets()
+        target = targets[event.index % len(targets)]
+        self.cell.add_target(target.service, target.domain)
+        self.journal.left_s[target.server_id] = now_s()
+        self._remove(target)
+
+    def _remove(self, target):
+        """Remove the entry of a target, which goes on for a while."""
+        target.state = "left"
         self.cell.store.delete(f"servers/{target.server_id}")
         gevent.sleep(LEAVING_S)
+        target.state = "gone"
         target.stop()
 
+    def _take_domain_out(self, event):
+        """Take a failure domain out of service for a while, if none is."""
+        if self.journal.domains_out:
+            return
+        domain = DOMAINS[event.index % len(DOMAINS)]
+        self.cell.store.put(f"op/evacuate/{domain}", {})
+        self.journal.domains_out[domain] = now_s()
+        gevent.sleep(OUT_S)
+        del self.journal.domains_out[domain]
+        self.cell.store.delete(f"op/evacuate/{domain}")
+
     def _add_vm(self, event):
         self.processes.watch_start(self.cell.add_vm())
 
@@ -173,16 +221,17 @@
         job.join()
 
     def _kill(self, event):
-        self._kill_vms([self._vm(event)], event.duration_s)
+        self.kill_vms([self._vm(event)], event.duration_s)
 
     def _kill_half(self, event):
-        self._kill_vms(self.cell.vms[event.index % 2 :: 2], event.duration_s)
+        self.kill_vms(self.cell.vms[event.index % 2 :: 2], event.duration_s)
 
     def kill_all(self):
         """Kill all VMs and start them again."""
-        self._kill_vms(list(self.cell.vms), DURATION_ALL_S)
+        self.kill_vms(list(self.cell.vms), DURATION_ALL_S)
 
-    def _kill_vms(self, vms, duration_s):
+    def kill_vms(self, vms, duration_s):
+        """Kill VMs that no event has, and start them again after a while."""
         claimed = [vm for vm in vms if self.processes.claim(vm)]
         works = [self.journal.add_unplanned("kill", vm.name) for vm in claimed]
         for vm in claimed:
--- a/soak/day/plan.py
+++ b/soak/day/plan.py
@@ -12,8 +12,9 @@
     ``n_cores`` is the number of cores that all VMs share, of those of this process,
     which then runs on the others; 0 leaves the VMs all of them. ``only`` is the kind of
     the only event, or empty for events that are drawn and an end of all VMs.
-    ``n_keeping`` is the number of callers that keep connections, and ``has_cuts`` is
-    whether paths between VMs are cut.
+    ``n_keeping`` is the number of callers that keep connections. ``has_cuts`` is
+    whether paths between VMs are cut, ``has_drills`` whether the store comes back from
+    copies.
     """
 
     __slots__ = (
@@ -24,6 +25,7 @@
         "only",
         "n_keeping",
         "has_cuts",
+        "has_drills",
     )
 
     def __init__(
@@ -35,6 +37,7 @@
         only="",
         n_keeping=N_KEEPING,
         has_cuts=False,
+        has_drills=False,
     ):
         self.seed = seed
         self.length_s = length_s
@@ -43,9 +46,10 @@
         self.only = only
         self.n_keeping = n_keeping
         self.has_cuts = has_cuts
+        self.has_drills = has_drills
 
     def events(self):
         """Return the events, in order of time."""
         if self.only:
             return single_event(self.only)
-        return draw_events(self.seed, self.length_s, self.has_cuts)
+        return draw_events(self.seed, self.length_s, self.has_cuts, self.has_drills)
--- a/soak/day/records.py
+++ b/soak/day/records.py
@@ -83,12 +83,43 @@
         self.end_s = float("inf")
 
 
+class Stray(Record):
+    """A request that reached a target out of use, sent by ``vm`` (empty if unknown).
+
+    ``kind`` is ``left`` (the target said so, or its entry was removed) or
+    ``domain-out``, acknowledged at ``since_s``.
+    """
+
+    __slots__ = ("kind", "since_s", "at_s", "attempt_id", "server_id", "vm")
+
+    def __init__(self, kind, since_s, attempt_id, server_id, vm):
+        self.kind = kind
+        self.since_s = since_s
+        self.at_s = now_s()
+        self.attempt_id = attempt_id
+        self.server_id = server_id
+        self.vm = vm
+
+    def describe(self):
+        """Return the request as text."""
+        return (
+            f"{self.at_s:.2f} {self.attempt_id} at {self.server_id} ({self.kind})"
+            f" {self.at_s - self.since_s:.2f} s after its acknowledgement,"
+            f" from {self.vm or 'an unknown VM'}"
+        )
+
+
 class DayJournal:
     """All records of a day.
 
     ``planned`` and ``unplanned`` have its Events, ``arrivals`` maps an attempt id to
     the ids of the targets that it reached, ``runs`` to its Runs. ``findings`` has what
-    is found during the day, ``lags`` (time, lag in s) of the event loop.
+    is found during the day, ``lags`` (time, lag in s) of the event loop. ``starts`` has
+    (name of a VM, time) of each start. ``config_acked_s`` maps a version to the time of
+    its last acknowledgement, ``left_s`` the id of a target to that of its leaving, and
+    ``domains_out`` a failure domain to that from which it is out of service. ``strays``
+    has the requests at such targets, and ``n_misdirected`` is the number of those that
+    another target had been meant for.
     """
 
     __slots__ = (
@@ -99,6 +130,12 @@
         "runs",
         "findings",
         "lags",
+        "starts",
+        "config_acked_s",
+        "left_s",
+        "domains_out",
+        "strays",
+        "n_misdirected",
     )
 
     def __init__(self):
@@ -109,6 +146,12 @@
         self.runs = {}
         self.findings = []
         self.lags = []
+        self.starts = []
+        self.config_acked_s = {}
+        self.left_s = {}
+        self.domains_out = {}
+        self.strays = []
+        self.n_misdirected = 0
 
     def add_planned(self, kind, vm=""):
         """Record the start of planned work; returns its Event."""
--- a/soak/day/run.py
+++ b/soak/day/run.py
@@ -19,6 +19,7 @@
 from .report import DayReport
 from .schedule import LAST_S
 from .site import KINDS
+from .store_checks import check_refusals, check_strays, describe_beside
 
 # Interval at which the lag of the event loop is measured, and the least one noted.
 LAG_INTERVAL_S = 0.02
@@ -40,8 +41,9 @@
         cell.publish()
         cell.start_all()
         cell.young_vms.clear()
-        play_day(cell, journal, events, plan)
+        prober = play_day(cell, journal, events, plan)
         findings = [*journal.findings, *check_orders(journal)]
+        findings += [*check_strays(journal), *check_refusals(journal)]
         findings += [*check_answered(journal), *check_recovered(journal)]
     statuses = Counter(attempt.status for attempt in journal.attempts)
     ends = Counter(attempt.end for attempt in journal.attempts)
@@ -52,6 +54,7 @@
         for work in journal.planned
         if work.kind == "add-many"
     ]
+    beside += describe_beside(journal, prober.late)
     return DayReport(
         plan.seed,
         len(events),
@@ -84,7 +87,10 @@
 
 
 def play_day(cell, journal, events, plan):
-    """Play the traffic and the events of a day, and the end of all processes."""
+    """Play the traffic and the events of a day, and the end of all processes.
+
+    Returns the Prober of its configurations.
+    """
     seed = plan.seed
     operations = Operations(cell, journal, seed)
     rng = Random(f"{seed}-callers")
@@ -98,6 +104,8 @@
     watchers = [
         gevent.spawn(operations.processes.watch_exits),
         gevent.spawn(measure_lag, journal),
+        gevent.spawn(operations.prober.watch_regress),
+        gevent.spawn(operations.store_drills.keep_copies),
     ]
     played = [gevent.spawn_later(x.at_s, operations.play, x) for x in events]
     gevent.sleep(plan.length_s - LAST_S)
@@ -108,6 +116,7 @@
     gevent.joinall(played, timeout=LAST_S, raise_error=True)
     gevent.sleep(END_WAIT_S)
     gevent.killall(watchers)
+    return operations.prober
 
 
 def measure_lag(journal):
--- a/soak/day/schedule.py
+++ b/soak/day/schedule.py
@@ -61,6 +61,11 @@
 }
 # Duration of the only cut of a day: longer than peers need to notice a silence.
 SINGLE_CUT_S = 5.0
+# Drills: the store comes back from a copy, or several VMs die while it is down. Beside
+# them, changes that a copy may lack.
+DRILLS = {"store-copy": 8, "store-down": 2, "domain-out": 2, "leave": 2}
+# Maximum duration of a drill with what follows it.
+DRILL_MAX_S = {"store-copy": 6.0, "store-down": 11.0}
 # Kinds of days, in turn by seed: planned work alone, with a disturbed store, with all.
 DAYS = (PLANNED, PLANNED | STORE, PLANNED | STORE | DISRUPTIONS)
 
@@ -71,12 +76,14 @@
     return [Fault(2.0 * CALM_START_S, kind, 0, duration_s)]
 
 
-def draw_events(seed, length_s, has_cuts=False):
+def draw_events(seed, length_s, has_cuts=False, has_drills=False):
     """Return the events of a day of ``length_s``, ordered by time."""
     rng = Random(f"{seed}-day")
     weights = DAYS[seed % len(DAYS)]
     if has_cuts:
         weights = weights | CUTS
+    if has_drills:
+        weights = weights | DRILLS
     events = []
     at_s = CALM_START_S
     end_s = length_s - LAST_S - CALM_BEFORE_LAST_S
@@ -85,6 +92,8 @@
         if at_s >= end_s:
             return sorted(events, key=lambda event: event.at_s)
         kind = rng.choices(list(weights), list(weights.values()))[0]
+        if at_s + DRILL_MAX_S.get(kind, 0.0) > end_s + CALM_BEFORE_LAST_S:
+            continue
         n_series = (
             1
             if kind in DISRUPTIONS or kind in CUTS
--- a/soak/day/site.py
+++ b/soak/day/site.py
@@ -19,6 +19,9 @@
 CONTACT_S = 3.0
 # Maximum time until the end of the connection of a request that was not passed on.
 LOSS_SLACK_S = 0.2
+# Time from the acknowledgement that a target leaves, or that its failure domain is out
+# of service, to the last request that may reach it.
+BOUNDS_S = {"left": 2.0, "domain-out": 5.0}
 # Maximum time from the start of a process until it is ready.
 READY_S = 8.0
 
--- a/soak/day/target.py
+++ b/soak/day/target.py
@@ -6,8 +6,8 @@
 from standins.server import NoDelayHandler, Server
 
 from ..proxy import reset
-from .records import Run, now_s
-from .site import N_SLOTS, SERVICES
+from .records import Run, Stray, now_s
+from .site import BOUNDS_S, N_SLOTS, SERVICES
 
 # Spread of the work times: standard deviation of their logarithm.
 WORK_SIGMA = 0.6
@@ -15,6 +15,8 @@
 LONG_SHARE = 0.005
 LONG_MIN_S = 2.0
 LONG_MAX_S = 3.0
+# Time in which a lag of this process may have held up a request.
+LAG_WINDOW_S = 1.0
 MS_PER_S = 1000.0
 
 
@@ -34,13 +36,16 @@
 class DayTarget(Server):
     """A Server that draws work times and records its runs in a DayJournal."""
 
-    __slots__ = ("journal", "rng", "_listener", "_runs")
+    __slots__ = ("journal", "rng", "find_sender", "_listener", "_n_entries", "_runs")
 
     def __init__(self, server_id, service, domain, journal, rng):
         work_ms = SERVICES[service][1]
         super().__init__(server_id, service, domain, n_slots=N_SLOTS, work_ms=work_ms)
         self.journal = journal
         self.rng = rng
+        # Takes both ends of a connection; returns the VM that opened it, or None.
+        self.find_sender = None
+        self._n_entries = 0
         self._listener = None
         self._runs = []
 
@@ -58,14 +63,40 @@
         stack.callback(self._listener.stop, timeout=0)
         self.address = f"127.0.0.1:{self._listener.server_port}"
 
+    def entry(self, cold_remaining_ms=0):
+        """Return the next entry that the target writes to the store."""
+        self._n_entries += 1
+        entry = super().entry(cold_remaining_ms)
+        entry["Status"]["Seq"] = self._n_entries
+        return entry
+
     def serve(self, environ, start_response):
         """Note the arrival of a request and serve it (a WSGI application)."""
         attempt_id = environ.get("HTTP_ATTEMPT_ID")
         if attempt_id is not None:
             arrived = self.journal.arrivals.setdefault(attempt_id, [])
             arrived.append(self.server_id)
+            if environ.get("HTTP_EXPECT_INSTANCE", self.server_id) == self.server_id:
+                self._note_stray(environ, attempt_id)
+            else:
+                self.journal.n_misdirected += 1
         return super().serve(environ, start_response)
 
+    def _note_stray(self, environ, attempt_id):
+        """Note a request that comes later than this target may get any."""
+        since_s = {
+            "left": self.journal.left_s.get(self.server_id),
+            "domain-out": self.journal.domains_out.get(self.domain),
+        }
+        lag_s = self.journal.lag_s(now_s() - LAG_WINDOW_S, now_s())
+        for kind, at_s in since_s.items():
+            if at_s is not None and now_s() > at_s + BOUNDS_S[kind] + lag_s:
+                sock = environ["standin.socket"]
+                vm = self.find_sender(sock.getpeername(), sock.getsockname())
+                name = vm.name if vm else ""
+                stray = Stray(kind, at_s, attempt_id, self.server_id, name)
+                self.journal.strays.append(stray)
+
     def _run(self, attempt_id):
         self.runs[attempt_id] += 1
         run = Run(self.server_id, self.service)
--- a/tests/test_platform_store_copies.py
+++ b/tests/test_platform_store_copies.py
@@ -1,5 +1,7 @@
 """A store that comes back from an older copy, without what it acknowledged since."""
 
+import signal
+
 import gevent
 import pytest
 
@@ -15,6 +17,10 @@
 N_CHANGES = 40
 ROUTES = {"/read/": ("shop", "idempotent")}
 NEW_ROUTES = ROUTES | {"/new/": ("shop", "idempotent")}
+LATER_ROUTES = ROUTES | {"/later/": ("shop", "idempotent")}
+# Prefix of the keys of the VMs' own entries, and time in which they are written again.
+VM_PREFIX = "hornbeamstand/vm/"
+REGISTERED_AGAIN_S = 1.5
 
 
 @pytest.fixture(scope="module")
@@ -44,6 +50,15 @@
         cell.write_entry(cell.servers[0])
 
 
+def leases_by_vm(store):
+    """Return a dict of the key of each VM's entry to its lease."""
+    return {
+        key: item.lease_id
+        for key, item in store.items.items()
+        if key.startswith(VM_PREFIX)
+    }
+
+
 def test_a_change_that_no_watch_can_return_reaches_every_vm(cell):
     lose_changes(cell)
     cell.set_config(2, NEW_ROUTES)
@@ -53,3 +68,46 @@
     gevent.sleep(CONFIG_APPLY_S)
     statuses = [cell.send(vm, "/new/a").status for vm in cell.vms]
     assert statuses == [200] * N_VMS
+
+
+def test_each_vm_registers_again_under_a_lease_of_its_own(cell):
+    """The ids of the leases before the return are given out again."""
+    before = leases_by_vm(cell.store)
+    assert len(before) == N_VMS
+    copy = cell.store.take_copy()
+    copy.n_leases = min(before.values()) - 1
+    copy.leases = {}
+    for key in before:
+        del copy.items[key]
+    cell.store.come_back(copy)
+    gevent.sleep(REGISTERED_AGAIN_S)
+    after = leases_by_vm(cell.store)
+    assert after.keys() == before.keys()
+    assert set(after.values()) == set(before.values())
+    assert len(set(after.values())) == N_VMS
+    assert set(after.values()) <= cell.store.leases.keys()
+
+
+def test_the_end_of_the_leases_of_the_copy_removes_no_vm(cell):
+    before = leases_by_vm(cell.store)
+    cell.store.come_back(cell.store.take_copy())
+    gevent.sleep(REGISTERED_AGAIN_S)
+    for lease_id in set(before.values()):
+        cell.store.end_lease(lease_id)
+    assert leases_by_vm(cell.store).keys() == before.keys()
+
+
+def test_a_vm_that_was_frozen_at_the_return_gets_the_change_too(cell):
+    frozen_vm = cell.vms[0]
+    cell.signal(frozen_vm, signal.SIGSTOP)
+    try:
+        lose_changes(cell)
+        cell.set_config(3, LATER_ROUTES)
+        overtake_revisions(cell)
+        cell.store.mode = "ok"
+        gevent.sleep(CONFIG_APPLY_S)
+    finally:
+        cell.signal(frozen_vm, signal.SIGCONT)
+    gevent.sleep(CONFIG_APPLY_S)
+    assert [cell.send(vm, "/later/a").status for vm in cell.vms] == [200] * N_VMS
+    assert [cell.send(vm, "/new/a").status for vm in cell.vms] == [404] * N_VMS
