--- a/soak/day/callers.py
+++ b/soak/day/callers.py
@@ -7,6 +7,7 @@
 
 from .exchange import Connection, exchange
 from .records import ANSWERED, CLOSED, NOT_CONNECTED, DayAttempt, now_s
+from .site import LASTING_PREFIXES
 
 # Numbers of callers that keep connections, and that open one for each request.
 N_KEEPING = 8
@@ -81,6 +82,7 @@
         left_s = until_s - now_s()
         timeout_s = min(left_s, self.cell.routes[prefix][2])
         attempt = DayAttempt(attempt_id, kind, timeout_s)
+        attempt.has_lasting_route = prefix in LASTING_PREFIXES
         self.journal.attempts.append(attempt)
         pieces = self._draw_body(kind)
         head = (
--- a/soak/day/cell.py
+++ b/soak/day/cell.py
@@ -8,7 +8,7 @@
 from ..senders import find_owner
 from .peer_network import PeerNetwork
 from .records import now_s
-from .site import GRACE_S, KINDS, SERVICES
+from .site import GRACE_S, KINDS, MOVED_PREFIX, SERVICES
 from .target import DayTarget
 
 MS_PER_S = 1000
@@ -16,8 +16,6 @@
 PROBED_SERVICE = "tubo-lookup"
 # Peer port of the first VM, if the paths between VMs can be cut: each VM has another.
 FIRST_PEER_PORT = 31_000
-# Prefix of the route that configurations move between services, and its kind.
-MOVED_PREFIX = "/movida/"
 
 
 class DayCell(SoakCell):
--- a/soak/day/checks.py
+++ b/soak/day/checks.py
@@ -3,6 +3,7 @@
 from .lost import NOT_RUN_STATUSES
 from .records import ANSWERED
 
+STATUS_NO_ROUTE = 404
 # Length of the last part, in which most requests must be served.
 RECOVERED_S = 4.0
 RECOVERED_SHARE_MIN = 0.9
@@ -33,6 +34,18 @@
     return findings
 
 
+def check_denied(journal):
+    """Return findings for answers 404 to requests that all configurations allow."""
+    return [
+        f"{attempt.attempt_id} got {attempt.status} from {attempt.vm} at"
+        f" {attempt.ended_s:.2f} for a route of all versions"
+        for attempt in journal.attempts
+        if attempt.has_lasting_route
+        and attempt.status == STATUS_NO_ROUTE
+        and not attempt.seal
+    ]
+
+
 def check_recovered(journal):
     """Return a finding if too few of the last requests were served."""
     end_s = max(attempt.began_s for attempt in journal.attempts)
--- a/soak/day/probes.py
+++ b/soak/day/probes.py
@@ -3,6 +3,7 @@
 import gevent
 from hornbeamstand_core.records import Record
 
+from .checks import STATUS_NO_ROUTE
 from .records import now_s
 from .site import CONFIG_APPLY_S
 from .touch import is_in_touch
@@ -13,7 +14,6 @@
 LATE_MAX_S = 20.0
 # Time from the change of a configuration to its effect that is no regress.
 ANSWER_MARGIN_S = 0.25
-STATUS_NO_ROUTE = 404
 # Statuses that tell nothing of the routes: none came, or the VM refused.
 UNKNOWN_STATUSES = frozenset([0, 408, 421, 429, 502, 503, 504])
 
--- a/soak/day/records.py
+++ b/soak/day/records.py
@@ -21,7 +21,8 @@
     ended: ANSWERED, CLOSED (without a complete answer), SILENT or NOT_CONNECTED.
     ``has_answer_begun`` is set if bytes of an answer came. ``timeout_s`` is the
     lesser of its deadline and its route's timeout when it began, ``late_timeout_s`` the
-    route's when it ended.
+    route's when it ended. ``has_lasting_route`` is set if all versions of the
+    configuration have its route.
     """
 
     __slots__ = (
@@ -34,6 +35,7 @@
         "ended_s",
         "timeout_s",
         "late_timeout_s",
+        "has_lasting_route",
         "end",
         "status",
         "seal",
@@ -46,6 +48,7 @@
         self.kind = kind
         self.timeout_s = timeout_s
         self.late_timeout_s = float("inf")
+        self.has_lasting_route = False
         self.vm = ""
         self.is_kept = False
         self.began_s = now_s()
--- a/soak/day/site.py
+++ b/soak/day/site.py
@@ -53,3 +53,7 @@
     RequestKind("/orden/", "orden-taller", True, 25.7, 2.0, 0.8),
     RequestKind("/archivo/", "archivo-fichas", False, 22.0, 4.0, 1.5),
 )
+# Prefix of the route that configurations move between services.
+MOVED_PREFIX = "/movida/"
+# Prefixes of the routes that all configurations have.
+LASTING_PREFIXES = frozenset([MOVED_PREFIX, *(kind.prefix for kind in KINDS)])
--- a/tests/test_platform_store_copies.py
+++ b/tests/test_platform_store_copies.py
@@ -90,6 +90,7 @@
 
 def test_the_end_of_the_leases_of_the_copy_removes_no_vm(cell):
     before = leases_by_vm(cell.store)
+    assert len(before) == N_VMS
     cell.store.come_back(cell.store.take_copy())
     gevent.sleep(REGISTERED_AGAIN_S)
     for lease_id in set(before.values()):
--- a/tests/test_soak_day_drills.py
+++ b/tests/test_soak_day_drills.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from soak.day.checks import check_denied
 from soak.day.plan import DayPlan
 from soak.day.records import ANSWERED, DayAttempt, DayJournal, Stray
 from soak.day.run import run_day
@@ -62,6 +63,16 @@
     assert check_strays(journal) == []
 
 
+def test_a_404_for_a_route_of_all_versions_is_found():
+    journal = DayJournal()
+    attempt = DayAttempt("a", KINDS[0], 1.0)
+    attempt.status = 404
+    journal.attempts.append(attempt)
+    assert check_denied(journal) == []
+    attempt.has_lasting_route = True
+    assert len(check_denied(journal)) == 1
+
+
 @pytest.mark.parametrize(("n_refused", "n_findings"), [(13, 0), (14, 1)])
 def test_a_second_in_which_a_third_is_refused_is_found(n_refused, n_findings):
     journal = DayJournal()
