Keep what was known when the store comes back from an older copy

Callers' requests went to targets that had left, to earlier starts and to addresses that were another target's by then, because the copy named them; targets that the copy lacked got none, domains that it lacked were in service at once, and those that it still named were out again. Cause: each read of the store replaced what was known, and nothing told an older entry from a later one.

Entries carry the sequence of their target. When an era begins, what is known, also of targets that were removed within the last minute, is kept: an entry counts if it has a later start or sequence, others say at most that the known target is still there. What only the copy lacks stays for 2 s, or until 2 s after an outage.

test_platform_entries.py expects the sequence in the decoded entry, one field more than before. test_operations_page.py reads four more controllers.

--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -55,8 +55,7 @@
 class EdgeNode:
     """The routes, targets, service capacities and peers of one VM.
 
-    ``revision`` is the latest revision of the store that this VM has seen, and
-    ``config_raw`` the encoded configuration, which peers copy.
+    ``config_raw`` is the encoded configuration, which peers copy.
 
     Parameters
     ----------
@@ -83,7 +82,6 @@
         "admission",
         "table",
         "services",
-        "revision",
         "config_raw",
         "_store",
         "_target_wait",
@@ -107,7 +105,6 @@
         self.overload = OverloadDetector(me.started_at_ms)
         self.services = {}
         self.table = TargetTable(self.find_service)
-        self.revision = 0
         self.config_raw = b""
         self._store = StoreFollowing(self.peers, self.table, self.watch_scope)
         self._target_wait = TargetWait(me.ip, self.owner_paths, self.table)
@@ -129,11 +126,11 @@
             CheckPeerAlive: self._check_peer_alive,
             FindOwner: self._find_owner,
             RelayEnded: self._note_relay_end,
-            StoreChanges: self._apply_changes,
-            StoreSnapshot: self._apply_snapshot,
+            StoreChanges: self._apply_update,
+            StoreSnapshot: self._apply_update,
             StoreUnavailable: self._note_store_unavailable,
             StoreAvailable: self._note_store_available,
-            StoreEraNoted: self._note_era,
+            StoreEraNoted: self._records.note_era,
             EdgeHeartbeat: self._note_heartbeat,
             Contacts: self._note_contacts,
             EdgeTick: self._tick,
@@ -269,20 +266,15 @@
 
     # The store.
 
-    def _apply_changes(self, message, now_ms):
-        out = self._records.apply_changes(message, now_ms)
-        return out + self._finish_update(message.revision, now_ms)
+    @property
+    def revision(self):
+        """The latest revision of the store that this VM has seen."""
+        return self.peers.revision
 
-    def _apply_snapshot(self, message, now_ms):
-        out = self._records.apply_snapshot(message, now_ms)
-        return out + self._finish_update(message.revision, now_ms)
-
-    def _finish_update(self, revision, now_ms):
-        self.revision = max(self.revision, revision)
-        self.peers.revision = self.revision
-        self.peers.config_version = self.routing.version
+    def _apply_update(self, message, now_ms):
+        out = self._records.apply(message, now_ms)
         self.watch_scope.note_update()
-        return self._begin_serving(now_ms) + self._drain_all(now_ms)
+        return out + self._begin_serving(now_ms) + self._drain_all(now_ms)
 
     def _begin_serving(self, now_ms):
         return self._store.begin_serving(self.routing.config is not None, now_ms)
@@ -303,19 +295,6 @@
             self.peers.expedite_local()
             self._next_round_ms = now_ms
 
-    def _note_era(self, message, now_ms):
-        """Begin an era of the store: revisions seen before it mean nothing in it."""
-        self.peers.era = message.era
-        if message.earlier_era is None:
-            return []
-        detail = f"era={message.era} from={message.earlier_era} seen={self.revision}"
-        self.revision = 0
-        self.peers.revision = 0
-        return [
-            StateChange("store", "new era", "", detail),
-            *self._records.begin_era(now_ms),
-        ]
-
     def _note_store_unavailable(self, message, now_ms):
         return self._store.note_unavailable(message.detail, now_ms)
 
@@ -371,7 +350,7 @@
         out += self._target_wait.note_cut_off(now_ms)
         out += self._begin_serving(now_ms)
         out += self._drain_all(now_ms)
-        out += self.table.expire_suspects(now_ms)
+        out += self._records.expire(now_ms)
         if now_ms >= self._next_round_ms:
             self._next_round_ms = now_ms + HEARTBEAT_ROUND_MS
             self._store.update_watching()
--- a/packages/core/hornbeamstand_core/controllers/store_records.py
+++ b/packages/core/hornbeamstand_core/controllers/store_records.py
@@ -1,22 +1,27 @@
-"""The store's records, applied to the routes, targets, services and peers of a VM."""
+"""The store's records, applied to the routes, targets, services and peers of a VM.
+
+After the store came back from an older copy, what was known is not shown wrong by what
+the copy lacks; ``era_targets`` and ``failure_domains`` have the rules.
+"""
 
 from ..discovery import (
     ConfigEntry,
     DomainOutOfService,
     InvalidEntry,
     KeyRemoved,
+    StoreSnapshot,
     TargetEntry,
     VmEntry,
 )
 from ..edge_messages import StateChange
+from .era_targets import EraTargets
+from .failure_domains import FailureDomains
+from .target_table import REREGISTER_MS
 
 
 class StoreRecords:
     """The controller that applies the records read from the store.
 
-    ``_domains_by_key`` maps the store's key of each domain that is out of service to
-    the domain.
-
     Parameters
     ----------
     routing : Routing
@@ -27,7 +32,7 @@
         By name: the ServiceCapacity, which gets the service's rules and the domains
         that are out of service.
     peers : PeerView
-        Gets the addresses of other VMs.
+        Gets the addresses of other VMs, and what this VM has seen of the store.
     note_config : callable
         Takes the ConfigEntry of a configuration that was adopted, and the time.
     """
@@ -38,7 +43,9 @@
         "_services",
         "_peers",
         "_note_config",
-        "_domains_by_key",
+        "_targets",
+        "_domains",
+        "_has_outdated_config",
     )
 
     def __init__(self, routing, table, services, peers, note_config):
@@ -47,89 +54,148 @@
         self._services = services
         self._peers = peers
         self._note_config = note_config
-        self._domains_by_key = {}
+        self._targets = EraTargets(table)
+        self._domains = FailureDomains(
+            self._targets.is_provisional,
+            self._publish_out_of_service_domains,
+            table.begin_cold,
+        )
+        # Set while the newest configuration is missing in the store's copy.
+        self._has_outdated_config = False
 
     def out_of_service_domains(self):
         """Return the set of the failure domains that are out of service."""
-        return frozenset(self._domains_by_key.values())
+        return self._domains.out_of_service()
 
-    def begin_era(self, now_ms):
-        """Begin an era of the store, which has lost changes; return messages."""
-        return []
+    # Eras.
+
+    def note_era(self, message, now_ms):
+        """Begin an era of the store: revisions seen before it mean nothing in it.
+
+        What is known now is kept provisionally. Returns state changes for the log.
+        """
+        self._peers.era = message.era
+        if message.earlier_era is None:
+            return []
+        eras = f"era={message.era} from={message.earlier_era}"
+        seen = f"{eras} seen={self._peers.revision}"
+        self._peers.revision = 0
+        known = (
+            f"{self._targets.begin(now_ms)} {self._domains.begin_era(now_ms)}"
+            f" config=r{self._routing.version} for_ms={REREGISTER_MS:.0f}"
+        )
+        return [
+            StateChange("store", "new era", "", seen),
+            StateChange("store", "known before", "", known),
+        ]
+
+    def expire(self, now_ms):
+        """End what is kept provisionally; return state changes for the log."""
+        return self._domains.expire(now_ms) + self._targets.expire(now_ms)
+
+    # Records.
+
+    def apply(self, message, now_ms):
+        """Apply StoreChanges or a StoreSnapshot; return state changes for the log."""
+        if type(message) is StoreSnapshot:
+            out = self._apply_snapshot(message, now_ms)
+        else:
+            out = self._apply_changes(message, now_ms)
+        self._peers.revision = max(self._peers.revision, message.revision)
+        self._peers.config_version = self._routing.version
+        return out
 
-    def apply_changes(self, message, now_ms):
-        """Apply the records of StoreChanges; return state changes for the log."""
+    def _apply_changes(self, message, now_ms):
         out = []
         for record in message.records:
-            out += self._apply(record, now_ms)
+            out += self._apply_change(record, now_ms)
         return out
 
-    def apply_snapshot(self, message, now_ms):
-        """Apply the records of a StoreSnapshot; return state changes for the log.
+    def _apply_snapshot(self, message, now_ms):
+        """Apply the records of a StoreSnapshot.
 
         Domains that are missing from it are in service again, and missing targets are
-        removed if it has the targets.
+        removed if it has the targets, unless they are kept provisionally.
         """
         out = []
-        entries = []
-        out_of_service_keys = []
+        by_type = {TargetEntry: [], DomainOutOfService: []}
         for record in message.records:
-            if type(record) is TargetEntry:
-                entries.append(record)
-                continue
-            if type(record) is DomainOutOfService:
-                out_of_service_keys.append(record.key)
-            out += self._apply(record, now_ms)
-        for key in [
-            key for key in self._domains_by_key if key not in out_of_service_keys
-        ]:
-            out += self._note_domain_in_service(key, now_ms)
+            if type(record) in by_type:
+                by_type[type(record)].append(record)
+            elif type(record) is InvalidEntry:
+                out += self._note_invalid(record, self._keeps(record.key, now_ms))
+            else:
+                out += self._apply(record, now_ms)
+        out += self._domains.apply_snapshot(by_type[DomainOutOfService], now_ms)
         if message.has_targets:
-            out += self._table.replace_all(entries, now_ms)
+            out += self._replace_targets(by_type[TargetEntry], now_ms)
         return out
 
-    def _apply(self, record, now_ms):
+    def _replace_targets(self, entries, now_ms):
+        counting, kept_keys, out = self._targets.choose(entries, now_ms)
+        return out + self._table.replace_all(counting, now_ms, kept_keys)
+
+    def _keeps(self, key, now_ms):
+        """Return whether a target stays although its entry can't be read."""
+        return key in self._table.by_key and self._targets.is_provisional(now_ms)
+
+    def _apply_change(self, record, now_ms):
         if type(record) is TargetEntry:
-            return self._table.put(record, now_ms)
+            return self._apply_target(record, now_ms)
+        if type(record) is DomainOutOfService:
+            return self._domains.note_written(record)
+        if type(record) is InvalidEntry:
+            self._targets.note_removal(record.key)
+            return self._note_invalid(record, False)
+        if type(record) is KeyRemoved:
+            return self._apply_removal(record, now_ms)
+        return self._apply(record, now_ms)
+
+    def _apply_target(self, entry, now_ms):
+        counts = self._targets.counts(entry)
+        out = self._targets.note_change(entry)
+        return out + self._table.put(entry, now_ms) if counts else out
+
+    def _apply(self, record, now_ms):
         if type(record) is ConfigEntry:
             return self._adopt_config(record, now_ms)
-        if type(record) is DomainOutOfService:
-            return self._note_domain_out_of_service(record)
         if type(record) is VmEntry:
             self._peers.note_contact(record.ip)
-            return []
-        if type(record) is InvalidEntry:
+        return []
+
+    def _note_invalid(self, record, is_kept):
+        if not is_kept:
             self._table.close(record.key)
-            return [StateChange("store", "unreadable entry", record.key, record.detail)]
-        return self._apply_removal(record, now_ms)
+        return [StateChange("store", "unreadable entry", record.key, record.detail)]
 
-    def _apply_removal(self, record: KeyRemoved, now_ms):
-        if record.key in self._domains_by_key:
-            return self._note_domain_in_service(record.key, now_ms)
+    def _apply_removal(self, record, now_ms):
+        if self._domains.has(record.key):
+            return self._domains.note_removed(record.key, now_ms)
+        self._targets.note_removal(record.key)
         return self._table.remove(record.key, now_ms)
 
     def _adopt_config(self, record, now_ms):
+        """Adopt a configuration, if it is newer: versions never go back."""
         out = self._routing.adopt(record.config)
         if not out:
-            return []
+            return self._note_known_config(record.config.version)
+        self._has_outdated_config = False
         self._note_config(record, now_ms)
         for service in self._services.values():
             service.rules = self._routing.config.services.get(service.name)
         return out
 
-    def _note_domain_out_of_service(self, record):
-        if record.key in self._domains_by_key:
+    def _note_known_config(self, version):
+        """Record that the store has an older configuration, or the known one again."""
+        known = f"r{self._routing.version}"
+        is_outdated = version < self._routing.version
+        if is_outdated == self._has_outdated_config:
             return []
-        self._domains_by_key[record.key] = record.failure_domain
-        self._publish_out_of_service_domains()
-        return [StateChange("domain", "out", record.failure_domain)]
-
-    def _note_domain_in_service(self, key, now_ms):
-        failure_domain = self._domains_by_key.pop(key)
-        self._table.begin_cold(failure_domain, now_ms)
-        self._publish_out_of_service_domains()
-        return [StateChange("domain", "in", failure_domain)]
+        self._has_outdated_config = is_outdated
+        if is_outdated:
+            return [StateChange("config", "kept", known, f"r{version} in the store")]
+        return [StateChange("config", "confirmed", known)]
 
-    def _publish_out_of_service_domains(self):
+    def _publish_out_of_service_domains(self, failure_domains):
         for service in self._services.values():
-            service.out_of_service_domains = self.out_of_service_domains()
+            service.out_of_service_domains = failure_domains
--- a/packages/core/hornbeamstand_core/controllers/target_table.py
+++ b/packages/core/hornbeamstand_core/controllers/target_table.py
@@ -9,6 +9,7 @@
 from ..edge_messages import StateChange
 from .discovered_target import DiscoveredTarget
 from .kept_notices import KeptNotices
+from .known_targets import KnownTargets
 
 # Time for which suspect targets are kept after the store is available again. Targets
 # whose entries lapsed while it was unavailable register again within this time.
@@ -21,7 +22,8 @@
     """The discovered targets by key; each is also in the targets of its service.
 
     ``is_filled`` is set from a read of all targets until ``clear``. ``kept_notices``
-    holds the notices of targets that are not in the table.
+    holds the notices of targets that are not in the table, and ``known_targets`` their
+    latest entries. Until ``suspect_until_ms`` removed entries make targets suspect.
 
     Parameters
     ----------
@@ -32,34 +34,36 @@
     __slots__ = (
         "by_key",
         "_find_service",
-        "_suspect_until_ms",
+        "suspect_until_ms",
         "_suspect_keys",
         "_removed",
         "kept_notices",
+        "known_targets",
         "is_filled",
     )
 
     def __init__(self, find_service):
         self.by_key = {}
         self._find_service = find_service
-        self._suspect_until_ms = float("-inf")
+        self.suspect_until_ms = float("-inf")
         self._suspect_keys = set()
         # Maps a key to its removed target. The entry of the same start may come back,
         # and what the target said of itself still holds.
         self._removed = {}
         self.kept_notices = KeptNotices()
+        self.known_targets = KnownTargets()
         self.is_filled = False
 
     def note_store_unavailable(self, now_ms):
         """Treat targets as suspect from now on when their entries are removed."""
-        self._suspect_until_ms = float("inf")
+        self.suspect_until_ms = float("inf")
 
     def note_store_available(self, available_at_ms):
         """Keep suspect targets until they have had time to register again.
 
         ``available_at_ms`` is when the store was first known to answer again.
         """
-        self._suspect_until_ms = available_at_ms + REREGISTER_MS
+        self.suspect_until_ms = available_at_ms + REREGISTER_MS
 
     def put(self, entry, now_ms):
         """Add or update the target of an entry; return state changes for the log."""
@@ -86,6 +90,7 @@
             if is_same_start(removed.entry, entry):
                 target.adopt_notices(removed)
         self.by_key[entry.key] = target
+        self.known_targets.note_added(entry.key)
         service.targets[entry.target_id] = target
         detail = (
             f"service={entry.service_name} domain={entry.failure_domain}"
@@ -143,7 +148,7 @@
         target = self.by_key.get(key)
         if target is None:
             return []
-        if now_ms < self._suspect_until_ms and target.is_offered:
+        if now_ms < self.suspect_until_ms and target.is_offered:
             self._suspect_keys.add(key)
             return [
                 StateChange("target", "doubted", target.entry.target_id, "store away")
@@ -151,6 +156,7 @@
         del self.by_key[key]
         self._remove_from_service(target)
         self._keep_notices(target)
+        self.known_targets.note_removed(target.entry, True)
         return [StateChange("target", "gone", target.entry.target_id)]
 
     def expire_suspects(self, now_ms):
@@ -158,7 +164,7 @@
 
         Returns state changes for the log.
         """
-        if not self._suspect_keys or now_ms < self._suspect_until_ms:
+        if not self._suspect_keys or now_ms < self.suspect_until_ms:
             return []
         keys = sorted(self._suspect_keys)
         self._suspect_keys.clear()
@@ -172,25 +178,31 @@
         for target in self.by_key.values():
             self._remove_from_service(target)
             self._keep_notices(target)
+            self.known_targets.note_removed(target.entry, not target.is_offered)
         self.by_key.clear()
         self._suspect_keys.clear()
         self.is_filled = False
 
-    def replace_all(self, entries, now_ms):
+    def replace_all(self, entries, now_ms, kept_keys=()):
         """Take over a snapshot of all entries.
 
         Targets that it does not contain are removed, or marked as suspect; see
-        ``remove``. Returns state changes for the log.
+        ``remove``. Those of ``kept_keys`` stay as they are. Returns state changes for
+        the log.
         """
         out = []
         for entry in entries:
             out += self.put(entry, now_ms)
-        named = {entry.key for entry in entries}
+        named = {entry.key for entry in entries}.union(kept_keys)
         for key in [key for key in self.by_key if key not in named]:
             out += self.remove(key, now_ms)
         self.is_filled = True
         return out
 
+    def is_suspect(self, key):
+        """Return whether a target's entry was removed while the store was away."""
+        return key in self._suspect_keys
+
     def begin_cold(self, failure_domain, now_ms):
         """Begin the cold start of all targets of a domain that is in service again."""
         for target in self.by_key.values():
--- a/packages/core/hornbeamstand_core/discovery.py
+++ b/packages/core/hornbeamstand_core/discovery.py
@@ -16,7 +16,8 @@
     ``n_slots`` is the number of requests that the target runs at once; ``state`` is
     READY or DRAINING. ``started_wall_ms`` is the wall-clock time of its start and
     distinguishes one start from the next; ``cold_remaining_ms`` is how long it stays
-    in cold start from the time when the entry was written.
+    in cold start from the time when the entry was written. ``sequence`` rises with what
+    the start writes of itself.
     """
 
     __slots__ = (
@@ -29,6 +30,7 @@
         "state",
         "cold_remaining_ms",
         "started_wall_ms",
+        "sequence",
     )
 
     def __init__(
@@ -42,6 +44,7 @@
         state=READY,
         cold_remaining_ms=0.0,
         started_wall_ms=0,
+        sequence=0,
     ):
         self.key = key
         self.target_id = target_id
@@ -52,6 +55,7 @@
         self.state = state
         self.cold_remaining_ms = cold_remaining_ms
         self.started_wall_ms = started_wall_ms
+        self.sequence = sequence
 
 
 class InvalidEntry(Record):
--- a/tests/edge_parts.py
+++ b/tests/edge_parts.py
@@ -20,7 +20,13 @@
 
 
 def make_entry(
-    name, domain="a", n_slots=3, state=READY, cold_remaining_ms=0.0, started_wall_ms=1
+    name,
+    domain="a",
+    n_slots=3,
+    state=READY,
+    cold_remaining_ms=0.0,
+    started_wall_ms=1,
+    sequence=0,
 ):
     """Return the discovery entry of one target.
 
@@ -36,6 +42,7 @@
         state,
         cold_remaining_ms,
         started_wall_ms,
+        sequence,
     )
 
 
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -15,10 +15,14 @@
 EDGE_CONTROLLERS = {
     "capacity.py",
     "edge.py",
+    "era_targets.py",
+    "failure_domains.py",
     "watch_scope.py",
     "learning.py",
     "peer_view.py",
     "routing.py",
+    "store_following.py",
+    "store_records.py",
     "target_table.py",
 }
 
--- a/tests/test_platform_entries.py
+++ b/tests/test_platform_entries.py
@@ -28,6 +28,7 @@
         "ready",
         250.0,
         1700000000123,
+        4,
     )
 
 
