--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -34,7 +34,6 @@
 from ..target_copy_messages import TargetsConfirmed, TargetsFetched
 from .admission import Admission
 from .capacity import ServiceCapacity
-from .learning import heard_notice
 from .overload import OverloadDetector
 from .owner_paths import OwnerPaths
 from .peer_failures import PeerFailures
@@ -57,8 +56,7 @@
 class EdgeNode:
     """The routes, targets, service capacities and peers of one VM.
 
-    ``revision`` is the latest revision of the store that this VM has seen, and
-    ``config_raw`` the encoded configuration, which peers copy.
+    ``config_raw`` is the encoded configuration, which peers copy.
 
     Parameters
     ----------
@@ -85,7 +83,6 @@
         "admission",
         "table",
         "services",
-        "revision",
         "config_raw",
         "recovery",
         "_store",
@@ -110,7 +107,6 @@
         self.overload = OverloadDetector(me.started_at_ms)
         self.services = {}
         self.table = TargetTable(self.find_service)
-        self.revision = 0
         self.config_raw = b""
         self._target_wait = TargetWait(me.ip, self.owner_paths, self.table)
         self._rng = Random(f"{me.vm_id}{me.start_id}")
@@ -134,11 +130,11 @@
             CheckPeerAlive: self._check_peer_alive,
             FindOwner: self._find_owner,
             RelayEnded: self._note_relay_end,
-            StoreChanges: self._apply_changes,
-            StoreSnapshot: self._apply_snapshot,
+            StoreChanges: self._apply_update,
+            StoreSnapshot: self._apply_update,
             StoreUnavailable: self._note_store_unavailable,
             StoreAvailable: self._note_store_available,
-            StoreEraNoted: self._note_era,
+            StoreEraNoted: self._records.note_era,
             TargetsFetched: self._take_targets,
             TargetsConfirmed: self._take_targets,
             EdgeHeartbeat: self._note_heartbeat,
@@ -232,20 +228,9 @@
 
     def _release(self, message, now_ms):
         service = self.find_service(message.permit.service_name)
-        self._keep_notice(service, message, now_ms)
+        self.table.kept_notices.keep_heard(service, message, now_ms)
         return service.release(message, now_ms)
 
-    def _keep_notice(self, service, release, now_ms):
-        """Keep the notice in a response of a target that is no longer held."""
-        permit, notice = release.permit, heard_notice(release.result)
-        if notice is None:
-            return
-        if not service.has_start(permit.target_id, permit.started_wall_ms):
-            message = NoticeRelayed(
-                service.name, permit.target_id, notice, permit.started_wall_ms
-            )
-            self.table.kept_notices.keep(message, now_ms)
-
     def _withdraw(self, message, now_ms):
         service = self.find_service(message.service_name)
         return service.withdraw(message.request_id, now_ms)
@@ -279,25 +264,20 @@
 
     # The store.
 
-    def _apply_changes(self, message, now_ms):
-        out = self._records.apply_changes(message, now_ms)
-        return out + self._finish_update(message.revision, now_ms)
+    @property
+    def revision(self):
+        """The latest revision of the store that this VM has seen."""
+        return self.peers.revision
 
     def _take_targets(self, message, now_ms):
         return self.recovery.handle(message, now_ms) + self._drain_all(now_ms)
 
-    def _apply_snapshot(self, message, now_ms):
-        if message.has_targets:
+    def _apply_update(self, message, now_ms):
+        if type(message) is StoreSnapshot and message.has_targets:
             self.recovery.note_read(now_ms)
-        out = self._records.apply_snapshot(message, now_ms)
-        return out + self._finish_update(message.revision, now_ms)
-
-    def _finish_update(self, revision, now_ms):
-        self.revision = max(self.revision, revision)
-        self.peers.revision = self.revision
-        self.peers.config_version = self.routing.version
+        out = self._records.apply(message, now_ms)
         self.watch_scope.note_update()
-        return self._begin_serving(now_ms) + self._drain_all(now_ms)
+        return out + self._begin_serving(now_ms) + self._drain_all(now_ms)
 
     def _begin_serving(self, now_ms):
         return self._store.begin_serving(self.routing.config is not None, now_ms)
@@ -318,19 +298,6 @@
             self.peers.expedite_local()
             self._next_round_ms = now_ms
 
-    def _note_era(self, message, now_ms):
-        """Begin an era of the store: revisions seen before it mean nothing in it."""
-        self.peers.era = message.era
-        if message.earlier_era is None:
-            return []
-        detail = f"era={message.era} from={message.earlier_era} seen={self.revision}"
-        self.revision = 0
-        self.peers.revision = 0
-        return [
-            StateChange("store", "new era", "", detail),
-            *self._records.begin_era(now_ms),
-        ]
-
     def _note_store_unavailable(self, message, now_ms):
         return self._store.note_unavailable(message.detail, now_ms)
 
@@ -351,15 +318,10 @@
         if not heartbeat.is_watching:
             return out
         out += self.watch_scope.note_peer_era(heartbeat.era, self.peers.era)
-        if self.watch_scope.scope == WATCH_ALL and self._is_behind(heartbeat):
+        if self.watch_scope.scope == WATCH_ALL and self.peers.is_behind(heartbeat):
             self._store.note_behind_peer(now_ms)
         return out
 
-    def _is_behind(self, heartbeat):
-        """Return whether a peer has seen a later revision of the store."""
-        seen = (self.peers.era, self.revision)
-        return (heartbeat.era, heartbeat.revision) > seen
-
     def _fetch_config(self, heartbeat, now_ms):
         if now_ms - self._fetch_sent_at_ms < CONFIG_FETCH_INTERVAL_MS:
             return []
@@ -387,7 +349,7 @@
         out += self._target_wait.note_cut_off(now_ms)
         out += self._begin_serving(now_ms)
         out += self._drain_all(now_ms)
-        out += self.table.expire_suspects(now_ms)
+        out += self._records.expire(now_ms)
         if now_ms >= self._next_round_ms:
             self._next_round_ms = now_ms + HEARTBEAT_ROUND_MS
             self._store.update_watching()
--- a/packages/entry/hornbeamstand_entry/edge/target_copy_codec.py
+++ b/packages/entry/hornbeamstand_entry/edge/target_copy_codec.py
@@ -17,8 +17,10 @@
 Count = Annotated[int, msgspec.Meta(ge=0)]
 Text = Annotated[str, msgspec.Meta(min_length=1)]
 # Key, target id, service, address, domain, slots, state, rest of the cold start, start,
-# whether the target leaves, and rest of its pause.
-TARGET = tuple[Text, Text, Text, Text, str, Count, str, Duration, int, bool, Duration]
+# sequence, whether the target leaves, and rest of its pause.
+TARGET = tuple[
+    Text, Text, Text, Text, str, Count, str, Duration, int, Count, bool, Duration
+]
 # Targets, domains out of service as keys and names, age, revision and era.
 COPY_DECODER = msgspec.msgpack.Decoder(
     tuple[list[TARGET], list[tuple[Text, Text]], Duration, Count, Count]
@@ -47,6 +49,7 @@
         entry.state,
         whole_ms(entry.cold_remaining_ms),
         entry.started_wall_ms,
+        entry.sequence,
         held.is_leaving,
         whole_ms(held.pause_ms),
     )
