Part the rounds of copies from the recovery of targets

TargetRecovery kept when peers are asked beside what is done with their targets. The rounds have a module of their own. Targets that were all asked in vain keep requests from waiting between the rounds too.

--- a/packages/core/hornbeamstand_core/controllers/target_recovery.py
+++ b/packages/core/hornbeamstand_core/controllers/target_recovery.py
@@ -8,29 +8,19 @@
 from ..edge_messages import StateChange
 from ..edge_node_messages import WATCH_ALL
 from ..target_copy_messages import (
-    FetchTargets,
     HeldTarget,
     TargetCopy,
     TargetsFetched,
     with_cold_start,
 )
+from .copy_rounds import CopyRounds
 from .former_table import FormerTable
-from .target_sources import target_sources, watching_sources
 
 # Time that a read of the store takes at most while the store is in order. A store that
 # is silent is known to be unavailable only much later.
 STORE_READ_MAX_MS = 150.0
 # Time from which on a read that is late tells that the store was away meanwhile.
 SILENT_READ_MIN_MS = 500.0
-# Time that a copy takes at most from peers that can be reached.
-COPY_MAX_MS = 150.0
-# Minimum and maximum interval between two rounds in which no peer had targets. It
-# doubles with each.
-FETCH_INTERVAL_MIN_MS = 250.0
-FETCH_INTERVAL_MAX_MS = 2000.0
-# Interval at which a VM that alone can't reach the store renews its copy, so that it
-# learns in time of targets that leave.
-REFRESH_INTERVAL_MS = 1000.0
 
 
 class TargetRecovery:
@@ -62,15 +52,11 @@
         "_routing",
         "_watch_scope",
         "_former",
+        "_rounds",
         "_needed_since_ms",
         "_current_at_ms",
         "_old_since_ms",
         "_was_unavailable",
-        "_n_rounds",
-        "_fetch_at_ms",
-        "_interval_ms",
-        "_copied_at_ms",
-        "_fetching_since_ms",
     )
 
     def __init__(self, peers, table, watch_scope, records, routing):
@@ -82,6 +68,7 @@
         self._routing = routing
         self._watch_scope = watch_scope
         self._former = FormerTable()
+        self._rounds = CopyRounds(peers)
         # Since when this VM has had to serve without targets, or None.
         self._needed_since_ms = None
         # When the targets in the table were last known to be current.
@@ -90,14 +77,6 @@
         # unavailable since.
         self._old_since_ms = 0.0
         self._was_unavailable = False
-        # Rounds in which no peer had targets, and the time of the next one.
-        self._n_rounds = 0
-        self._fetch_at_ms = float("-inf")
-        self._interval_ms = FETCH_INTERVAL_MIN_MS
-        # When the latest copy came, or was last asked for in its place.
-        self._copied_at_ms = float("-inf")
-        # Since when peers have been asked, or None.
-        self._fetching_since_ms = None
 
     def handle(self, message, now_ms):
         """Take the outcome of a request for targets; return messages."""
@@ -160,13 +139,9 @@
         if not is_store_unavailable and not is_late:
             return []
         out = self._fetch(now_ms)
-        return out if self._may_get_copy(now_ms) else out + self._confirm(now_ms)
-
-    def _may_get_copy(self, now_ms):
-        """Return whether the first peers that were asked may still answer soon."""
-        if self._n_rounds > 0 or self._fetching_since_ms is None:
-            return False
-        return now_ms - self._fetching_since_ms < COPY_MAX_MS
+        if self._rounds.may_succeed_soon(now_ms):
+            return out
+        return out + self._confirm(now_ms)
 
     def note_store_available(self):
         """Record that the store answers: a read of the targets is due to follow."""
@@ -185,23 +160,19 @@
 
     def _reset(self):
         self._needed_since_ms = None
-        self._n_rounds = 0
-        self._fetch_at_ms = float("-inf")
-        self._interval_ms = FETCH_INTERVAL_MIN_MS
+        self._rounds.reset()
         self.is_fruitless = False
 
     # Peers.
 
     def _fetch(self, now_ms):
-        if self._fetching_since_ms is not None or now_ms < self._fetch_at_ms:
-            return []
-        ips = target_sources(self._peers, self._n_rounds, now_ms)
-        if not ips:
-            self.is_fruitless = not self._former
-            return []
-        self._fetching_since_ms = now_ms
-        detail = " ".join(ips)
-        return [FetchTargets(ips), StateChange("targets", "asking peers", "", detail)]
+        fetch = self._rounds.request(now_ms)
+        if fetch is not None:
+            detail = " ".join(fetch.ips)
+            return [fetch, StateChange("targets", "asking peers", "", detail)]
+        if not self._rounds.is_asking and not self._former:
+            self.is_fruitless = True
+        return []
 
     def _take_copy(self, message, now_ms):
         """Use the copy in a TargetsFetched; return messages.
@@ -209,19 +180,20 @@
         It is left out if the targets are no longer needed or were read meanwhile.
         Older targets, and former ones that were confirmed before, give way to it.
         """
-        self._fetching_since_ms = None
+        self._rounds.note_end()
         if not self._needs_targets() and not self._uses_old():
             return []
         if message.copy is None:
             if not self._needs_targets():
                 return []
-            self._note_round(now_ms)
+            self._rounds.note_failure(now_ms)
+            self.is_fruitless = self.is_fruitless or not self._former
             return [StateChange("targets", "no copy", ""), *self._confirm(now_ms)]
         copy = message.copy
         current_at_ms = now_ms - copy.age_ms
         if self._uses_old() and current_at_ms <= self._current_at_ms:
             return []
-        self._copied_at_ms = now_ms
+        self._rounds.note_copy(now_ms)
         self._former.forget()
         self._table.is_filled = False
         out = self._records.apply_domains(copy.domains_out, now_ms)
@@ -234,24 +206,13 @@
         detail += f" revision={copy.revision} era={copy.era}"
         return [StateChange("targets", "copied", message.ip, detail), *out]
 
-    def _note_round(self, now_ms):
-        self._fetch_at_ms = now_ms + self._interval_ms
-        self._interval_ms = min(FETCH_INTERVAL_MAX_MS, 2.0 * self._interval_ms)
-        self._n_rounds += 1
-        self.is_fruitless = not self._former
-
     def _refresh(self, is_store_unavailable, now_ms):
         """Ask for newer targets, or for the rest of those that were dropped."""
         if not self._uses_old() or self._watch_scope.scope != WATCH_ALL:
             return []
         out = self._confirm(now_ms)
-        ips = watching_sources(self._peers, now_ms) if is_store_unavailable else ()
-        is_due = now_ms - self._copied_at_ms >= REFRESH_INTERVAL_MS
-        if ips and is_due and self._fetching_since_ms is None:
-            self._fetching_since_ms = now_ms
-            self._copied_at_ms = now_ms
-            out.append(FetchTargets(ips))
-        return out
+        newer = self._rounds.request_newer(now_ms) if is_store_unavailable else None
+        return out if newer is None else [*out, newer]
 
     # Targets that were dropped.
 
--- a/packages/core/tests/test_target_recovery.py
+++ b/packages/core/tests/test_target_recovery.py
@@ -1,5 +1,6 @@
 """A VM that has to serve and can't read the targets, on a virtual clock."""
 
+import pytest
 from tests.edge_nodes import (
     deferred_replies,
     deliver_heartbeats,
@@ -11,10 +12,12 @@
 )
 from tests.edge_parts import make_entry
 
-from hornbeamstand_core.controllers.target_recovery import (
+from hornbeamstand_core.controllers.copy_rounds import (
     COPY_MAX_MS,
     FETCH_INTERVAL_MIN_MS,
     REFRESH_INTERVAL_MS,
+)
+from hornbeamstand_core.controllers.target_recovery import (
     SILENT_READ_MIN_MS,
     STORE_READ_MAX_MS,
 )
@@ -233,12 +236,15 @@
     assert targets_asked(node.handle(TargetsFetched(""), now_ms)) == ["t2"]
 
 
-def test_a_vm_that_nobody_can_help_refuses_at_once():
+@pytest.mark.parametrize("entries", [(), ("t1",)])
+def test_a_vm_that_nobody_can_help_refuses_at_once(entries):
     """Guards against requests that wait 0.6 s for targets that nobody can give."""
-    node, now_ms, _ = make_successor()
+    node, now_ms, _ = make_successor(*map(make_entry, entries))
     assert acquire(node, "r1", now_ms) == []
     out = node.handle(TargetsFetched(""), now_ms + 20.0)
+    out += node.handle(TargetsConfirmed([], {}), now_ms + 20.0)
     out += node.handle(EdgeTick(), now_ms + 20.0)
+    assert deferred_replies(out)
     for reply in (*deferred_replies(out), *acquire(node, "r2", now_ms + 30.0)):
         assert isinstance(reply, Refusal)
         assert reply.reason == "no target"
