--- a/packages/core/hornbeamstand_core/controllers/former_table.py
+++ b/packages/core/hornbeamstand_core/controllers/dropped_targets.py
@@ -17,7 +17,7 @@
 CONFIRM_INTERVAL_MS = 1000.0
 
 
-class FormerTable:
+class DroppedTargets:
     """The HeldTargets that were dropped last, by key.
 
     ``held_at_ms`` is when they were last known to be current.
--- a/packages/core/hornbeamstand_core/controllers/store_following.py
+++ b/packages/core/hornbeamstand_core/controllers/store_following.py
@@ -95,7 +95,7 @@
     def update_scope(self, is_owner, lacks_owners, now_ms):
         """Watch what this VM needs, and drop the targets that it no longer needs."""
         if self.table.is_filled and not self.watch_scope.needs_targets(now_ms):
-            self.recovery.keep_former(now_ms)
+            self.recovery.keep_dropped(now_ms)
             self.table.clear()
         # The store's changes since targets that are not from the store are unknown.
         has_targets = self.table.is_filled and not self.recovery.is_old
--- a/packages/core/hornbeamstand_core/controllers/target_recovery.py
+++ b/packages/core/hornbeamstand_core/controllers/target_recovery.py
@@ -14,7 +14,7 @@
     with_cold_start,
 )
 from .copy_rounds import CopyRounds
-from .former_table import FormerTable
+from .dropped_targets import DroppedTargets
 
 # Time that a read of the store takes at most while the store is in order. A store that
 # is silent is known to be unavailable only much later.
@@ -51,7 +51,7 @@
         "_records",
         "_routing",
         "_watch_scope",
-        "_former",
+        "_dropped",
         "_rounds",
         "_needed_since_ms",
         "_current_at_ms",
@@ -67,7 +67,7 @@
         self._records = records
         self._routing = routing
         self._watch_scope = watch_scope
-        self._former = FormerTable()
+        self._dropped = DroppedTargets()
         self._rounds = CopyRounds(peers)
         # Since when this VM has had to serve without targets, or None.
         self._needed_since_ms = None
@@ -92,7 +92,7 @@
             self._note_silence(now_ms)
         self.is_old = False
         self._current_at_ms = now_ms
-        self._former.forget()
+        self._dropped.forget()
 
     def _note_silence(self, now_ms):
         """Let targets register again after a silence of the store that no call showed.
@@ -103,15 +103,15 @@
         if is_late and not self._was_unavailable:
             self._table.note_store_available(now_ms)
 
-    def keep_former(self, now_ms):
+    def keep_dropped(self, now_ms):
         """Keep the targets of the table, which are about to be dropped."""
         held = [
             item for item in held_targets(self._table, now_ms) if not item.is_leaving
         ]
-        if self.is_old and self._former:
-            self._former.add(held)
+        if self.is_old and self._dropped:
+            self._dropped.add(held)
         else:
-            self._former.keep(held, self._current_at_ms)
+            self._dropped.keep(held, self._current_at_ms)
         self.is_old = False
 
     def copy(self, now_ms):
@@ -170,7 +170,7 @@
         if fetch is not None:
             detail = " ".join(fetch.ips)
             return [fetch, StateChange("targets", "asking peers", "", detail)]
-        if not self._rounds.is_asking and not self._former:
+        if not self._rounds.is_asking and not self._dropped:
             self.is_fruitless = True
         return []
 
@@ -178,7 +178,7 @@
         """Use the copy in a TargetsFetched; return messages.
 
         It is left out if the targets are no longer needed or were read meanwhile.
-        Older targets, and former ones that were confirmed before, give way to it.
+        Older targets, and dropped ones that were confirmed before, give way to it.
         """
         self._rounds.note_end()
         if not self._needs_targets() and not self._uses_old():
@@ -187,14 +187,14 @@
             if not self._needs_targets():
                 return []
             self._rounds.note_failure(now_ms)
-            self.is_fruitless = self.is_fruitless or not self._former
+            self.is_fruitless = self.is_fruitless or not self._dropped
             return [StateChange("targets", "no copy", ""), *self._confirm(now_ms)]
         copy = message.copy
         current_at_ms = now_ms - copy.age_ms
         if self._uses_old() and current_at_ms <= self._current_at_ms:
             return []
         self._rounds.note_copy(now_ms)
-        self._former.forget()
+        self._dropped.forget()
         self._table.is_filled = False
         out = self._records.apply_domains(copy.domains_out, now_ms)
         named = {held.entry.key for held in copy.targets}
@@ -218,24 +218,24 @@
 
     def _confirm(self, now_ms):
         domain = self._peers.me.failure_domain
-        out = self._former.request(self._routing.config, domain, now_ms)
+        out = self._dropped.request(self._routing.config, domain, now_ms)
         if not out:
             return []
         detail = f"n={len(out[0].targets)}"
-        detail += f" age_ms={now_ms - self._former.held_at_ms:.0f}"
-        return [*out, StateChange("targets", "asking former", "", detail)]
+        detail += f" age_ms={now_ms - self._dropped.held_at_ms:.0f}"
+        return [*out, StateChange("targets", "asking dropped", "", detail)]
 
     def _take_confirmed(self, message, now_ms):
-        """Use the former targets that have answered; return messages."""
-        confirmed = self._former.take_confirmed(message, now_ms)
+        """Use the dropped targets that have answered; return messages."""
+        confirmed = self._dropped.take_confirmed(message, now_ms)
         if not self._needs_targets() and not self._uses_old():
             return []
-        detail = f"n={len(confirmed)} unanswered={len(self._former)}"
+        detail = f"n={len(confirmed)} unanswered={len(self._dropped)}"
         out = [StateChange("targets", "confirmed", "", detail)]
         if not confirmed:
             self.is_fruitless = True
             return out
-        return out + self._use(confirmed, self._former.held_at_ms, now_ms)
+        return out + self._use(confirmed, self._dropped.held_at_ms, now_ms)
 
     def _use(self, targets, current_at_ms, now_ms):
         """Add HeldTargets to the table; return state changes for the log."""
