--- a/soak/day/store_drills.py
+++ b/soak/day/store_drills.py
@@ -27,9 +27,10 @@
 LOST_CHANGE_S = (0.2, 4.0)
 # Time by which what happens to a VM outlasts the store's absence.
 OUTLAST_S = 1.0
-# Number of VMs that are stopped in turn before owners die, the pause between two, and
-# the time from the last one to the store's absence.
-N_STOPPED = 4
+# Numbers of VMs, inside and outside the failure domain whose owners die, that are
+# stopped in turn before, the pause between two, and the time to the store's absence.
+N_STOPPED_INSIDE = 2
+N_STOPPED_OUTSIDE = 2
 STOP_PAUSE_S = 0.5
 STOPPED_S = 1.5
 # Time for which the store is down while owners die.
@@ -193,13 +194,12 @@
         try:
             down_s = self.rng.uniform(*DOWN_S)
             starts_with_store = self.rng.random() < 0.5
-            self._stop_in_turn()
+            killed = self._stop_in_turn()
             work = self.journal.add_unplanned("store-down")
             self._go_away()
             gevent.sleep(KILLS_DELAY_S)
             end_s = work.start_s + down_s
-            n_killed = int(KILLED_SHARE * len(self.cell.vms))
-            for vm in self.rng.sample(self.cell.vms, n_killed):
+            for vm in killed:
                 dead_s = end_s - now_s() if starts_with_store else DEAD_S
                 gevent.spawn(self.operations.kill_vms, [vm], dead_s)
                 gevent.sleep(KILL_PAUSE_S)
@@ -210,10 +210,17 @@
             self._lock.release()
 
     def _stop_in_turn(self):
-        for vm in self.rng.sample(self.cell.vms, min(N_STOPPED, len(self.cell.vms))):
+        """Restart some VMs; return others to kill, all of a failure domain first."""
+        vms = self.rng.sample(self.cell.vms, len(self.cell.vms))
+        domain = vms[0].domain
+        inside = [vm for vm in vms if vm.domain == domain]
+        outside = [vm for vm in vms if vm.domain != domain]
+        for vm in inside[:N_STOPPED_INSIDE] + outside[:N_STOPPED_OUTSIDE]:
             gevent.spawn(self.operations.processes.stop, vm)
             gevent.sleep(STOP_PAUSE_S)
         gevent.sleep(STOPPED_S)
+        killed = inside[N_STOPPED_INSIDE:] + outside[N_STOPPED_OUTSIDE:]
+        return killed[: int(KILLED_SHARE * len(vms))]
 
     def cut_from_store(self, event):
         """Let the calls of one VM to the store hang for a while."""
