Let a start in the drill without the store wait for its return

READY_S was meant for absences of the store of up to 4 s. It must be ready 2 s after the return now; starts beside all other events have the bound they had.

--- a/soak/day/touch.py
+++ b/soak/day/touch.py
@@ -1,11 +1,16 @@
 """Says when a VM is in touch, by the rules."""
 
-from .site import CONTACT_S
+from .site import CONTACT_S, READY_S
 
 # Kinds of planned work that disturb no VM.
 HARMLESS_KINDS = frozenset(["config", "reload", "add-many"])
 
 
+# Time from the end of a long absence of the store until a VM that started in it is
+# ready.
+READY_AFTER_STORE_S = 2.0
+
+
 def overlaps(work, from_s, to_s):
     """Return whether work took place between two times."""
     return work.start_s <= to_s and work.end_s >= from_s
@@ -36,3 +41,15 @@
     """Return whether a VM is in touch at a time."""
     from_s = at_s - CONTACT_S
     return is_core_stable(journal, from_s, at_s) and is_calm(journal, vm, from_s, at_s)
+
+
+def ready_due_s(journal, started_s):
+    """Return the time by which a VM must be ready.
+
+    A VM that starts while the store is down may wait for it, and is ready soon after.
+    """
+    due_s = started_s + READY_S
+    for work in journal.unplanned:
+        if work.kind == "store-down" and overlaps(work, started_s, due_s):
+            due_s = max(due_s, work.end_s + READY_AFTER_STORE_S)
+    return due_s
--- a/tests/test_soak_day_drills.py
+++ b/tests/test_soak_day_drills.py
@@ -7,13 +7,14 @@
 from soak.day.records import ANSWERED, DayAttempt, DayJournal, Stray
 from soak.day.run import run_day
 from soak.day.schedule import DRILLS
-from soak.day.site import BOUNDS_S, CONTACT_S, KINDS
+from soak.day.site import BOUNDS_S, CONTACT_S, KINDS, READY_S
 from soak.day.store_checks import (
     KNOWN_S,
     N_ATTEMPTS_MIN,
     check_refusals,
     check_strays,
 )
+from soak.day.touch import READY_AFTER_STORE_S, ready_due_s
 
 SHORT_S = 20.0
 N_VMS = 5
@@ -63,6 +64,18 @@
     assert check_strays(journal) == []
 
 
+@pytest.mark.parametrize(
+    ("kind", "waits"), [("store-down", True), ("store-copy", False)]
+)
+def test_a_start_may_wait_for_a_store_that_is_down_alone(kind, waits):
+    journal = DayJournal()
+    work = journal.add_unplanned(kind)
+    work.start_s, work.end_s = AT_S, AT_S + 9.0
+    due_s = AT_S + 9.0 + READY_AFTER_STORE_S if waits else AT_S + 1.0 + READY_S
+    assert ready_due_s(journal, AT_S + 1.0) == due_s
+    assert ready_due_s(journal, AT_S + 10.0) == AT_S + 10.0 + READY_S
+
+
 def test_a_404_for_a_route_of_all_versions_is_found():
     journal = DayJournal()
     attempt = DayAttempt("a", KINDS[0], 1.0)
