--- a/packages/ctl/hornbeamstand_ctl/explain.py
+++ b/packages/ctl/hornbeamstand_ctl/explain.py
@@ -19,6 +19,7 @@
     "store: away",
     "store: back",
     "store: new era",
+    "store: known before",
     "domain: ",
     "config: ",
     "process: ",
--- a/soak/day/run.py
+++ b/soak/day/run.py
@@ -12,6 +12,7 @@
 from .callers import make_callers, send_arrivals
 from .cell import DayCell
 from .checks import check_denied, check_orders, check_recovered
+from .config_logs import check_config_logs
 from .ends import check_answered, count_beside
 from .lost import find_losses
 from .operations import Operations
@@ -43,7 +44,7 @@
         cell.young_vms.clear()
         prober = play_day(cell, journal, events, plan)
         findings = [*journal.findings, *check_orders(journal)]
-        findings += check_denied(journal)
+        findings += [*check_denied(journal), *check_config_logs(folder)]
         findings += [*check_strays(journal), *check_refusals(journal)]
         findings += [*check_answered(journal), *check_recovered(journal)]
     statuses = Counter(attempt.status for attempt in journal.attempts)
--- a/tests/test_soak_day_drills.py
+++ b/tests/test_soak_day_drills.py
@@ -3,6 +3,7 @@
 import pytest
 
 from soak.day.checks import check_denied
+from soak.day.config_logs import find_repeats
 from soak.day.plan import DayPlan
 from soak.day.records import ANSWERED, DayAttempt, DayJournal, Stray
 from soak.day.run import run_day
@@ -18,7 +19,7 @@
 
 SHORT_S = 20.0
 N_VMS = 5
-# Planned work, three returns from a copy, and an owner that is stopped beside them.
+# Planned work and three returns from a copy.
 SEED = 4812
 AT_S = 1000.0
 LONG_AGO_S = 60.0
@@ -76,6 +77,13 @@
     assert ready_due_s(journal, AT_S + 10.0) == AT_S + 10.0 + READY_S
 
 
+def test_a_version_that_is_applied_twice_in_one_process_is_found():
+    lines = ['{"subject":"r3","detail":"","event":"config: in force"}']
+    assert list(find_repeats(lines)) == []
+    assert len(list(find_repeats(lines * 2))) == 1
+    assert list(find_repeats([*lines, '{"event":"process: started"}', *lines])) == []
+
+
 def test_a_404_for_a_route_of_all_versions_is_found():
     journal = DayJournal()
     attempt = DayAttempt("a", KINDS[0], 1.0)
