--- a/soak/day/store_checks.py
+++ b/soak/day/store_checks.py
@@ -5,7 +5,7 @@
 from .lost import MARGIN_S
 from .records import ANSWERED
 from .site import CONTACT_S, READY_S
-from .touch import is_calm, is_core_stable, is_in_touch
+from .touch import is_calm, is_core_stable, is_in_touch, overlaps
 
 # Time in which a VM in touch reads a change from a store that is stable.
 KNOWN_S = 1.0
@@ -20,6 +20,14 @@
 STATUS_REFUSED = 503
 
 
+def has_started_since(journal, stray):
+    """Return whether the VM of a request started after the departure."""
+    return any(
+        name == stray.vm and stray.since_s <= at_s <= stray.at_s
+        for name, at_s in journal.starts
+    )
+
+
 def knew(journal, stray):
     """Return whether a VM must have known of a departure while the store was stable."""
     from_s = stray.since_s - CONTACT_S
@@ -27,11 +35,22 @@
     return (
         is_core_stable(journal, from_s, until_s)
         and is_calm(journal, stray.vm, from_s, until_s)
-        and not any(
-            name == stray.vm and stray.since_s <= at_s <= stray.at_s
-            for name, at_s in journal.starts
-        )
+        and not has_started_since(journal, stray)
+    )
+
+
+def could_learn(journal, stray):
+    """Return whether the store, once it was stable, could tell a VM of a departure.
+
+    It had acknowledged it while it was stable, and no return from a copy came before
+    the VM started.
+    """
+    was_lost = any(
+        work.kind == "store-copy" and overlaps(work, stray.since_s, stray.at_s)
+        for work in journal.unplanned
     )
+    was_stable = is_core_stable(journal, stray.since_s - CONTACT_S, stray.since_s)
+    return was_stable and not (was_lost and has_started_since(journal, stray))
 
 
 def check_strays(journal):
@@ -44,7 +63,8 @@
     for stray in journal.strays:
         if not stray.vm:
             continue
-        if is_in_touch(journal, stray.vm, stray.at_s):
+        in_touch = is_in_touch(journal, stray.vm, stray.at_s)
+        if in_touch and could_learn(journal, stray):
             findings.append(f"{stray.describe()}, in touch")
         elif knew(journal, stray):
             findings.append(f"{stray.describe()}, known before")
--- a/tests/test_soak_day_drills.py
+++ b/tests/test_soak_day_drills.py
@@ -58,6 +58,21 @@
     assert check_strays(journal) == []
 
 
+@pytest.mark.parametrize(("kind", "n_findings"), [("store-copy", 0), ("store-busy", 1)])
+def test_a_vm_that_started_since_can_learn_all_but_what_a_copy_lacks(kind, n_findings):
+    journal = journal_with_stray()
+    work = journal.add_unplanned(kind)
+    work.start_s, work.end_s = AT_S - LONG_AGO_S + 5.0, AT_S - CONTACT_S - 1.0
+    journal.starts.append(("edge-0", AT_S - CONTACT_S - 0.5))
+    assert len(check_strays(journal)) == n_findings
+
+
+def test_a_departure_that_a_disturbed_store_acknowledged_binds_nobody():
+    journal = journal_with_stray()
+    add_store_event(journal, AT_S - LONG_AGO_S - 1.0, AT_S - LONG_AGO_S + 1.0)
+    assert check_strays(journal) == []
+
+
 def test_a_freeze_at_the_time_of_the_leaving_excuses():
     journal = journal_with_stray(AT_S - BOUNDS_S["left"] - 1.0)
     work = journal.add_unplanned("freeze", "edge-0")
