Show on real processes that a copy's departed target gets no requests

The stand-in server's entries have a sequence that rises with each one, as on the platform; all were 1, by which no entry could be told from a later one of the same start.

--- a/standins/server.py
+++ b/standins/server.py
@@ -83,6 +83,7 @@
         "speed",
         "state",
         "started_wall_ms",
+        "n_entries",
         "address",
         "n_running",
         "n_running_max",
@@ -109,6 +110,7 @@
         self.speed = 1.0
         self.state = "ready"
         self.started_wall_ms = 1
+        self.n_entries = 0
         self.address = ""
         self.n_running = 0
         self.n_running_max = 0
@@ -135,7 +137,8 @@
         self.address = f"127.0.0.1:{server.server_port}"
 
     def entry(self, cold_remaining_ms=0):
-        """Return the entry that the server writes to the store."""
+        """Return the next entry that the server writes to the store."""
+        self.n_entries += 1
         return {
             "Address": self.address,
             "Info": {
@@ -146,7 +149,7 @@
             },
             "Status": {
                 "State": self.state,
-                "Seq": 1,
+                "Seq": self.n_entries,
                 "WarmupLeft": f"{int(cold_remaining_ms)}ms",
             },
             "born": self.started_wall_ms,
--- a/tests/test_platform_store_copies.py
+++ b/tests/test_platform_store_copies.py
@@ -13,8 +13,14 @@
 AWAY_S = 0.6
 # Number of changes after the return, so that the revisions pass those before it.
 N_CHANGES = 40
+# Time in which the VMs read the copy.
+READ_S = 0.6
+# Time in which a target can write itself again, and that of a target's cold start.
+REREGISTER_S = 2.0
+COLD_S = 3.2
 ROUTES = {"/read/": ("shop", "idempotent")}
 NEW_ROUTES = ROUTES | {"/new/": ("shop", "idempotent")}
+TOOL_ROUTES = NEW_ROUTES | {"/tool/": ("tool", "idempotent")}
 
 
 @pytest.fixture(scope="module")
@@ -53,3 +59,26 @@
     gevent.sleep(CONFIG_APPLY_S)
     statuses = [cell.send(vm, "/new/a").status for vm in cell.vms]
     assert statuses == [200] * N_VMS
+
+
+def test_requests_go_to_the_target_that_the_copy_lacks_not_to_the_one_that_left(cell):
+    cell.set_config(3, TOOL_ROUTES)
+    left = cell.add_server("tool-1", "tool")
+    gevent.sleep(COPY_AGE_S)
+    copy = cell.store.take_copy()
+    added = cell.add_server("tool-2", "tool")
+    cell.store.delete(f"servers/{left.server_id}")
+    gevent.sleep(COLD_S)
+    cell.store.come_back(copy)
+    gevent.sleep(READ_S)
+    assert request_statuses(cell) == [200] * N_VMS
+    cell.write_entry(added)
+    gevent.sleep(REREGISTER_S)
+    assert request_statuses(cell) == [200] * N_VMS
+    assert len(left.received_requests) == 0
+    assert len(added.received_requests) == 2 * N_VMS
+
+
+def request_statuses(cell):
+    """Send a request to each VM; return the statuses."""
+    return [cell.send(vm, "/tool/a").status for vm in cell.vms]
