--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -31,9 +31,9 @@
 )
 from ..messages import Refusal, Release, Withdraw
 from ..relay_messages import CheckPeerAlive, FindOwner, RelayEnded
+from ..target_copy_messages import TargetsConfirmed, TargetsFetched
 from .admission import Admission
 from .capacity import ServiceCapacity
-from .learning import heard_notice
 from .overload import OverloadDetector
 from .owner_paths import OwnerPaths
 from .peer_failures import PeerFailures
@@ -42,6 +42,7 @@
 from .routing import Routing
 from .store_following import StoreFollowing
 from .store_records import StoreRecords
+from .target_recovery import TargetRecovery
 from .target_table import TargetTable
 from .target_wait import TargetWait
 from .watch_scope import WatchScope
@@ -83,6 +84,7 @@
         "table",
         "services",
         "config_raw",
+        "recovery",
         "_store",
         "_target_wait",
         "_records",
@@ -106,7 +108,6 @@
         self.services = {}
         self.table = TargetTable(self.find_service)
         self.config_raw = b""
-        self._store = StoreFollowing(self.peers, self.table, self.watch_scope)
         self._target_wait = TargetWait(me.ip, self.owner_paths, self.table)
         self._rng = Random(f"{me.vm_id}{me.start_id}")
         self.admission = Admission(Random(f"{me.vm_id}{me.start_id}-admission"))
@@ -114,6 +115,9 @@
         self._records = StoreRecords(
             self.routing, self.table, self.services, self.peers, self._note_config
         )
+        following = (self.peers, self.table, self.watch_scope)
+        self.recovery = TargetRecovery(*following, self._records, self.routing)
+        self._store = StoreFollowing(*following, self.recovery)
         self._next_round_ms = 0.0
         self._fetch_sent_at_ms = float("-inf")
         self._handlers = {
@@ -131,6 +135,8 @@
             StoreUnavailable: self._note_store_unavailable,
             StoreAvailable: self._note_store_available,
             StoreEraNoted: self._records.note_era,
+            TargetsFetched: self._take_targets,
+            TargetsConfirmed: self._take_targets,
             EdgeHeartbeat: self._note_heartbeat,
             Contacts: self._note_contacts,
             EdgeTick: self._tick,
@@ -186,10 +192,13 @@
 
     def _note_target_wait(self, now_ms):
         if self.watch_scope.scope == WATCH_ALL:
-            is_hindered = self._store.is_unavailable
+            is_fruitless = self.recovery.is_fruitless
+            is_hindered = self._store.is_unavailable or is_fruitless
+            self._target_wait.is_fruitless = self._store.is_unavailable and is_fruitless
         else:
             # Nothing is read before the heartbeats tell that the owners are gone.
             is_hindered = bool(self.peer_failures.passed_over_ips())
+            self._target_wait.is_fruitless = False
         self._target_wait.note(is_hindered, now_ms)
 
     def is_cut_off(self, now_ms):
@@ -219,20 +228,9 @@
 
     def _release(self, message, now_ms):
         service = self.find_service(message.permit.service_name)
-        self._keep_notice(service, message, now_ms)
+        self.table.kept_notices.keep_heard(service, message, now_ms)
         return service.release(message, now_ms)
 
-    def _keep_notice(self, service, release, now_ms):
-        """Keep the notice in a response of a target that is no longer held."""
-        permit, notice = release.permit, heard_notice(release.result)
-        if notice is None:
-            return
-        if not service.has_start(permit.target_id, permit.started_wall_ms):
-            message = NoticeRelayed(
-                service.name, permit.target_id, notice, permit.started_wall_ms
-            )
-            self.table.kept_notices.keep(message, now_ms)
-
     def _withdraw(self, message, now_ms):
         service = self.find_service(message.service_name)
         return service.withdraw(message.request_id, now_ms)
@@ -271,7 +269,12 @@
         """The latest revision of the store that this VM has seen."""
         return self.peers.revision
 
+    def _take_targets(self, message, now_ms):
+        return self.recovery.handle(message, now_ms) + self._drain_all(now_ms)
+
     def _apply_update(self, message, now_ms):
+        if type(message) is StoreSnapshot and message.has_targets:
+            self.recovery.note_read(now_ms)
         out = self._records.apply(message, now_ms)
         self.watch_scope.note_update()
         return out + self._begin_serving(now_ms) + self._drain_all(now_ms)
@@ -299,6 +302,7 @@
         return self._store.note_unavailable(message.detail, now_ms)
 
     def _note_store_available(self, message, now_ms):
+        self.recovery.note_store_available()
         return self._store.note_available(now_ms)
 
     # Peers and time.
@@ -314,15 +318,10 @@
         if not heartbeat.is_watching:
             return out
         out += self.watch_scope.note_peer_era(heartbeat.era, self.peers.era)
-        if self.watch_scope.scope == WATCH_ALL and self._is_behind(heartbeat):
+        if self.watch_scope.scope == WATCH_ALL and self.peers.is_behind(heartbeat):
             self._store.note_behind_peer(now_ms)
         return out
 
-    def _is_behind(self, heartbeat):
-        """Return whether a peer has seen a later revision of the store."""
-        seen = (self.peers.era, self.revision)
-        return (heartbeat.era, heartbeat.revision) > seen
-
     def _fetch_config(self, heartbeat, now_ms):
         if now_ms - self._fetch_sent_at_ms < CONFIG_FETCH_INTERVAL_MS:
             return []
@@ -360,7 +359,7 @@
             is_owner = lacks_owners or self._owns_any_service(now_ms)
             out += self._store.update_scope(is_owner, lacks_owners, now_ms)
         out += self.watch_scope.request_resync(self.revision, now_ms)
-        return out
+        return out + self.recovery.update(self._store.is_unavailable, now_ms)
 
     def _note_delay(self, delay_ms, now_ms):
         """Note how late a tick was; tell the peers if this VM is overloaded now."""
--- a/packages/core/hornbeamstand_core/controllers/failure_domains.py
+++ b/packages/core/hornbeamstand_core/controllers/failure_domains.py
@@ -4,6 +4,7 @@
 provisional time, unless it is written or removed meanwhile.
 """
 
+from ..discovery import DomainOutOfService
 from ..edge_messages import StateChange
 
 # Time for which a domain is known to have been put back into service.
@@ -56,6 +57,10 @@
         """Return the set of the failure domains that are out of service."""
         return frozenset(self._by_key.values())
 
+    def records(self):
+        """Return a DomainOutOfService for each domain that is out of service."""
+        return [DomainOutOfService(*item) for item in self._by_key.items()]
+
     def begin_era(self, now_ms):
         """Keep what is known now; return text for the log about it.
 
--- a/packages/core/hornbeamstand_core/controllers/kept_notices.py
+++ b/packages/core/hornbeamstand_core/controllers/kept_notices.py
@@ -6,7 +6,8 @@
 
 from math import inf
 
-from ..edge_messages import TargetNotice
+from ..edge_messages import NoticeRelayed, TargetNotice
+from .learning import heard_notice
 from .notice_sharing import NOTICE_MAX_MS, bounded_notice
 
 # Maximum time for which a notice is kept: the longest duration that it can state.
@@ -60,6 +61,17 @@
     def __len__(self):
         return len(self._by_target)
 
+    def keep_heard(self, service, release, now_ms):
+        """Keep the notice in a response of a target that a service no longer holds."""
+        permit, notice = release.permit, heard_notice(release.result)
+        if notice is None:
+            return
+        if not service.has_start(permit.target_id, permit.started_wall_ms):
+            message = NoticeRelayed(
+                service.name, permit.target_id, notice, permit.started_wall_ms
+            )
+            self.keep(message, now_ms)
+
     def keep(self, message, now_ms):
         """Keep the notice of a NoticeRelayed.
 
--- a/packages/core/hornbeamstand_core/controllers/peer_view.py
+++ b/packages/core/hornbeamstand_core/controllers/peer_view.py
@@ -166,6 +166,10 @@
             self.n_local_contacts -= contact.failure_domain == self.me.failure_domain
             contact.failure_domain = failure_domain
 
+    def is_behind(self, heartbeat):
+        """Return whether a peer has seen a later revision of the store."""
+        return (heartbeat.era, heartbeat.revision) > (self.era, self.revision)
+
     def _send_contacts(self, peer, now_ms):
         """Return a message with contacts if the peer has too few peers itself."""
         if not self._is_seed and not self.is_preferred:
--- a/packages/core/hornbeamstand_core/controllers/store_records.py
+++ b/packages/core/hornbeamstand_core/controllers/store_records.py
@@ -67,6 +67,14 @@
         """Return the set of the failure domains that are out of service."""
         return self._domains.out_of_service()
 
+    def domains_out(self):
+        """Return a DomainOutOfService for each domain that is out of service."""
+        return self._domains.records()
+
+    def apply_domains(self, domains_out, now_ms):
+        """Take over which domains are out of service; return state changes."""
+        return self._domains.apply_snapshot(domains_out, now_ms)
+
     # Eras.
 
     def note_era(self, message, now_ms):
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -23,6 +23,7 @@
     "routing.py",
     "store_following.py",
     "store_records.py",
+    "target_recovery.py",
     "target_table.py",
 }
 
