--- a/soak/day/cell.py
+++ b/soak/day/cell.py
@@ -22,8 +22,9 @@
 
     ``routes`` maps a prefix to (service or weights, kind, timeout in s). ``started_s``
     maps a VM's name to the time of its last start, ``young_vms`` has the names of those
-    that have not been ready since: SIGTERM may end them at once. ``network`` is the
-    PeerNetwork between the VMs if ``has_cuts``, otherwise None.
+    that have not been ready since: SIGTERM may end them at once. ``spared_vms`` has the
+    names of those whose process no event ends. ``network`` is the PeerNetwork between
+    the VMs if ``has_cuts``, otherwise None.
     """
 
     grace_ms = int(GRACE_S * MS_PER_S)
@@ -38,6 +39,7 @@
         self.routes[MOVED_PREFIX] = ("tubo-lookup", KINDS[0], KINDS[0].deadline_s)
         self.started_s = {}
         self.young_vms = set()
+        self.spared_vms = set()
         self._ports = {}
         self._n_made = 0
 
--- a/soak/day/operations.py
+++ b/soak/day/operations.py
@@ -183,7 +183,7 @@
         self._kill_vms(list(self.cell.vms), DURATION_ALL_S)
 
     def _kill_vms(self, vms, duration_s):
-        claimed = [vm for vm in vms if self.processes.claim(vm)]
+        claimed = [vm for vm in vms if self.processes.claim_to_end(vm)]
         works = [self.journal.add_unplanned("kill", vm.name) for vm in claimed]
         for vm in claimed:
             self.cell.kill(vm)
--- a/soak/day/processes.py
+++ b/soak/day/processes.py
@@ -36,6 +36,10 @@
         self.cell.claimed_vms.add(vm.name)
         return True
 
+    def claim_to_end(self, vm):
+        """Claim a VM in order to end its process; False also for a spared VM."""
+        return vm.name not in self.cell.spared_vms and self.claim(vm)
+
     def release(self, vm):
         """End the claim of a VM."""
         self.cell.claimed_vms.discard(vm.name)
@@ -49,9 +53,9 @@
     def stop(self, vm, restarts=True):
         """Stop a VM as planned, and kill it after the grace period.
 
-        Returns the VM, or None if another event has it.
+        Returns the VM, or None if another event has it or it is spared.
         """
-        if not self.claim(vm):
+        if not self.claim_to_end(vm):
             return None
         work = self.journal.add_planned("stop", vm.name)
         is_young = vm.name in self.cell.young_vms
