Read settings again that a reload could not read

An operator who replaces the settings file and sends SIGHUP while the file is missing, empty or half written had the earlier settings in force until the next SIGHUP, with one line in the log. A start tries such settings again for 3 s, a reload did not.

A reload that fails is now requested again after 0.1, 0.2, 0.4, 0.8 and 1.6 s, counted from the last SIGHUP. Nothing waits meanwhile: calls, stops and the wait for an address go on.

--- a/packages/entry/hornbeamstand_entry/life/reloading.py
+++ b/packages/entry/hornbeamstand_entry/life/reloading.py
@@ -4,10 +4,12 @@
 
 
 def reload(program, process, log):
-    """Read the settings again and apply them."""
+    """Read the settings again and apply them; return whether they could be read."""
     settings = read_again(program.load_settings, process.settings, log)
-    if settings is not None:
-        adopt_settings(program, process, settings, log)
+    if settings is None:
+        return False
+    adopt_settings(program, process, settings, log)
+    return True
 
 
 def read_again(load_settings, settings, log):
--- a/packages/entry/hornbeamstand_entry/life/running.py
+++ b/packages/entry/hornbeamstand_entry/life/running.py
@@ -147,7 +147,10 @@
             return settings, sockets
         if signals.is_reload_requested:
             signals.is_reload_requested = False
-            settings = read_again(program.load_settings, settings, log) or settings
+            read = read_again(program.load_settings, settings, log)
+            if read is None:
+                signals.retry_reload()
+            settings = read or settings
     return settings, None
 
 
@@ -170,6 +173,7 @@
     while True:
         if signals.is_reload_requested:
             signals.is_reload_requested = False
-            reload(program, process, log)
+            if not reload(program, process, log):
+                signals.retry_reload()
         if signals.wait():
             return
--- a/packages/entry/hornbeamstand_entry/life/signals.py
+++ b/packages/entry/hornbeamstand_entry/life/signals.py
@@ -5,6 +5,10 @@
 import gevent
 from gevent.event import Event
 
+# Delay until a reload that failed is requested again. It doubles each time.
+FIRST_RETRY_DELAY_MS = 100.0
+# Maximum number of these requests after one SIGHUP: for about three seconds.
+N_RETRIES_MAX = 5
 MS_PER_S = 1000.0
 
 
@@ -12,14 +16,15 @@
     """The signals that were received and not handled yet.
 
     ``n_stop_requests`` counts SIGTERM and SIGINT, and ``is_reload_requested`` is set
-    when SIGHUP comes.
+    when SIGHUP comes, or a reload is to be tried again.
     """
 
-    __slots__ = ("n_stop_requests", "is_reload_requested", "_received")
+    __slots__ = ("n_stop_requests", "is_reload_requested", "_n_retries", "_received")
 
     def __init__(self):
         self.n_stop_requests = 0
         self.is_reload_requested = False
+        self._n_retries = 0
         self._received = Event()
 
     @property
@@ -47,9 +52,24 @@
         self._received.set()
 
     def _note_reload(self):
+        self._n_retries = 0
+        self._request_reload()
+
+    def _request_reload(self):
         self.is_reload_requested = True
         self._received.set()
 
+    def retry_reload(self):
+        """Request a reload that failed again, after a while and a few times at most.
+
+        The file may be about to be written, and no other signal need follow.
+        """
+        if self._n_retries == N_RETRIES_MAX:
+            return
+        delay_ms = FIRST_RETRY_DELAY_MS * 2**self._n_retries
+        self._n_retries += 1
+        gevent.spawn_later(delay_ms / MS_PER_S, self._request_reload)
+
     def wait(self, timeout_ms=None):
         """Wait until a signal comes; return whether a stop is requested."""
         self._received.wait(None if timeout_ms is None else timeout_ms / MS_PER_S)
--- a/tests/test_process_life.py
+++ b/tests/test_process_life.py
@@ -221,6 +221,19 @@
     vm.assert_serves()
 
 
+@pytest.mark.parametrize("read", ["[Self", None])
+def test_a_reload_waits_for_settings_that_are_being_replaced(vm, read):
+    """Guards against settings of before for good, because SIGHUP came in between."""
+    vm.start()
+    vm.assert_serves()
+    text = vm.settings_file.read_text()
+    vm.settings_file.unlink() if read is None else vm.settings_file.write_text(read)
+    vm.signal(signal.SIGHUP)
+    vm.wait_for_line("process: reload failed")
+    vm.settings_file.write_text(text)
+    vm.wait_for_line("process: settings reloaded")
+
+
 def test_a_reload_names_what_needs_a_restart(vm):
     """Guards against an operator who takes changed settings for applied ones."""
     vm.start()
