Close callers' connections in order in a planned stop of the own program

Seen: a caller that sends one query after the other on a kept connection was never told to leave, so that some request was always in progress. The stop of `hornbeamstand run` therefore lasted until its deadline (30 s by default), which then cut whatever was in progress.

Cause: the last phase began only at a tick without a request; responses didn't announce the end of their connections, the listener stayed open and idle connections were not closed before the process ended.

Responses announce the end from the begin of the stop. A new phase follows the draining: the listener is closed once the connections that wait are accepted, idle connections are closed, and the VM leaves the view only when none is open.

--- a/packages/core/hornbeamstand_core/controllers/node.py
+++ b/packages/core/hornbeamstand_core/controllers/node.py
@@ -62,6 +62,12 @@
         self.deadline_ms = deadline_ms
 
 
+class ConnectionsClosed(Record):
+    """No connection of a caller is open, and none is accepted any more."""
+
+    __slots__ = ()
+
+
 class Tick(Record):
     """Time has passed. ``n_requests`` is the number of requests in progress."""
 
@@ -191,6 +197,11 @@
         self.stopping.begin(now_ms, message.deadline_ms)
         return []
 
+    def note_connections_closed(self, message, now_ms):
+        """Note that a planned stop has closed the connections of callers."""
+        self.stopping.has_connections = False
+        return []
+
 
 HANDLERS = {
     Tick: Node.tick,
@@ -201,4 +212,5 @@
     AdoptConfiguration: Node.adopt_configuration,
     AdoptView: Node.adopt_view,
     BeginStop: Node.begin_stop,
+    ConnectionsClosed: Node.note_connections_closed,
 }
--- a/packages/core/hornbeamstand_core/controllers/stopping.py
+++ b/packages/core/hornbeamstand_core/controllers/stopping.py
@@ -2,9 +2,13 @@
 
 - Announcing: the view is updated to show this VM as leaving, so that lookups stop
   naming it and its targets move to other VMs.
-- Draining: wait until the lookup results that callers have cached have expired, no
-  request is in flight and other VMs have taken over all hand-over records. A VM that
-  has been silent until its requests must have ended takes over none.
+- Draining: wait until the lookup results that callers have cached have expired and
+  other VMs have taken over all hand-over records. A VM that has been silent until its
+  requests must have ended takes over none. The responses announce the end of their
+  connections.
+- Closing: no connection is accepted and idle ones are closed, until none is open and no
+  request is in flight. Without that, a caller that keeps using its connection would
+  hold up the stop until its deadline, which then cuts the request in progress.
 - Exiting: this VM is removed from the view.
 
 The stop ends at its deadline, whatever the phase.
@@ -15,6 +19,7 @@
 RUNNING = "running"
 ANNOUNCING = "announcing"
 DRAINING = "draining"
+CLOSING = "closing"
 EXITING = "exiting"
 STOPPED = "stopped"
 
@@ -30,7 +35,8 @@
     ``lookups_expire_at_ms`` is the time when the lookup results that callers have
     cached expire, or None before the announcement has ended. ``announced_at_ms`` is
     when that was, and ``deadline_at_ms`` the time when the stop ends at the latest.
-    ``n_requests`` is the number of requests in progress.
+    ``n_requests`` is the number of requests in progress, and ``has_connections`` is
+    unset once no connection of a caller is open or can be opened.
     """
 
     __slots__ = (
@@ -40,6 +46,7 @@
         "lookups_expire_at_ms",
         "deadline_at_ms",
         "n_requests",
+        "has_connections",
     )
 
     def __init__(self, membership):
@@ -49,6 +56,7 @@
         self.lookups_expire_at_ms = None
         self.deadline_at_ms = float("inf")
         self.n_requests = 0
+        self.has_connections = True
 
     def begin(self, now_ms, deadline_ms):
         """Start the stop, which ends after ``deadline_ms`` at the latest.
@@ -72,6 +80,8 @@
             self._end_announcing(now_ms)
         elif self.phase == DRAINING:
             self._end_draining(now_ms)
+        elif self.phase == CLOSING:
+            self._end_closing(now_ms)
         elif self.phase == EXITING and self.membership.has_exited:
             self.phase = STOPPED
         return self.phase
@@ -88,7 +98,12 @@
         self.phase = DRAINING
 
     def _end_draining(self, now_ms):
-        if now_ms < self.lookups_expire_at_ms or self.n_requests > 0:
+        if now_ms < self.lookups_expire_at_ms or self._awaits_successor(now_ms):
+            return
+        self.phase = CLOSING
+
+    def _end_closing(self, now_ms):
+        if self.has_connections or self.n_requests > 0:
             return
         if self._awaits_successor(now_ms):
             return
--- a/packages/entry/hornbeamstand_entry/process.py
+++ b/packages/entry/hornbeamstand_entry/process.py
@@ -7,6 +7,7 @@
 from hornbeamstand_core.controllers import choice, limits
 from hornbeamstand_core.controllers.node import Node
 from hornbeamstand_core.controllers.orders import OrderBook
+from hornbeamstand_core.controllers.stopping import RUNNING
 from hornbeamstand_core.filters import build_default_chain
 from hornbeamstand_core.membership_messages import FetchPeerState
 from hornbeamstand_core.messages import Refusal
@@ -16,7 +17,7 @@
 
 from . import headers
 from .admin import make_admin_app
-from .edge.servers import start_server
+from .edge.servers import close_idle_connections, start_server, stop_accepting
 from .front import Front
 from .front_handler import FrontHandler
 from .life.late_servers import LateServer
@@ -72,6 +73,7 @@
         "pools",
         "peer_state_fetcher",
         "front",
+        "front_server",
     )
 
     @classmethod
@@ -106,12 +108,12 @@
 
         Callers' requests don't depend on it, and its address may be taken.
         """
-        settings = self.settings
+        settings, stopping = self.settings, self.node.stopping
 
         def idle_ms():
             return settings.caller_idle_ms
 
-        start_server(
+        self.front_server = start_server(
             settings.front_address,
             self.front.app,
             stack,
@@ -120,6 +122,7 @@
             self.sockets.front,
             FrontHandler,
         )
+        self.front_server.ends_connections = lambda: stopping.phase != RUNNING
         address, app = settings.admin_address, make_admin_app(self)
 
         def serve_admin(listener, owner):
@@ -127,6 +130,15 @@
 
         LateServer(address, serve_admin, self.clock, self.log).start(stack)
 
+    def close_connections(self):
+        """Close the listener and the idle connections; return whether none is open.
+
+        The function is called again until then.
+        """
+        has_closed = stop_accepting([self.front_server])
+        close_idle_connections([self.front_server])
+        return has_closed and self.front_server.n_connections == 0
+
     def apply_settings(self):
         """Apply changed settings that are not read where they are used."""
         self.control_task.log = self._decision_log()
--- a/packages/entry/hornbeamstand_entry/program.py
+++ b/packages/entry/hornbeamstand_entry/program.py
@@ -1,8 +1,8 @@
 """What the product's own program brings to the life that it shares with others."""
 
 import gevent
-from hornbeamstand_core.controllers.node import BeginStop
-from hornbeamstand_core.controllers.stopping import STOPPED
+from hornbeamstand_core.controllers.node import BeginStop, ConnectionsClosed
+from hornbeamstand_core.controllers.stopping import CLOSING, STOPPED
 
 from .life.native_memory import limit_native_memory
 from .life.output import OutputStream
@@ -109,4 +109,6 @@
             process.log.info("process: planned stop asked for")
             message = BeginStop(process.settings.stop_deadline_ms)
             process.control_task.task.post(message)
+        if process.node.stopping.phase == CLOSING and process.close_connections():
+            process.control_task.task.post(ConnectionsClosed())
         gevent.sleep(STOP_POLL_INTERVAL_MS / MS_PER_S)
--- a/replay/cell.py
+++ b/replay/cell.py
@@ -14,11 +14,12 @@
     AdoptConfiguration,
     AdoptView,
     BeginStop,
+    ConnectionsClosed,
     Node,
     SendCapacityReport,
     Tick,
 )
-from hornbeamstand_core.controllers.stopping import RUNNING, STOPPED
+from hornbeamstand_core.controllers.stopping import CLOSING, RUNNING, STOPPED
 from hornbeamstand_core.membership_messages import (
     FetchPeerState,
     GrantLease,
@@ -102,6 +103,8 @@
             return
         if not self.is_paused:
             self.post(Tick(self.n_in_flight))
+            if self.node.stopping.phase == CLOSING and not self.n_in_flight:
+                self.post(ConnectionsClosed())
             if self.node.stopping.phase == STOPPED:
                 self.is_crashed = True
                 return
