Count a deadline from the first byte of a request's head

Seen: a caller that paused within the head of its request got its answer later than it waits, by the length of the pause.

Evidence: a head in two parts 0.6 s apart, Deadline-Ms 900, a target that takes 1.5 s. Before: 504 after 1.50 s from the first byte. After: within the bound of 1.2 s.

The handler notes when it reads the first byte, and both programs subtract the time that the head took, but for the time that its last bytes waited unread, which is counted already. What a late VM refuses is judged by the unread time alone, as before: a slow caller is no sign of a late VM.

--- a/packages/entry/hornbeamstand_entry/edge/front.py
+++ b/packages/entry/hornbeamstand_entry/edge/front.py
@@ -10,7 +10,14 @@
 
 from .. import headers
 from ..header_numbers import read_number
-from ..http_server import BodyError, has_left, has_short_body, read_body, watch_caller
+from ..http_server import (
+    BodyError,
+    has_left,
+    has_short_body,
+    left_ms,
+    read_body,
+    watch_caller,
+)
 from ..performers import drive
 from ..responses import length_items, status_line
 from ..tasks.sockets import unread_ms
@@ -244,15 +251,19 @@
         self._n_received += 1
         # A caller may use an id again. The part after "~" makes it unique in this VM.
         base_request_id = context.caller_request_id or self.settings.vm_id
+        waited_ms = unread_ms(environ["hornbeamstand.socket"])
         deadline_name = self.dialect.headers.deadline_ms.upper().replace("-", "_")
+        deadline_ms = read_number(environ.get(f"HTTP_{deadline_name}"))
+        if deadline_ms is not None:
+            deadline_ms = left_ms(environ, deadline_ms, waited_ms)
         return EdgeRequest(
             f"{base_request_id}~{self._n_received}",
             read_host(environ.get("HTTP_HOST", "")),
             context.path,
             context.method,
-            read_number(environ.get(f"HTTP_{deadline_name}")),
+            deadline_ms,
             arrived_at_ms,
-            unread_ms(environ["hornbeamstand.socket"]),
+            waited_ms,
             self.node.admission.answer_margin_ms,
         )
 
--- a/packages/entry/hornbeamstand_entry/edge/servers.py
+++ b/packages/entry/hornbeamstand_entry/edge/servers.py
@@ -141,7 +141,12 @@
 
 
 class EdgeHandler(CallerHandler):
-    """Serves one connection, which a planned stop may close while it is idle."""
+    """Serves one connection, which a planned stop may close while it is idle.
+
+    ``begun_at_ms`` is when the first byte of the last request was read.
+    """
+
+    begun_at_ms = inf
 
     def handle(self):
         """Register the handler with its server while the connection is open."""
@@ -172,6 +177,7 @@
                 with gevent.Timeout(left_s, IdleTimeout("idle for too long")):
                     has_arrived = super().wait_for_request()
                 self.is_idle = False
+                self.begun_at_ms = self.server.clock.now_ms()
             except IdleTimeout:
                 if self.idle_left_ms() <= 0 and not has_bytes(self.socket):
                     raise
@@ -181,6 +187,13 @@
         self.socket.settimeout(self.server.idle_ms() / MS_PER_S)
         return has_arrived
 
+    def get_environ(self):
+        """Return the WSGI environment, with the time that the head took to arrive."""
+        environ = super().get_environ()
+        head_ms = max(0.0, self.server.clock.now_ms() - self.begun_at_ms)
+        environ["hornbeamstand.head_ms"] = head_ms
+        return environ
+
     def idle_left_ms(self):
         """Return the time for which the connection may still be idle."""
         idle_ms = self.server.clock.now_ms() - self.idle_since_ms
--- a/packages/entry/hornbeamstand_entry/front.py
+++ b/packages/entry/hornbeamstand_entry/front.py
@@ -11,7 +11,14 @@
 from .context import RequestContext
 from .encoding import encode_capacity
 from .header_numbers import read_number
-from .http_server import CLOSE, BodyError, has_short_body, read_body, watch_caller
+from .http_server import (
+    CLOSE,
+    BodyError,
+    has_short_body,
+    left_ms,
+    read_body,
+    watch_caller,
+)
 from .lookup import answer_lookup
 from .peer_codec import ORDERS_PATH, PART_MAX_BYTES
 from .performers import drive
@@ -161,7 +168,7 @@
         base_request_id = base_request_id or f"{self.settings.vm_id}-{self._n_received}"
         deadline_ms = read_number(environ.get("HTTP_HORNBEAM_DEADLINE_MS"))
         if deadline_ms is not None:
-            deadline_ms -= waited_ms
+            deadline_ms = left_ms(environ, deadline_ms, waited_ms) - waited_ms
         request = Request(
             f"{base_request_id}~{self._n_received}",
             name,
--- a/packages/entry/hornbeamstand_entry/http_server.py
+++ b/packages/entry/hornbeamstand_entry/http_server.py
@@ -202,6 +202,15 @@
         self.refusal = refusal
 
 
+def left_ms(environ, deadline_ms, waited_ms):
+    """Return what is left of a deadline that counts from the first byte of the head.
+
+    ``waited_ms`` is the time for which the last bytes waited unread, which the caller
+    of this function counts itself.
+    """
+    return deadline_ms - max(0.0, environ["hornbeamstand.head_ms"] - waited_ms)
+
+
 def has_short_body(environ):
     """Return whether a request has no body, or one that can be read and dropped."""
     if "HTTP_TRANSFER_ENCODING" in environ:
--- a/tests/test_platform_late.py
+++ b/tests/test_platform_late.py
@@ -7,13 +7,15 @@
 
 import gevent
 import pytest
+from gevent import socket
 
-from standins.edge_cell import EdgeCell
+from standins.edge_cell import HOST, EdgeCell
 
 from .slices import carried_per_s, send_steadily, slices
 
 PREFIXES = {"/tools/": ("shop", "idempotent")}
 FREEZE_S = 0.7
+HEAD_PAUSE_S = 0.6
 WORK_MS = 1500.0
 # Time by which an answer may come late.
 MARGIN_S = 0.3
@@ -50,6 +52,20 @@
     assert len(cell.servers[0].arrivals) == (status == 504)
 
 
+def test_a_deadline_counts_from_the_first_byte_of_a_head_that_comes_in_parts(cell):
+    """Guards against callers that pause within a head and get no answer in time."""
+    vm, deadline_s = cell.vms[0], 0.9
+    address = (vm.ip, vm.ports["front"])
+    with socket.create_connection(address, timeout=5.0) as sock:
+        began_s = time.monotonic()
+        sock.sendall(f"GET /tools/x HTTP/1.1\r\nHost: {HOST}\r\n".encode())
+        gevent.sleep(HEAD_PAUSE_S)
+        sock.sendall(b"Attempt-Id: a\r\nDeadline-Ms: 900\r\n\r\n")
+        status = sock.recv(4096)[9:12]
+    assert status == b"504"
+    assert time.monotonic() - began_s < deadline_s + HEAD_PAUSE_S / 2.0
+
+
 def send_and_time(cell):
     """Send one request; return its status and how long it took."""
     began_s = time.monotonic()
