--- a/packages/core/tests/test_era_histories.py
+++ b/packages/core/tests/test_era_histories.py
@@ -106,6 +106,7 @@
         self.write(ConfigEntry(CONFIG_KEY, make_config(self.version)))
 
     def toggle_domain(self, name):
+        """Take the domain out of service or put it back; the name has no effect."""
         if DOMAIN_KEY in self.items:
             self.remove(DOMAIN_KEY)
         else:
@@ -293,9 +294,12 @@
         history.deliver()
 
 
-COME_BACK = st.tuples(st.integers(0, 8), st.booleans()).map(
-    lambda step: partial(come_back, step)
-)
+def come_back_step(n_lost_max):
+    """Return the steps in which the store loses up to ``n_lost_max`` changes."""
+    step = st.tuples(st.integers(0, n_lost_max), st.booleans())
+    return step.map(lambda step: partial(come_back, step))
+
+
 STEPS = st.one_of(
     store_step(LossyStore.start),
     store_step(LossyStore.rewrite),
@@ -304,10 +308,10 @@
     store_step(LossyStore.end),
     store_step(LossyStore.toggle_domain),
     store_step(lambda store, name: store.publish()),
-    COME_BACK,
-    COME_BACK.map(lambda step: step),
+    come_back_step(2),
+    come_back_step(8),
     st.sampled_from([100.0, 900.0, 2100.0]).map(
-        lambda wait_ms: lambda history: history.wait(wait_ms)
+        lambda wait_ms: partial(FollowedHistory.wait, wait_ms=wait_ms)
     ),
     st.just(FollowedHistory.drop_targets),
     st.just(FollowedHistory.deliver),
--- a/packages/core/tests/test_era_records.py
+++ b/packages/core/tests/test_era_records.py
@@ -29,6 +29,7 @@
 OLDER = make_entry("t1", started_wall_ms=5, sequence=3)
 LATER = make_entry("t1", started_wall_ms=5, sequence=6)
 RESTARTED = make_entry("t1", started_wall_ms=9, sequence=1)
+DRAINED = make_entry("t1", "a", 3, DRAINING, 0.0, 5, 5)
 DOMAIN_OUT = DomainOutOfService("op/evacuate/b", "b")
 
 
@@ -96,9 +97,10 @@
     "leave",
     [
         lambda vm: vm.remove(KEY),
-        lambda vm: vm.change(make_entry("t1", "a", 3, DRAINING, 0.0, 5, 5)),
+        lambda vm: vm.change(DRAINED),
         say_leaving,
         lambda vm: (vm.remove(KEY), vm.node.table.clear()),
+        lambda vm: (vm.change(DRAINED), vm.node.table.clear()),
         lambda vm: (say_leaving(vm), vm.node.table.clear()),
     ],
 )
@@ -155,6 +157,14 @@
     assert vm.offered() == ["t1", "t2"]
 
 
+def test_a_target_whose_address_was_another_ones_is_not_used_after_a_drop():
+    earlier = make_entry_at("t1", "10.0.0.9:80", 5)
+    vm = EraHarness(earlier, make_entry_at("t2", "10.0.0.9:80", 7))
+    vm.node.table.clear()
+    vm.come_back(earlier)
+    assert vm.offered() == []
+
+
 def test_an_older_entry_starts_no_cold_start_and_opens_no_draining_target():
     vm = EraHarness(KNOWN, make_entry("t2", "a", 3, DRAINING, 0.0, 5, 5))
     cold = make_entry("t1", cold_remaining_ms=900.0, started_wall_ms=5, sequence=3)
