Leave targets that are known to have left out of a peer's copy

A VM in place of lost owners could send requests to a target that it knew to have left, when the peer whose targets it copied, or its own targets of before, had not read that. Cause: copies went into the table without a look at what is remembered of removed targets. test_a_copy_brings_no_target_back_that_is_known_to_have_left: before, t1 and t2 were offered, t1 had left; now t2 alone, until t1 says something later of itself.

--- a/packages/core/hornbeamstand_core/controllers/known_targets.py
+++ b/packages/core/hornbeamstand_core/controllers/known_targets.py
@@ -114,6 +114,16 @@
         known = self._before_era.get(key)
         return known is not None and known.has_left
 
+    def is_left(self, entry):
+        """Return whether the target of an entry is known to have left since."""
+        key = entry.key
+        known = (
+            self._recent.get(key) or self._earlier.get(key) or self._before_era.get(key)
+        )
+        if known is None or not known.has_left:
+            return False
+        return not is_later(entry, known.entry)
+
     def compare(self, entry):
         """Return whether an entry is NEWER than what was known, or OUTDATED.
 
--- a/packages/core/hornbeamstand_core/controllers/target_recovery.py
+++ b/packages/core/hornbeamstand_core/controllers/target_recovery.py
@@ -286,6 +286,8 @@
         self._current_at_ms = current_at_ms
         out = []
         for held in targets:
+            if self._table.known_targets.is_left(held.entry):
+                continue
             out += self._table.put(held.entry, now_ms)
             target = self._table.by_key[held.entry.key]
             target.is_leaving = target.is_leaving or held.is_leaving
--- a/packages/core/tests/test_target_recovery.py
+++ b/packages/core/tests/test_target_recovery.py
@@ -21,7 +21,9 @@
 from hornbeamstand_core.controllers.target_table import REREGISTER_MS
 from hornbeamstand_core.discovery import (
     DomainOutOfService,
+    KeyRemoved,
     StoreAvailable,
+    StoreChanges,
     StoreUnavailable,
 )
 from hornbeamstand_core.edge_messages import FIRST, AcquireSlot, TargetNotice
@@ -51,7 +53,7 @@
     node.find_service("shop").rules = ServiceRules("shop", "/health", 9, 3000.0, 3.0)
 
 
-def make_successor(*entries, is_store_away=True, leaving_key=None):
+def make_successor(*entries, is_store_away=True, leaving_key=None, changes=()):
     """Return a VM that has dropped its targets and serves in place of lost owners.
 
     Also returns the time, and the messages since the owners became silent. One peer of
@@ -59,6 +61,7 @@
     """
     node = make_serving_node()
     node.handle(make_snapshot(*entries, revision=5), 0.0)
+    node.handle(StoreChanges(changes, 5), 0.0)
     if leaving_key:
         node.table.by_key[leaving_key].is_leaving = True
     run_with_peers(node, HEARD_MS)
@@ -153,6 +156,20 @@
     assert [target.entry.target_id for target in offered()] == ["t1"]
 
 
+def test_a_copy_brings_no_target_back_that_is_known_to_have_left():
+    """Guards against requests to a target that left after a peer had last read it."""
+    entries = [make_entry(name, sequence=4) for name in ("t1", "t2")]
+    node, now_ms, _ = make_successor(*entries, changes=[KeyRemoved("servers/t1")])
+    held = [HeldTarget(entry) for entry in entries]
+    node.handle(TargetsFetched("10.0.0.9", TargetCopy(held, [], 0.0)), now_ms)
+    offered = node.find_service("shop").offered_targets
+    assert [target.entry.target_id for target in offered()] == ["t2"]
+    held = [HeldTarget(make_entry("t1", sequence=5))]
+    node.table.clear()
+    node.handle(TargetsFetched("10.0.0.9", TargetCopy(held, [], 0.0)), now_ms)
+    assert [target.entry.target_id for target in offered()] == ["t1"]
+
+
 def test_targets_of_a_copy_are_read_again_by_the_next_watch():
     node, now_ms, _ = make_successor()
     copy = TargetCopy([HeldTarget(make_entry("t1"))], [], 0.0)
