--- a/standins/edge_cell.py
+++ b/standins/edge_cell.py
@@ -2,6 +2,7 @@
 
 import os
 import signal
+import socket
 import subprocess
 import sys
 from contextlib import ExitStack
@@ -34,6 +35,8 @@
 # Lowest port of the VMs. Each test process uses its own ports above it, by process id.
 FIRST_PORT = 20100
 METRICS_PORT = 9464
+# Number of networks 127.0.X.0/24 for the VMs of cells that run at the same time.
+N_NETWORKS = 200
 # Retry budget in the settings of the VMs: share of the requests in a window, and number
 # of retries allowed on top of it.
 RETRY_RATIO = 0.2
@@ -126,6 +129,25 @@
         )
 
 
+def claim_network(stack):
+    """Return the number of a network that no other running cell has.
+
+    The stack gives it back. Raises RuntimeError if there is none.
+    """
+    for i in range(N_NETWORKS):
+        number = (os.getpid() + i) % N_NETWORKS
+        # The system frees an abstract name with the process, however it ends.
+        claim = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
+        try:
+            claim.bind(f"\0hornbeamstand-cell-{number}")
+        except OSError:
+            claim.close()
+            continue
+        stack.callback(claim.close)
+        return number
+    raise RuntimeError(f"all {N_NETWORKS} networks are in use")
+
+
 def names_of(service):
     """Return the names of a service, or of several with weights."""
     return list(service) if isinstance(service, dict) else [service]
@@ -169,11 +191,13 @@
         self.servers = []
         self.vms = []
         self.n_sent = 0
+        self._network_number = None
         self.deadline_ms = 2000
         self.timeout_s = CALL_TIMEOUT_S
 
     def __enter__(self):
         self.store.start(self.stack)
+        self._network_number = claim_network(self.stack)
         first_port = FIRST_PORT + (os.getpid() % 500) * 20
         names = ("front", "ready", "lookup", "peer", "last")
         ports = {name: first_port + i for i, name in enumerate(names)}
@@ -195,7 +219,7 @@
 
     def _make_vm(self, i, ports):
         name, domain = f"edge-{i}", DOMAINS[i % len(DOMAINS)]
-        ip = f"127.0.{1 + os.getpid() % 200}.{10 + i}"
+        ip = f"127.0.{1 + self._network_number}.{10 + i}"
         file = self.folder / f"{name}.toml"
         text = SETTINGS.format(
             name=name,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -21,7 +21,7 @@
     draw_faults,
 )
 from soak.senders import find_owner
-from standins.edge_cell import RETRY_SLACK
+from standins.edge_cell import RETRY_SLACK, EdgeCell
 from standins.server import Server
 
 # Length of a run.
@@ -314,3 +314,8 @@
         journal = Journal()
         FaultInjector(cell, journal, lambda: 0.0).inject(Fault(0.0, kind, 0, 0.1))
         assert journal.findings == ["edge-0 exited unexpectedly with status -9"]
+
+
+def test_cells_that_run_at_the_same_time_share_no_address(tmp_path):
+    with EdgeCell(tmp_path, 1) as one, EdgeCell(tmp_path, 1) as other:
+        assert one.vms[0].ip != other.vms[0].ip
