--- a/packages/core/tests/test_target_recovery.py
+++ b/packages/core/tests/test_target_recovery.py
@@ -1,5 +1,6 @@
 """A VM that has to serve and can't read the targets, on a virtual clock."""
 
+import pytest
 from tests.edge_nodes import (
     deferred_replies,
     deliver_heartbeats,
@@ -11,17 +12,21 @@
 )
 from tests.edge_parts import make_entry
 
-from hornbeamstand_core.controllers.target_recovery import (
+from hornbeamstand_core.controllers.copy_rounds import (
     COPY_MAX_MS,
     FETCH_INTERVAL_MIN_MS,
     REFRESH_INTERVAL_MS,
+)
+from hornbeamstand_core.controllers.target_recovery import (
     SILENT_READ_MIN_MS,
     STORE_READ_MAX_MS,
 )
 from hornbeamstand_core.controllers.target_table import REREGISTER_MS
 from hornbeamstand_core.discovery import (
     DomainOutOfService,
+    KeyRemoved,
     StoreAvailable,
+    StoreChanges,
     StoreUnavailable,
 )
 from hornbeamstand_core.edge_messages import FIRST, AcquireSlot, TargetNotice
@@ -51,7 +56,7 @@
     node.find_service("shop").rules = ServiceRules("shop", "/health", 9, 3000.0, 3.0)
 
 
-def make_successor(*entries, is_store_away=True, leaving_key=None):
+def make_successor(*entries, is_store_away=True, leaving_key=None, changes=()):
     """Return a VM that has dropped its targets and serves in place of lost owners.
 
     Also returns the time, and the messages since the owners became silent. One peer of
@@ -59,6 +64,7 @@
     """
     node = make_serving_node()
     node.handle(make_snapshot(*entries, revision=5), 0.0)
+    node.handle(StoreChanges(changes, 5), 0.0)
     if leaving_key:
         node.table.by_key[leaving_key].is_leaving = True
     run_with_peers(node, HEARD_MS)
@@ -153,6 +159,20 @@
     assert [target.entry.target_id for target in offered()] == ["t1"]
 
 
+def test_a_copy_brings_no_target_back_that_is_known_to_have_left():
+    """Guards against requests to a target that left after a peer had last read it."""
+    entries = [make_entry(name, sequence=4) for name in ("t1", "t2")]
+    node, now_ms, _ = make_successor(*entries, changes=[KeyRemoved("servers/t1")])
+    held = [HeldTarget(entry) for entry in entries]
+    node.handle(TargetsFetched("10.0.0.9", TargetCopy(held, [], 0.0)), now_ms)
+    offered = node.find_service("shop").offered_targets
+    assert [target.entry.target_id for target in offered()] == ["t2"]
+    held = [HeldTarget(make_entry("t1", sequence=5))]
+    node.table.clear()
+    node.handle(TargetsFetched("10.0.0.9", TargetCopy(held, [], 0.0)), now_ms)
+    assert [target.entry.target_id for target in offered()] == ["t1"]
+
+
 def test_targets_of_a_copy_are_read_again_by_the_next_watch():
     node, now_ms, _ = make_successor()
     copy = TargetCopy([HeldTarget(make_entry("t1"))], [], 0.0)
@@ -233,12 +253,15 @@
     assert targets_asked(node.handle(TargetsFetched(""), now_ms)) == ["t2"]
 
 
-def test_a_vm_that_nobody_can_help_refuses_at_once():
+@pytest.mark.parametrize("entries", [(), ("t1",)])
+def test_a_vm_that_nobody_can_help_refuses_at_once(entries):
     """Guards against requests that wait 0.6 s for targets that nobody can give."""
-    node, now_ms, _ = make_successor()
+    node, now_ms, _ = make_successor(*map(make_entry, entries))
     assert acquire(node, "r1", now_ms) == []
     out = node.handle(TargetsFetched(""), now_ms + 20.0)
+    out += node.handle(TargetsConfirmed([], {}), now_ms + 20.0)
     out += node.handle(EdgeTick(), now_ms + 20.0)
+    assert deferred_replies(out)
     for reply in (*deferred_replies(out), *acquire(node, "r2", now_ms + 30.0)):
         assert isinstance(reply, Refusal)
         assert reply.reason == "no target"
