Ignore an era that is far too high, and retry no reload in a planned stop

One answer with a wrong, high era locked a VM out of the store until its restart: all later answers counted as earlier (a review). A step of over 1,000 is no change of era now; a VM whose first answer states such an era is still locked out. A reload that was to be tried again was logged as ignored when a stop had begun.

--- a/packages/entry/hornbeamstand_entry/edge/store_era.py
+++ b/packages/entry/hornbeamstand_entry/edge/store_era.py
@@ -4,8 +4,10 @@
 
 from ..header_numbers import read_count
 
-# Maximum era. A later one is an error of its writer.
+# Maximum era, and maximum step from one era to the next that is seen. One beyond these
+# is an error of its writer.
 ERA_MAX = (1 << 20) - 1
+ERA_STEP_MAX = 1000
 
 
 class StoreEra:
@@ -36,7 +38,7 @@
         if text is None:
             return None
         era = read_count(text)
-        if era is None or era > ERA_MAX:
+        if era is None or era > self._max_era():
             self._log_once(text, "not a valid era, ignored")
             return None
         if self.era is not None and era < self.era:
@@ -51,6 +53,9 @@
             return None
         return f"first answer of era {era}, the call was of era {earlier_era}"
 
+    def _max_era(self):
+        return ERA_MAX if self.era is None else min(ERA_MAX, self.era + ERA_STEP_MAX)
+
     def _log_once(self, text, detail):
         if not self._has_logged:
             self._has_logged = True
--- a/packages/entry/hornbeamstand_entry/life/signals.py
+++ b/packages/entry/hornbeamstand_entry/life/signals.py
@@ -68,7 +68,11 @@
             return
         delay_ms = FIRST_RETRY_DELAY_MS * 2**self._n_retries
         self._n_retries += 1
-        gevent.spawn_later(delay_ms / MS_PER_S, self._request_reload)
+        gevent.spawn_later(delay_ms / MS_PER_S, self._request_retry)
+
+    def _request_retry(self):
+        if not self.is_stop_requested:
+            self._request_reload()
 
     def wait(self, timeout_ms=None):
         """Wait until a signal comes; return whether a stop is requested."""
--- a/packages/entry/tests/test_edge_store_client.py
+++ b/packages/entry/tests/test_edge_store_client.py
@@ -7,7 +7,7 @@
 from hornbeamstand_entry.edge import store_client
 from hornbeamstand_entry.edge.dialect import StoreCodec, StorePage, StoreRequest
 from hornbeamstand_entry.edge.store_client import StoreClient
-from hornbeamstand_entry.edge.store_era import ERA_MAX, StoreEra
+from hornbeamstand_entry.edge.store_era import ERA_MAX, ERA_STEP_MAX, StoreEra
 
 # Maximum number of pages that the tests' store returns before the test fails.
 N_PAGES_MAX = 10
@@ -101,3 +101,11 @@
     assert [result.is_ok() for result in results] == [True] * 4
     assert reports == [StoreEraNoted(4)]
     assert client.eras.log.events == ["store: odd era"]
+
+
+def test_an_era_that_is_far_too_high_is_no_change(monkeypatch):
+    """Guards against a VM that drops all later answers until it is started again."""
+    far = str(3 + ERA_STEP_MAX + 1)
+    _, results, reports = read_in_eras(monkeypatch, ["3", far, "4", "4"])
+    assert [result.is_ok() for result in results] == [True, True, False, True]
+    assert reports == [StoreEraNoted(3), StoreEraNoted(4, 3)]
