Take nothing from a peer's copy that this VM knows better

A peer's older copy of the targets put a domain that is out of service back into service, also when this VM's read of the store was merely late (a review). Cause: the domains of a copy were applied whatever their revision. They are applied only if the copy is not older than what this VM knows, and a copy states the revision that its domains are of.

From the same review, each with a test that failed before: the first answer of a VM that lives on a copy may be of a later era than the copy's; after a freeze, or while the store is silent, targets counted as current at each tick; peers that lack the store were asked first; dropped targets that answered in a later round began a cold start. test_target_recovery.py: the copy of one test states a revision now, since one without is older than what its VM knows.

--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -302,7 +302,7 @@
         return self._store.note_unavailable(message.detail, now_ms)
 
     def _note_store_available(self, message, now_ms):
-        self.recovery.note_store_available()
+        self.recovery.note_store_available(now_ms)
         return self._store.note_available(now_ms)
 
     # Peers and time.
--- a/packages/core/hornbeamstand_core/controllers/store_records.py
+++ b/packages/core/hornbeamstand_core/controllers/store_records.py
@@ -82,10 +82,12 @@
 
         What is known now is kept provisionally. Returns state changes for the log.
         """
+        # Without an answer before, a peer's copy may have stated an era.
+        earlier_era = message.earlier_era or self._peers.era
         self._peers.era = message.era
-        if message.earlier_era is None:
+        if earlier_era in (0, message.era):
             return []
-        eras = f"era={message.era} from={message.earlier_era}"
+        eras = f"era={message.era} from={earlier_era}"
         seen = f"{eras} seen={self._peers.revision}"
         self._peers.revision = 0
         known = (
@@ -160,9 +162,9 @@
         return self._apply(record, now_ms)
 
     def _apply_target(self, entry, now_ms):
-        counts = self._targets.counts(entry)
+        is_accepted = self._targets.accepts(entry)
         out = self._targets.note_change(entry)
-        return out + self._table.put(entry, now_ms) if counts else out
+        return out + self._table.put(entry, now_ms) if is_accepted else out
 
     def _apply(self, record, now_ms):
         if type(record) is ConfigEntry:
--- a/packages/core/hornbeamstand_core/controllers/target_recovery.py
+++ b/packages/core/hornbeamstand_core/controllers/target_recovery.py
@@ -55,6 +55,7 @@
         "_rounds",
         "_needed_since_ms",
         "_current_at_ms",
+        "_copied_at",
         "_old_since_ms",
         "_was_unavailable",
     )
@@ -73,6 +74,8 @@
         self._needed_since_ms = None
         # When the targets in the table were last known to be current.
         self._current_at_ms = 0.0
+        # Era and revision of the store that the domains of the latest copy are from.
+        self._copied_at = (0, 0)
         # Since when old targets have been used, and whether the store was known to be
         # unavailable since.
         self._old_since_ms = 0.0
@@ -118,17 +121,21 @@
         """Return the TargetCopy for a peer that asks, or None without targets."""
         if not self._table.is_filled or not self._table.by_key:
             return None
+        era, revision = self._domains_known_at()
         return TargetCopy(
             held_targets(self._table, now_ms),
             self._records.domains_out(),
             max(0.0, now_ms - self._current_at_ms),
-            self._peers.revision,
-            self._peers.era,
+            revision,
+            era,
         )
 
+    def _domains_known_at(self):
+        """Return the era and revision of the store that the domains are from."""
+        return max((self._peers.era, self._peers.revision), self._copied_at)
+
     def update(self, is_store_unavailable, now_ms):
         """Ask for targets if this VM needs them; return messages."""
-        self._note_current(is_store_unavailable, now_ms)
         self._was_unavailable = self._was_unavailable or is_store_unavailable
         if not self._needs_targets():
             self._reset()
@@ -143,13 +150,11 @@
             return out
         return out + self._confirm(now_ms)
 
-    def note_store_available(self):
-        """Record that the store answers: a read of the targets is due to follow."""
+    def note_store_available(self, now_ms):
+        """Record that the store answers: what is watched is current or read soon."""
         self._reset()
-
-    def _note_current(self, is_store_unavailable, now_ms):
-        is_followed = self._watch_scope.scope == WATCH_ALL and not is_store_unavailable
-        if self._table.is_filled and is_followed and not self.is_old:
+        is_followed = self._watch_scope.scope == WATCH_ALL and self._table.is_filled
+        if is_followed and not self.is_old:
             self._current_at_ms = now_ms
 
     def _needs_targets(self):
@@ -195,8 +200,7 @@
             return []
         self._rounds.note_copy(now_ms)
         self._dropped.forget()
-        self._table.is_filled = False
-        out = self._records.apply_domains(copy.domains_out, now_ms)
+        out = self._take_domains(copy, now_ms)
         named = {held.entry.key for held in copy.targets}
         for key in self._table.by_key:
             if key not in named:
@@ -206,6 +210,17 @@
         detail += f" revision={copy.revision} era={copy.era}"
         return [StateChange("targets", "copied", message.ip, detail), *out]
 
+    def _take_domains(self, copy, now_ms):
+        """Take over the domains of a copy, unless it is older than what is known."""
+        copied_at = (copy.era, copy.revision)
+        if copied_at < self._domains_known_at():
+            return []
+        self._copied_at = copied_at
+        if self._peers.era == 0:
+            # The store's first answer to this VM may be of a later era.
+            self._peers.era = copy.era
+        return self._records.apply_domains(copy.domains_out, now_ms)
+
     def _refresh(self, is_store_unavailable, now_ms):
         """Ask for newer targets, or for the rest of those that were dropped."""
         if not self._uses_old() or self._watch_scope.scope != WATCH_ALL:
@@ -245,9 +260,11 @@
         self.is_old = True
         self.is_fruitless = False
         self._current_at_ms = current_at_ms
+        # A target that is new to an old table need not have just started.
+        self._table.is_filled = False
         out = []
         for held in targets:
-            if self._table.known_targets.is_left(held.entry):
+            if self._table.known_targets.has_left_since(held.entry):
                 continue
             out += self._table.put(held.entry, now_ms)
             target = self._table.by_key[held.entry.key]
--- a/packages/core/hornbeamstand_core/controllers/target_sources.py
+++ b/packages/core/hornbeamstand_core/controllers/target_sources.py
@@ -10,7 +10,8 @@
     """Return the addresses of the peers to ask, the one that should be asked first.
 
     Peers that are heard come before VMs that were heard earlier, preferred ones first,
-    because they hold the targets, and those of this failure domain before others. One
+    because they hold the targets: first those that reach the store, and those of this
+    failure domain before others. One
     that stops still answers. Each later round begins with peers that were not asked in
     the one before.
 
@@ -38,7 +39,9 @@
     domain = view.me.failure_domain
 
     def sort_key(heartbeat):
-        return not heartbeat.is_preferred, heartbeat.failure_domain != domain
+        is_current = heartbeat.is_preferred and heartbeat.is_watching
+        is_remote = heartbeat.failure_domain != domain
+        return not is_current, not heartbeat.is_preferred, is_remote
 
     ips = [item.ip for item in sorted(heard, key=sort_key)]
     ips += [item.ip for item in sorted(earlier, key=sort_key)]
@@ -49,11 +52,17 @@
 
 
 def watching_sources(view, now_ms):
-    """Return the addresses of peers that hold the targets and reach the store."""
-    return [
-        ip
-        for ip, peer in view.peers.items()
+    """Return the addresses of peers that hold the targets and reach the store.
+
+    Those of this failure domain come first.
+    """
+    domain = view.me.failure_domain
+    heartbeats = [
+        peer.heartbeat
+        for peer in view.peers.values()
         if peer.heartbeat.is_watching
         and peer.heartbeat.is_preferred
         and not view.is_silent(peer, now_ms)
-    ][:N_ASKED_MAX]
+    ]
+    heartbeats.sort(key=lambda item: item.failure_domain != domain)
+    return [item.ip for item in heartbeats][:N_ASKED_MAX]
--- a/packages/core/tests/test_copies_and_known.py
+++ b/packages/core/tests/test_copies_and_known.py
@@ -1,6 +1,5 @@
 """A peer's copy of the targets does not undo what a VM knows itself."""
 
-import pytest
 from tests.edge_nodes import (
     deliver_heartbeats,
     make_heartbeat,
@@ -64,7 +63,6 @@
     return node.find_service("shop").out_of_service_domains
 
 
-@pytest.mark.xfail(strict=False, reason="KNOWN-RED.txt: an older copy and domains")
 def test_a_domain_that_this_vm_read_as_out_stays_out_with_an_older_copy():
     node = make_serving_node()
     node.handle(make_snapshot(HELD, revision=5), 0.0)
@@ -74,7 +72,6 @@
     assert domains_out(node) == {"c"}
 
 
-@pytest.mark.xfail(strict=False, reason="KNOWN-RED.txt: the era of a peer's copy")
 def test_the_first_answer_of_a_vm_with_a_copy_may_be_of_a_later_era():
     node = make_serving_node()
     node.handle(make_snapshot(HELD, revision=5), 0.0)
@@ -87,7 +84,6 @@
     assert domains_out(node) == {"c"}
 
 
-@pytest.mark.xfail(strict=False, reason="KNOWN-RED.txt: cold starts of former targets")
 def test_former_targets_that_answer_in_a_later_round_begin_no_cold_start():
     n_targets = 70
     node = make_serving_node()
@@ -107,7 +103,6 @@
     assert cold == []
 
 
-@pytest.mark.xfail(strict=False, reason="KNOWN-RED.txt: sources that lack the store")
 def test_peers_that_reach_the_store_are_asked_for_targets_before_others():
     node = make_serving_node()
     deliver_heartbeats(node, 0.0, 1, domain="b", is_watching=False)
@@ -115,9 +110,6 @@
     assert target_sources(node.peers, 0, 0.0)[0] == "10.0.0.9"
 
 
-@pytest.mark.xfail(
-    strict=False, reason="KNOWN-RED.txt: the age of a copy after a freeze"
-)
 def test_a_vm_that_did_not_run_says_how_old_its_targets_are():
     node = make_serving_node()
     node.handle(make_snapshot(HELD, revision=5), 0.0)
--- a/packages/core/tests/test_target_recovery.py
+++ b/packages/core/tests/test_target_recovery.py
@@ -111,7 +111,8 @@
     assert acquire(node, "r1", now_ms) == []
     leaving = HeldTarget(make_entry("t2"), is_leaving=True)
     out_of_service = DomainOutOfService("op/out/c", "c")
-    copy = TargetCopy([HeldTarget(make_entry("t1")), leaving], [out_of_service], 700.0)
+    held = [HeldTarget(make_entry("t1")), leaving]
+    copy = TargetCopy(held, [out_of_service], 700.0, revision=9)
     out = node.handle(TargetsFetched("10.0.0.9", copy), now_ms + 10.0)
     out += node.handle(EdgeTick(), now_ms + 300.0)
     (reply,) = deferred_replies(out)
