--- a/tests/test_own_stops.py
+++ b/tests/test_own_stops.py
@@ -59,7 +59,7 @@
 
 
 def read_answer(sock):
-    """Return the head of an answer, whose body is read too; raises OSError if it breaks off."""
+    """Return the head of an answer and read its body; raises OSError if cut."""
     data = b""
     while b"\r\n\r\n" not in data:
         data += receive(sock)
