Note signals in the script of hornbeamstand before it imports anything

SIGHUP, SIGTERM and SIGINT have their default action until a program sets handlers. The script that an installer makes for an entry point imports the interpreter's re and the project's package first, so a signal in that time ended the start (-1, -15).

The package installs a script of its own, whose first statements set the handlers, as the platform's entry point does. main() still notes signals itself for a script of an earlier installation.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 .PHONY: demo demo-platform soak day fuzz test lint measure bench slopes faults generate
 
-$(STAMP): requirements-dev.txt constraints.txt $(wildcard packages/*/pyproject.toml platform/pyproject.toml)
+$(STAMP): requirements-dev.txt constraints.txt $(wildcard packages/*/pyproject.toml packages/*/bin/* platform/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q --disable-pip-version-check -c constraints.txt -r requirements-dev.txt
 	touch $(STAMP)
--- a/packages/entry/hornbeamstand_entry/life/early_signals.py
+++ b/packages/entry/hornbeamstand_entry/life/early_signals.py
@@ -1,6 +1,7 @@
 """Notes the signals that come before the process handles them.
 
-The platform's entry point has lines of its own for this: it imports no module before.
+Entry points that are run as scripts have lines of their own for this: they import no
+module before.
 """
 
 import os
--- a/packages/entry/hornbeamstand_entry/main.py
+++ b/packages/entry/hornbeamstand_entry/main.py
@@ -1,7 +1,7 @@
-"""The entry point of the `hornbeamstand` command.
+"""What the `hornbeamstand` command runs.
 
-Until the handlers are set, SIGHUP, SIGTERM and SIGINT have their default actions. So
-they are noted before the libraries are imported, which takes most of the start.
+Its script, ``bin/hornbeamstand``, notes signals before it imports this module. Most of
+the start is the import of the libraries.
 """
 
 import sys
@@ -9,9 +9,14 @@
 from .life.early_signals import HANDLED_SIGNALS, note_signals
 
 
-def main():
-    """Run a VM, or another command of the command line."""
-    early_signals = note_signals()
+def main(early_signals=None):
+    """Run a VM, or another command of the command line.
+
+    ``early_signals`` is the list to which each of HANDLED_SIGNALS is appended until the
+    process handles them. Without it, they are noted from now on.
+    """
+    if early_signals is None:
+        early_signals = note_signals()
     from .life.inherited import correct_inherited_state
 
     # The event loop, which the libraries build, opens descriptors.
--- a/tests/test_process_life.py
+++ b/tests/test_process_life.py
@@ -263,6 +263,7 @@
     ("vm", "module"),
     [
         ("platform", "gevent"),
+        ("own mode", "hornbeamstand_entry"),
         ("own mode", "gevent"),
         ("own mode", "msgspec"),
         ("own mode", "grpc"),
