End the last connections of a planned stop in order, also those of operators

Seen: lookups, readiness and metrics that were asked as a stopping VM ended got no answer, though their connections had been accepted.

Cause: those listeners were served until the exit, which reset what waited or was being answered. On the callers' listener, idle connections were closed a turn of the loop after the last look for requests; what arrived between was not looked at again.

A stop returned with an idle connection of a caller open; now with none.

The stop now closes these listeners like that of callers, after the calls: it accepts what waits, answers with `Connection: close`, closes idle connections, and leaves once none is open. Both kinds of listener are looked at after the event loop has closed the idle connections, so that nothing can arrive behind the last look.

--- a/packages/entry/hornbeamstand_entry/edge/planned_stop.py
+++ b/packages/entry/hornbeamstand_entry/edge/planned_stop.py
@@ -18,6 +18,8 @@
 # Maximum time in which the requests that are still in progress then are answered.
 LAST_ANSWERS_MS = 150.0
 LAST_ANSWERS_POLL_MS = 10.0
+# Maximum time for the last lookups and operators' requests, if the stop has it left.
+LAST_LOOKUPS_MS = 1000.0
 MS_PER_S = 1000.0
 
 
@@ -50,16 +52,38 @@
         end_at_ms,
         process.suspensions,
     )
-    end_requests(process)
+    end_requests(process, end_at_ms)
 
 
-def end_requests(process):
-    """Answer the requests that are still in progress, within ``LAST_ANSWERS_MS``."""
+def end_requests(process, end_at_ms):
+    """Answer the requests that are still in progress, within ``LAST_ANSWERS_MS``.
+
+    Lookups and operators' requests, which are served until then, are ended in order
+    too, within ``LAST_LOOKUPS_MS`` if that is before the end of the stop.
+    """
     servers = [*process.caller_servers, process.peer_server]
     process.front.end_calls()
-    until_ms = process.clock.now_ms() + LAST_ANSWERS_MS
-    while has_requests(servers) and process.clock.now_ms() < until_ms:
-        gevent.sleep(LAST_ANSWERS_POLL_MS / MS_PER_S)
+    process.ends_operators_connections = True
+    now_ms = process.clock.now_ms()
+    until_ms = max(now_ms + LAST_ANSWERS_MS, min(end_at_ms, now_ms + LAST_LOOKUPS_MS))
+    while process.clock.now_ms() < until_ms:
+        is_closed = close_servers(process.operator_servers, LAST_ANSWERS_POLL_MS)
+        if is_closed and not has_requests(servers):
+            return
+
+
+def close_servers(servers, wait_ms):
+    """Close the listeners and idle connections; return whether no other is open.
+
+    The tasks of connections read within ``wait_ms`` what has arrived. Nothing can
+    arrive at the servers once none is open.
+    """
+    has_closed = stop_accepting(servers)
+    gevent.sleep(wait_ms / MS_PER_S)
+    close_idle_connections(servers)
+    # Returns after the event loop has closed them.
+    gevent.sleep(0)
+    return has_closed and not any(server.n_connections for server in servers)
 
 
 def finish_requests(caller_servers, peer_server, clock, end_at_ms, suspensions):
@@ -75,10 +99,7 @@
                 return
             has_woken = True
             end_at_ms = clock.now_ms() + WAKE_MS
-        has_closed = stop_accepting(caller_servers)
-        # The tasks of connections read meanwhile what has arrived.
-        gevent.sleep(STOP_POLL_INTERVAL_MS / MS_PER_S)
-        close_idle_connections(caller_servers)
+        is_closed = close_servers(caller_servers, STOP_POLL_INTERVAL_MS)
         # An answer is part of its request until the peer or caller has got it.
-        if has_closed and not has_requests([*caller_servers, peer_server]):
+        if is_closed and not has_requests([peer_server]):
             return
--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -78,9 +78,10 @@
     process did not run. ``peer_pools`` holds the connections to other entry VMs,
     ``connection_limits`` are the numbers of connections for which the process has
     descriptors, and ``open_connections`` counts those to targets and peers.
-    ``caller_servers`` are the HTTP servers for callers' requests,
-    which a planned stop closes first, and ``peer_server`` is that for the requests that
-    other VMs relay.
+    ``caller_servers`` are the HTTP servers for callers' requests, which a planned stop
+    closes first, and ``peer_server`` is that for the requests that other VMs relay.
+    ``operator_servers`` are those for readiness, lookups and metrics, whose connections
+    end once ``ends_operators_connections`` is set.
     """
 
     __slots__ = (
@@ -103,6 +104,8 @@
         "open_connections",
         "peer_pools",
         "caller_servers",
+        "operator_servers",
+        "ends_operators_connections",
         "peer_server",
     )
 
@@ -283,6 +286,8 @@
         addresses become free.
         """
         settings, front = self.settings, self.front
+        self.operator_servers = []
+        self.ends_operators_connections = False
         servers = []
 
         def serve_at(address, app, limits=self.caller_limits, idle_ms=self.idle_ms):
@@ -313,9 +318,19 @@
             (settings.admin_address, self.serve_admin),
         )
         for address, app in optional:
-            serve = serve_at(address, app)
+            serve = self._make_serve_operators(serve_at(address, app))
             LateServer(address, serve, self.clock, self.log).start(stack)
 
+    def _make_serve_operators(self, serve):
+        """Return a function that starts a server which is closed last in a stop."""
+
+        def serve_operators(listener, owner):
+            server = serve(listener, owner)
+            server.ends_connections = lambda: self.ends_operators_connections
+            self.operator_servers.append(server)
+
+        return serve_operators
+
     def _limit_connections(self):
         """Limit the connections of callers and peers, and count those held back."""
         servers = [*self.caller_servers, self.peer_server]
--- a/packages/entry/tests/test_caller_stops.py
+++ b/packages/entry/tests/test_caller_stops.py
@@ -74,6 +74,16 @@
     return front.n_requests
 
 
+def test_a_stop_ends_with_no_connection_on_which_a_request_may_come(stack):
+    """Guards against requests that are read between the last look and the exit."""
+    front = Front(stack)
+    sock = connect(stack, front)
+    gevent.sleep(0.01)
+    assert finish(front) == 0
+    assert front.server.n_connections == 0
+    assert read_to_end(sock) == b""
+
+
 def test_a_stop_ends_also_if_this_vm_never_stops_to_stall():
     """Guards against a process that is killed because each turn of its loop is late."""
     suspensions = SimpleNamespace(is_just_over=lambda: True)
