--- a/soak/day/callers.py
+++ b/soak/day/callers.py
@@ -6,6 +6,7 @@
 from standins.edge_cell import HOST
 
 from .exchange import Connection, exchange
+from .forms import PIPELINED, draw_request_form, encode_request
 from .records import ANSWERED, CLOSED, NOT_CONNECTED, DayAttempt, now_s
 
 # Numbers of callers that keep connections, and that open one for each request.
@@ -20,10 +21,6 @@
 REUSE_IDLE_S = 12.0
 # Number of VMs that a caller asks in one look-up.
 N_LOOKUPS = 3
-# Share of the orders whose bodies arrive slowly, and the most pieces of one.
-SLOW_BODY_SHARE = 0.15
-N_PIECES_MAX = 12
-PIECE = b"x" * 400
 # Share of the requests that go to any route of their kind.
 OTHER_ROUTE_SHARE = 0.15
 # Statuses that say that a request did not run, and those after which none is repeated.
@@ -76,28 +73,40 @@
     def _attempt(self, kind, prefix, until_s, connection):
         if connection is None:
             return None, {}
+        form = draw_request_form(self.rng, kind.is_order)
+        n_attempts = 2 if form == PIPELINED else 1
+        attempts = [
+            self._add_attempt(kind, prefix, until_s, form) for _ in range(n_attempts)
+        ]
+        parts = [
+            part
+            for attempt in attempts
+            for part in self._encode(attempt, prefix, until_s)
+        ]
+        if form == PIPELINED:
+            parts = [b"".join(parts)]
+        lines = exchange(connection, attempts, parts, until_s)
+        if connection.unread:
+            self.journal.findings.append(f"bytes behind {attempts[-1].attempt_id}")
+        self._give_back(connection, attempts[-1], lines)
+        return attempts[0], lines
+
+    def _add_attempt(self, kind, prefix, until_s, form):
         self._n_sent += 1
-        attempt_id = f"{self.name}-{self._n_sent}"
-        left_s = until_s - now_s()
-        timeout_s = min(left_s, self.cell.routes[prefix][2])
-        attempt = DayAttempt(attempt_id, kind, timeout_s)
+        timeout_s = min(until_s - now_s(), self.cell.routes[prefix][2])
+        attempt = DayAttempt(f"{self.name}-{self._n_sent}.", kind, timeout_s)
+        attempt.form = form
         self.journal.attempts.append(attempt)
-        pieces = self._draw_body(kind)
+        return attempt
+
+    def _encode(self, attempt, prefix, until_s):
+        kind, attempt_id = attempt.kind, attempt.attempt_id
         head = (
             f"{'POST' if kind.is_order else 'GET'} {prefix}{attempt_id} HTTP/1.1\r\n"
             f"Host: {HOST}\r\nAttempt-Id: {attempt_id}\r\n"
-            f"Deadline-Ms: {int(left_s * 1000)}\r\n"
-            f"Content-Length: {sum(map(len, pieces))}\r\n\r\n"
+            f"Deadline-Ms: {int((until_s - now_s()) * 1000)}\r\n"
         )
-        lines = exchange(connection, attempt, head.encode(), pieces, until_s)
-        self._give_back(connection, attempt, lines)
-        return attempt, lines
-
-    def _draw_body(self, kind):
-        if not kind.is_order:
-            return []
-        is_slow = self.rng.random() < SLOW_BODY_SHARE
-        return [PIECE] * (self.rng.randint(2, N_PIECES_MAX) if is_slow else 1)
+        return encode_request(attempt.form, head.encode(), kind.is_order, self.rng)
 
     def _may_repeat(self, attempt):
         if attempt.end == ANSWERED and attempt.status in FINAL_STATUSES:
--- a/soak/day/exchange.py
+++ b/soak/day/exchange.py
@@ -15,15 +15,19 @@
 
 
 class Connection:
-    """A caller's connection to a VM; ``reuse_until_s`` is when it is too old."""
+    """A caller's connection to a VM; ``reuse_until_s`` is when it is too old.
 
-    __slots__ = ("sock", "vm", "n_answers", "reuse_until_s")
+    ``unread`` has the bytes that came behind the last answer.
+    """
+
+    __slots__ = ("sock", "vm", "n_answers", "reuse_until_s", "unread")
 
     def __init__(self, vm):
         self.sock = None
         self.vm = vm
         self.n_answers = 0
         self.reuse_until_s = 0.0
+        self.unread = b""
 
     def open(self):
         """Connect; returns whether the VM accepted it."""
@@ -44,42 +48,56 @@
             self.sock.close()
 
 
-def exchange(connection, attempt, head, pieces, until_s):
-    """Send a request and fill in the attempt; returns the answer's header lines.
+def exchange(connection, attempts, parts, until_s):
+    """Send requests at once and fill in the attempts; returns the last header lines.
 
-    ``pieces`` are those of the body. The result is empty without an answer.
+    ``parts`` are those of all requests, between which the caller pauses. The result is
+    empty if the last one got no answer.
     """
-    attempt.vm = connection.vm.name
-    attempt.is_kept = connection.n_answers > 0
+    for attempt in attempts:
+        attempt.vm = connection.vm.name
+        attempt.is_kept = connection.n_answers > 0
     if connection.sock is None and not connection.open():
-        attempt.end = NOT_CONNECTED
-        attempt.ended_s = now_s()
+        for attempt in attempts:
+            attempt.end = NOT_CONNECTED
+            attempt.ended_s = now_s()
         return {}
+    send(connection.sock, attempts, parts, until_s)
+    lines = {}
+    for attempt in attempts:
+        lines = receive_answer(connection, attempt, until_s)
+    return lines
+
+
+def send(sock, attempts, parts, until_s):
+    """Send requests; a connection that ends meanwhile is left to the reader."""
+    with gevent.Timeout(max(0.05, until_s + WAIT_MARGIN_S - now_s()), False):
+        try:
+            sock.sendall(parts[0])
+            for part in parts[1:]:
+                gevent.sleep(PIECE_INTERVAL_S)
+                sock.sendall(part)
+        except OSError:
+            return
+        for attempt in attempts:
+            attempt.sent_s = now_s()
+
+
+def receive_answer(connection, attempt, until_s):
+    """Read an answer in time into the attempt; returns its header lines."""
     lines = {}
     attempt.end = SILENT
     with gevent.Timeout(max(0.05, until_s + WAIT_MARGIN_S - now_s()), False):
-        send(connection.sock, attempt, head, pieces)
-        lines = read_answer(connection.sock, attempt)
+        lines = read_answer(connection, attempt)
     attempt.ended_s = now_s()
     connection.n_answers += 1
     return lines
 
 
-def send(sock, attempt, head, pieces):
-    """Send a request; a connection that ends meanwhile is left to the reader."""
-    try:
-        sock.sendall(head + b"".join(pieces[:1]))
-        for piece in pieces[1:]:
-            gevent.sleep(PIECE_INTERVAL_S)
-            sock.sendall(piece)
-        attempt.sent_s = now_s()
-    except OSError:
-        return
-
-
-def read_answer(sock, attempt):
+def read_answer(connection, attempt):
     """Read an answer into the attempt; returns its header lines."""
-    data = b""
+    sock, data = connection.sock, connection.unread
+    connection.unread = b""
     try:
         while b"\r\n\r\n" not in data:
             data += receive(sock)
@@ -95,10 +113,13 @@
     except OSError:
         attempt.end = CLOSED
         return {}
+    connection.unread = body[n_bytes:]
     attempt.end = ANSWERED
     attempt.status = int(first.split()[1])
     attempt.seal = lines.get("server-seal")
-    attempt.is_body_whole = len(body) == n_bytes
+    is_own_id = lines.get("attempt-id", attempt.attempt_id) == attempt.attempt_id
+    is_own_body = not attempt.seal or attempt.attempt_id.encode() in body[:n_bytes]
+    attempt.is_body_whole = is_own_id and is_own_body
     return lines
 
 
--- a/soak/day/lost.py
+++ b/soak/day/lost.py
@@ -169,7 +169,7 @@
     lag_ms = MS_PER_S * journal.lag_s(attempt.began_s, attempt.ended_s)
     runs = [
         f"{run.server_id} {run.start_s - attempt.sent_s:.2f}"
-        f" to {run.end_s - attempt.sent_s:.2f}"
+        f" to {run.end_s - attempt.sent_s:.2f} of {run.until_s - attempt.sent_s:.2f}"
         for run in journal.runs.get(attempt.attempt_id, ())
     ]
     near = [
@@ -180,7 +180,9 @@
     ]
     return (
         f"{attempt.attempt_id} {attempt.kind.service} {attempt.vm}"
-        f" {'kept' if attempt.is_kept else 'new'} {attempt.end} {attempt.status}"
+        f" {'kept' if attempt.is_kept else 'new'}"
+        f" {attempt.form} {attempt.end} {attempt.status}"
+        f" began {attempt.began_s - attempt.sent_s:.2f} has {attempt.timeout_s:.2f} s,"
         f" sent {attempt.sent_s:.2f} after {attempt.ended_s - attempt.sent_s:.3f} s,"
         f" runs {runs}, near {near}, lag {lag_ms:.0f} ms"
     )
--- a/soak/day/records.py
+++ b/soak/day/records.py
@@ -20,7 +20,7 @@
     ``sent_s`` is when its last byte was sent, infinite if it was not. ``end`` is how it
     ended: ANSWERED, CLOSED (without a complete answer), SILENT or NOT_CONNECTED.
     ``has_answer_begun`` is set if bytes of an answer came. ``timeout_s`` is the
-    lesser of its deadline and its route's timeout.
+    lesser of its deadline and its route's timeout. ``form`` is that of its request.
     """
 
     __slots__ = (
@@ -37,6 +37,7 @@
         "seal",
         "is_body_whole",
         "has_answer_begun",
+        "form",
     )
 
     def __init__(self, attempt_id, kind, timeout_s):
@@ -53,20 +54,23 @@
         self.seal = None
         self.is_body_whole = True
         self.has_answer_begun = False
+        self.form = ""
 
 
 class Run(Record):
     """One request at work at a target; ``is_broken`` if the target broke it off.
 
-    ``service`` is that of the target, if it is known.
+    ``service`` is that of the target, if it is known. ``until_s`` is when the time ends
+    that the target was given.
     """
 
-    __slots__ = ("server_id", "service", "start_s", "end_s", "is_broken")
+    __slots__ = ("server_id", "service", "start_s", "until_s", "end_s", "is_broken")
 
-    def __init__(self, server_id, service=None):
+    def __init__(self, server_id, service=None, left_s=float("inf")):
         self.server_id = server_id
         self.service = service
         self.start_s = now_s()
+        self.until_s = self.start_s + left_s
         self.end_s = float("inf")
         self.is_broken = False
 
--- a/soak/day/report.py
+++ b/soak/day/report.py
@@ -10,7 +10,7 @@
 
     ``statuses`` and ``ends`` map each status and end of an attempt to their number,
     and ``beside`` has a line about the attempts beside each piece of planned work that
-    starts many VMs.
+    starts many VMs, or beside which the system answered itself.
     """
 
     __slots__ = (
--- a/soak/day/run.py
+++ b/soak/day/run.py
@@ -15,6 +15,7 @@
 from .ends import check_answered, count_beside
 from .lost import find_losses
 from .operations import Operations
+from .own_answers import count_own_answers
 from .records import DayJournal, now_s
 from .report import DayReport
 from .schedule import LAST_S
@@ -52,6 +53,7 @@
         for work in journal.planned
         if work.kind == "add-many"
     ]
+    beside += count_own_answers(journal)
     return DayReport(
         plan.seed,
         len(events),
--- a/soak/day/target.py
+++ b/soak/day/target.py
@@ -1,14 +1,20 @@
 """A target with varying work times, which can crash and reset its connections."""
 
+import io
+import socket
+
 import gevent
 from gevent.pywsgi import WSGIServer
 
-from standins.server import NoDelayHandler, Server
+from standins.server import NoDelayHandler, Server, respond, send_extra_response
 
 from ..proxy import reset
+from .forms import EARLY, FOLLOWED, UNFRAMED, draw_answer_form
 from .records import Run, now_s
 from .site import N_SLOTS, SERVICES
 
+# Time from an answer to one more to the same request.
+FOLLOWED_AFTER_S = 0.005
 # Spread of the work times: standard deviation of their logarithm.
 WORK_SIGMA = 0.6
 # Share of the requests whose work is long, and its least and greatest length.
@@ -34,7 +40,7 @@
 class DayTarget(Server):
     """A Server that draws work times and records its runs in a DayJournal."""
 
-    __slots__ = ("journal", "rng", "_listener", "_runs")
+    __slots__ = ("journal", "rng", "_listener", "_runs", "_left_s")
 
     def __init__(self, server_id, service, domain, journal, rng):
         work_ms = SERVICES[service][1]
@@ -43,6 +49,8 @@
         self.rng = rng
         self._listener = None
         self._runs = []
+        # Maps an attempt id to the time that its request was given.
+        self._left_s = {}
 
     def start(self, stack, port=0):
         """Start listening, at a given port or any; the stack stops it."""
@@ -64,11 +72,30 @@
         if attempt_id is not None:
             arrived = self.journal.arrivals.setdefault(attempt_id, [])
             arrived.append(self.server_id)
+        left_ms = float(environ.get("HTTP_DEADLINE_MS", "inf"))
+        self._left_s[attempt_id] = left_ms / MS_PER_S
+        environ["day.form"] = draw_answer_form(self.rng)
+        if environ["day.form"].name == EARLY:
+            # The rest of the body arrives after the answer.
+            environ["wsgi.input"] = io.BytesIO()
         return super().serve(environ, start_response)
 
+    def _send_response(self, environ, start_response, attempt_id, body):
+        """Answer in the form that was drawn for the request."""
+        self.n_running -= 1
+        form, sock = environ["day.form"], environ["standin.socket"]
+        body = f"ran {environ['standin.request_target']} ".encode() + form.padding
+        items = [("Attempt-Id", attempt_id), ("Server-Seal", f"seal-{self.server_id}")]
+        items.append(("Server-Load", self.load_figures()))
+        if form.name == UNFRAMED:
+            send_unframed(sock, items, body)
+        if form.name == FOLLOWED:
+            gevent.spawn_later(FOLLOWED_AFTER_S, send_extra_response, sock, attempt_id)
+        return respond(start_response, 200, body, items)
+
     def _run(self, attempt_id):
         self.runs[attempt_id] += 1
-        run = Run(self.server_id, self.service)
+        run = Run(self.server_id, self.service, self._left_s.pop(attempt_id))
         self.journal.runs.setdefault(attempt_id, []).append(run)
         self._runs.append(run)
         self.n_running += 1
@@ -102,3 +129,14 @@
     def stop(self):
         """Stop listening and close all connections."""
         self._listener.stop(timeout=0)
+
+
+def send_unframed(sock, items, body):
+    """Send an answer without a length, and end the connection."""
+    lines = ["HTTP/1.1 200 X", *(f"{name}: {value}" for name, value in items)]
+    try:
+        sock.sendall("\r\n".join([*lines, "", ""]).encode() + body)
+        sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        # The VM has closed the connection.
+        return
--- a/tests/test_own_stops.py
+++ b/tests/test_own_stops.py
@@ -59,7 +59,7 @@
 
 
 def read_answer(sock):
-    """Return the head of an answer, whose body is read too; raises OSError if it breaks off."""
+    """Read an answer; return its head. Raises OSError if it breaks off."""
     data = b""
     while b"\r\n\r\n" not in data:
         data += receive(sock)
--- a/tests/test_soak_day.py
+++ b/tests/test_soak_day.py
@@ -5,6 +5,7 @@
 from soak.day import lost
 from soak.day.checks import check_orders
 from soak.day.ends import check_answered
+from soak.day.own_answers import count_own_answers
 from soak.day.plan import DayPlan
 from soak.day.records import ANSWERED, CLOSED, SILENT, DayAttempt, DayJournal, Run
 from soak.day.run import run_day
@@ -104,6 +105,27 @@
     assert clauses(journal) == ({("e", "")} if is_lost else set())
 
 
+@pytest.mark.parametrize(
+    ("values", "counts"),
+    [
+        ({"end": ANSWERED, "status": 504}, "1 504, a target at work, taken by it"),
+        (
+            {"end": ANSWERED, "status": 502, "vm": "edge-1"},
+            "1 502, a target at work, taken by another VM",
+        ),
+        (
+            {"end": CLOSED, "ended_s": SENT_S + 1.5},
+            "1 cut, a target had run it, taken by it",
+        ),
+    ],
+)
+def test_own_answers_and_cuts_are_told_apart_for_each_event(values, counts):
+    journal = journal_of(attempt(**values))
+    add(journal.planned, "reload", "edge-0", SENT_S)
+    add(journal.planned, "reload", "edge-0", SENT_S - CONFIG_APPLY_S - 0.1)
+    assert count_own_answers(journal) == [f"own answers beside reload edge-0: {counts}"]
+
+
 def test_a_request_without_any_answer_is_found():
     assert clauses(journal_of(attempt(SILENT))) == {("n", "")}
 
