--- a/soak/day/run.py
+++ b/soak/day/run.py
@@ -16,6 +16,7 @@
 from .ends import check_answered, count_beside
 from .lost import find_losses
 from .operations import Operations
+from .own_answers import count_own_answers
 from .records import DayJournal, now_s
 from .report import DayReport
 from .schedule import LAST_S
@@ -57,6 +58,7 @@
         if work.kind == "add-many"
     ]
     beside += describe_beside(journal, prober.late)
+    beside += count_own_answers(journal)
     return DayReport(
         plan.seed,
         len(events),
