--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -1,16 +1,12 @@
 """Builds and connects the tasks of one edge process."""
 
-import time
-
 from hornbeamstand_core.balancer_messages import SendProbe
-from hornbeamstand_core.controllers.edge import EdgeNode
 from hornbeamstand_core.controllers.stop_limit import StopLimit
 from hornbeamstand_core.edge_messages import StateChange
 from hornbeamstand_core.edge_node_messages import (
     DelayFirstRead,
     FetchConfig,
     Resync,
-    RetryLimits,
     SendContacts,
     SendEdgeHeartbeat,
     SendNotice,
@@ -18,7 +14,6 @@
 )
 from hornbeamstand_core.event_messages import AnswerMarginGrown
 from hornbeamstand_core.filters.edge_chain import build_edge_chain
-from hornbeamstand_core.identity import EdgeIdentity
 from hornbeamstand_core.routes import CallerLimits
 from hornbeamstand_core.target_copy_messages import ConfirmTargets, FetchTargets
 
@@ -35,6 +30,7 @@
 from .heartbeats import HeartbeatTask
 from .load_probes import LoadProber
 from .metrics import EdgeMetrics
+from .node_settings import make_node
 from .performers import make_performers
 from .registration import Registration
 from .servers import PEER_IDLE_MS, PEER_MIN_IDLE_MS, PEER_REUSE_MS, start_server
@@ -383,28 +379,3 @@
     def idle_ms(self):
         """Return the maximum idle time of a caller's connection in milliseconds."""
         return self.caller_limits().idle_ms + IDLE_MARGIN_MS
-
-
-def make_node(settings, clock):
-    """Return the controllers of this VM."""
-    me = EdgeIdentity(
-        settings.vm_id,
-        # The start id, which differs between successive processes of one VM.
-        int(time.time() * MS_PER_S),
-        settings.ip,
-        settings.failure_domain,
-        clock.now_ms(),
-        settings.capacity,
-    )
-    retry_limits = read_retry_limits(settings)
-    return EdgeNode(me, retry_limits, settings.n_named, settings.seed_ips)
-
-
-def read_retry_limits(settings):
-    """Return the RetryLimits of the settings."""
-    return RetryLimits(
-        settings.retry_ratio,
-        settings.retry_slack,
-        settings.retry_window_ms,
-        settings.n_domains,
-    )
--- a/packages/entry/hornbeamstand_entry/edge/program.py
+++ b/packages/entry/hornbeamstand_entry/edge/program.py
@@ -2,8 +2,9 @@
 
 from ..life.program import Program
 from .logs import EdgeLog
+from .node_settings import read_retry_limits
 from .planned_stop import stop
-from .process import EdgeProcess, read_retry_limits
+from .process import EdgeProcess
 from .sockets import EdgeSockets
 
 # Fields that take effect at once. The others need a restart: sockets, tasks and the
