--- a/soak/own_additions.py
+++ b/soak/own_additions.py
@@ -233,7 +233,7 @@
             "GET /services/shop/x HTTP/1.1\r\nHost: shop\r\n"
             f"Hornbeam-Deadline-Ms: {DEADLINE_S * 1000:.0f}\r\n\r\n"
         )
-        exchange(connection, attempt, head.encode(), [], until_s)
+        exchange(connection, [attempt], [head.encode()], until_s)
         if attempt.end == ANSWERED:
             self.ends[attempt.status] += 1
             self.n_late += attempt.ended_s > until_s
