State once why a target that is new to an old table is not cold

The same line and comment stood in two places of target_recovery.py, and a test of packages/core used a word of the platform in a key.

--- a/packages/core/hornbeamstand_core/controllers/target_recovery.py
+++ b/packages/core/hornbeamstand_core/controllers/target_recovery.py
@@ -90,13 +90,19 @@
     def note_read(self, now_ms):
         """Record that the targets have been read from the store, before their use."""
         if self.is_old:
-            # A target that is new to an old table need not have just started.
-            self._table.is_filled = False
+            self._begin_filling()
             self._note_silence(now_ms)
         self.is_old = False
         self._current_at_ms = now_ms
         self._dropped.forget()
 
+    def _begin_filling(self):
+        """Let no target begin a cold start because it is new to the table.
+
+        The table is old, so a target that it lacks need not have just started.
+        """
+        self._table.is_filled = False
+
     def _note_silence(self, now_ms):
         """Let targets register again after a silence of the store that no call showed.
 
@@ -260,8 +266,7 @@
         self.is_old = True
         self.is_fruitless = False
         self._current_at_ms = current_at_ms
-        # A target that is new to an old table need not have just started.
-        self._table.is_filled = False
+        self._begin_filling()
         out = []
         for held in targets:
             if self._table.known_targets.has_left_since(held.entry):
--- a/packages/core/tests/test_copies_and_known.py
+++ b/packages/core/tests/test_copies_and_known.py
@@ -33,7 +33,7 @@
 TICK_MS = 100.0
 COPY_AGE_MS = 20_000.0
 COLD_MS = 3000.0
-DOMAIN_OUT = DomainOutOfService("op/evacuate/c", "c")
+DOMAIN_OUT = DomainOutOfService("op/out/c", "c")
 HELD = make_entry("t2", started_wall_ms=5, sequence=7)
 
 
