Log and count what was read of responses that are given up

Cause: a 504 at step "send" says neither which target it waited for nor what had been read by then, and the budget's gauge counts requests and answers as one.

Change: ResponseReads knows the responses that are being read, and reports each one of 64 kB or more that is given up: `response: unfinished`, in both programs, with four gauges.

--- a/packages/entry/hornbeamstand_entry/admin.py
+++ b/packages/entry/hornbeamstand_entry/admin.py
@@ -82,7 +82,8 @@
     gauge("probes_sent", process.prober.n_sent)
     gauge("orders_kept", len(process.orders_task.book))
     gauge("requests_inside", process.control_task.n_requests)
-    for name, read in process.relief.gauges().items():
+    gauges = process.relief.gauges() | process.pools.rules.reads.gauges()
+    for name, read in gauges.items():
         gauge(name, read())
     for role, elapsed_ms in process.control_task.control_ms.items():
         gauge("control_s", elapsed_ms / 1000.0, role=role)
--- a/packages/entry/hornbeamstand_entry/edge/connection_rules.py
+++ b/packages/entry/hornbeamstand_entry/edge/connection_rules.py
@@ -28,8 +28,12 @@
     return ConnectionRules(STORE_CONNECT_MS, TCP_USER_TIMEOUT_MS, keepalive_s=1)
 
 
-def peer_rules(budget, open_connections):
-    """Return the rules of connections to other VMs, with the budget of answers."""
+def peer_rules(budget, open_connections, reads):
+    """Return the rules of connections to other VMs.
+
+    They share the budget of answers, the OpenConnections and the ResponseReads with
+    those to targets.
+    """
     return ConnectionRules(
         PEER_CONNECT_MS,
         TCP_USER_TIMEOUT_MS,
@@ -37,10 +41,11 @@
         answer_budget=budget,
         head_max_bytes=RELAYED_HEAD_MAX_BYTES,
         open_connections=open_connections,
+        reads=reads,
     )
 
 
-def target_rules(id_header, budget, open_connections):
+def target_rules(id_header, budget, open_connections, reads):
     """Return the rules of connections to targets.
 
     ``id_header`` names the header by which a target repeats the id of a request.
@@ -56,4 +61,5 @@
         answer_budget=budget,
         open_connections=open_connections,
         connect_share=TARGET_CONNECT_SHARE,
+        reads=reads,
     )
--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -25,6 +25,7 @@
 from ..tasks.byte_budget import ByteBudget
 from ..tasks.open_connections import OpenConnections
 from ..tasks.pools import Pools
+from ..tasks.response_reads import ResponseReads
 from .caller_limits import caller_idle_ms, caller_limits, peer_limits
 from .config_copies import ConfigCopies
 from .connection_rules import peer_rules, store_rules, target_rules
@@ -90,6 +91,7 @@
         "stop_limit",
         "connection_limits",
         "open_connections",
+        "reads",
         "peer_pools",
         "caller_servers",
         "operator_servers",
@@ -121,7 +123,8 @@
         n_descriptors = prepare_descriptors(settings.n_descriptors, log)
         self.connection_limits = ConnectionLimits.from_descriptors(n_descriptors)
         self.open_connections = OpenConnections(self.connection_limits.n_sends_max)
-        rules = peer_rules(self.body_budget, self.open_connections)
+        self.reads = ResponseReads(log.response_unfinished)
+        rules = peer_rules(self.body_budget, self.open_connections, self.reads)
         self.peer_pools = Pools(self.clock, stack, rules)
         self._build_store(stack)
         self._build_front(stack)
@@ -214,7 +217,7 @@
         body_budget = self.body_budget
         self.stop_limit = StopLimit()
         id_header = self.dialect.headers.request_id
-        rules = target_rules(id_header, body_budget, self.open_connections)
+        rules = target_rules(id_header, body_budget, self.open_connections, self.reads)
         target_pools = Pools(self.clock, stack, rules)
         prober = LoadProber(target_pools, self.control_task, self.dialect, self.clock)
         self.control_task.connect(SendProbe, prober.post)
@@ -259,6 +262,7 @@
         gauges |= load_gauges(node, self.clock)
         gauges |= quota_gauges(node.quotas, self.clock)
         gauges |= store_gauges(self.store, node.routing)
+        gauges |= self.reads.gauges()
         gauges["requests_inside"] = lambda: self.front.n_requests
         gauges["log_lines_left_out"] = lambda: self.log.lines.n_dropped
 
--- a/packages/entry/hornbeamstand_entry/process.py
+++ b/packages/entry/hornbeamstand_entry/process.py
@@ -36,6 +36,7 @@
 from .tasks.platform_task import PlatformTask
 from .tasks.pools import Pools
 from .tasks.prober import Prober
+from .tasks.response_reads import ResponseReads
 
 # Size of the random id that distinguishes successive processes of one VM.
 START_ID_BYTES = 4
@@ -110,6 +111,7 @@
             id_header=headers.REQUEST_ID,
             answer_budget=self.budget,
             open_connections=OpenConnections(self.connection_limits.n_sends_max),
+            reads=ResponseReads(self._report_unfinished),
         )
         self.pools = Pools(self.clock, stack, rules)
         self.metrics = Metrics()
@@ -119,6 +121,10 @@
         self._build_front()
         return self
 
+    def _report_unfinished(self, unfinished):
+        """Log an UnfinishedResponse of a target or a peer."""
+        self.log.warning("response: unfinished", **unfinished.describe())
+
     def _decision_log(self):
         """Return the logger of decisions; None if they are not logged."""
         is_logged = self.settings.decision_log
--- a/packages/entry/hornbeamstand_entry/tasks/connections.py
+++ b/packages/entry/hornbeamstand_entry/tasks/connections.py
@@ -29,6 +29,7 @@
     ResponseParser,
     read_response,
 )
+from .response_reads import ResponseReads
 from .sockets import NO_DESCRIPTOR_ERRORS, open_socket, parse_address
 from .task import Task
 
@@ -80,6 +81,8 @@
         Maximum number of bytes outside of bodies that are read for one exchange.
     open_connections : OpenConnections, optional
         Limits the connections of all pools that share it.
+    reads : ResponseReads, optional
+        Counts and reports what is read of responses.
     """
 
     __slots__ = (
@@ -95,6 +98,7 @@
         "answer_budget",
         "head_max_bytes",
         "open_connections",
+        "reads",
     )
 
     def __init__(
@@ -111,6 +115,7 @@
         head_max_bytes=HEAD_MAX_BYTES,
         open_connections=None,
         connect_share=1.0,
+        reads=None,
     ):
         self.connect_timeout_ms = connect_timeout_ms
         self.connect_share = connect_share
@@ -124,6 +129,7 @@
         self.answer_budget = answer_budget or ByteBudget()
         self.head_max_bytes = head_max_bytes
         self.open_connections = open_connections or OpenConnections()
+        self.reads = reads or ResponseReads()
 
     def connect_limit_ms(self, left_ms):
         """Return the timeout for opening a connection, with this time left."""
@@ -262,8 +268,10 @@
         response = send_and_read(connection, exchange)
     except gevent.GreenletExit:
         closed.has_timed_out = is_reused and exchange.has_timed_out
+        note_unfinished(connection, exchange, address, "cancelled")
         raise
     except (OSError, ResponseError) as error:
+        note_unfinished(connection, exchange, address, repr(error))
         reply(exchange, SendFailure(BROKEN_RESPONSE, True, f"{address} {error!r}"))
         return False
     note_keep_alive(connection, response)
@@ -272,6 +280,12 @@
     return not (response.should_close() or exchange.has_ended_sending)
 
 
+def note_unfinished(connection, exchange, address, reason):
+    """Report the response to an exchange, which was given up."""
+    reads = connection.rules.reads
+    reads.note_unfinished(connection.parser, exchange, address, reason)
+
+
 def fail_exchange(exchange, address, error):
     """Report an unexpected error, and fail the exchange that it interrupted."""
     report_failure(f"connection {address}", error)
--- a/packages/entry/hornbeamstand_entry/tasks/response_parser.py
+++ b/packages/entry/hornbeamstand_entry/tasks/response_parser.py
@@ -12,6 +12,10 @@
 from geventhttpclient.response import HTTPResponse
 from hornbeamstand_core.records import Record
 
+from ..clock import make_process_clock
+
+# Clock of the time that parsing takes.
+CLOCK = make_process_clock()
 # Maximum number of bytes read from the socket by one call.
 READ_BYTES = 65536
 # Maximum number of these bytes that are parsed at a time, and number of the parser's
@@ -128,7 +132,8 @@
     ``n_header_bytes`` and ``n_received_bytes`` count the bytes of bodies, of headers
     with trailers, and all bytes of the current exchange. ``n_calls`` counts the
     parser's calls since the last turn of the event loop, and ``has_unparsed`` is set
-    while bytes that were read are not parsed.
+    while bytes that were read are not parsed. ``parse_ms`` is the time that was spent
+    on the parts of more than PARSE_BYTES of the current exchange.
     """
 
     def __init__(self):
@@ -148,6 +153,7 @@
         self.n_header_bytes = 0
         self.n_received_bytes = 0
         self.n_calls = 0
+        self.parse_ms = 0.0
 
     def begin_exchange(self, method, reports_interim=False):
         """Prepare for the response to a request with ``method``."""
@@ -223,12 +229,15 @@
     """
     parser.begin_exchange(exchange.method, exchange.reports_interim)
     hold = rules.answer_budget.hold()
+    rules.reads.note_begun(parser)
     try:
         response = read_matching_response(sock, parser, exchange, rules, hold)
     except BaseException:
         # Also if the greenlet is killed.
         hold.release()
         raise
+    finally:
+        rules.reads.note_ended(parser)
     exchange.take_answer_hold(hold)
     return response
 
@@ -282,7 +291,9 @@
     for start in range(0, len(data), PARSE_BYTES):
         if parser.n_calls >= N_CALLS_PER_TURN:
             take_turn(parser)
+        began_at_ms = CLOCK.now_ms()
         feed(parser, data[start : start + PARSE_BYTES])
+        parser.parse_ms += CLOCK.now_ms() - began_at_ms
     parser.has_unparsed = False
 
 
--- /dev/null
+++ b/packages/entry/hornbeamstand_entry/tasks/response_reads.py
@@ -0,0 +1,115 @@
+"""What is being read of responses, and what was read of incomplete ones."""
+
+from hornbeamstand_core.records import Record
+
+# Number of bytes read from which on an incomplete response is reported.
+REPORTED_MIN_BYTES = 65_536
+
+
+class UnfinishedResponse(Record):
+    """What was read of a response that was given up before it was complete.
+
+    ``status`` is 0 if its head did not arrive. ``length`` is the Content-Length as it
+    was sent, or None, and ``is_chunked`` whether it has chunks. ``parse_ms`` is the
+    time that its parts of more than PARSE_BYTES took to parse. ``n_reading_bytes`` are
+    the bytes of the bodies that were being read then, of all responses.
+    """
+
+    __slots__ = (
+        "address",
+        "request_id",
+        "reason",
+        "status",
+        "length",
+        "is_chunked",
+        "n_body_bytes",
+        "n_received_bytes",
+        "parse_ms",
+        "n_reading_bytes",
+    )
+
+    def __init__(self, address, request_id, reason, parser, n_reading_bytes):
+        self.address = address
+        self.request_id = request_id
+        self.reason = reason
+        has_head = parser.headers_complete
+        self.status = parser.status_code if has_head else 0
+        self.length = parser.get("Content-Length") if has_head else None
+        self.is_chunked = has_head and parser.get("Transfer-Encoding") is not None
+        self.n_body_bytes = parser.n_body_bytes
+        self.n_received_bytes = parser.n_received_bytes
+        self.parse_ms = parser.parse_ms
+        self.n_reading_bytes = n_reading_bytes
+
+    def describe(self):
+        """Return the fields of a log line by name."""
+        return {
+            "at": self.address,
+            "request": self.request_id,
+            "reason": self.reason,
+            "status": self.status,
+            "length": self.length,
+            "is_chunked": self.is_chunked,
+            "n_body_bytes": self.n_body_bytes,
+            "n_received_bytes": self.n_received_bytes,
+            "parse_ms": int(self.parse_ms),
+            "n_reading_bytes": self.n_reading_bytes,
+        }
+
+
+def report_nothing(unfinished):
+    """Report no response."""
+
+
+class ResponseReads:
+    """The responses that the connections of pools read, and figures of them.
+
+    ``parsers`` are those of the responses that are being read. ``n_unfinished`` counts
+    the responses of REPORTED_MIN_BYTES or more that were given up, and
+    ``n_unfinished_bytes`` the bytes that were read of them. ``parse_ms`` is the time
+    that the parts of more than PARSE_BYTES of all responses took to parse.
+    ``report(unfinished)`` is called with each UnfinishedResponse.
+    """
+
+    __slots__ = ("parsers", "n_unfinished", "n_unfinished_bytes", "parse_ms", "report")
+
+    def __init__(self, report=report_nothing):
+        self.parsers = set()
+        self.n_unfinished = 0
+        self.n_unfinished_bytes = 0
+        self.parse_ms = 0.0
+        self.report = report
+
+    @property
+    def n_reading_bytes(self):
+        """The bytes of the bodies that are being read."""
+        return sum(parser.n_body_bytes for parser in self.parsers)
+
+    def note_begun(self, parser):
+        """Note that a response is being read."""
+        self.parsers.add(parser)
+
+    def note_ended(self, parser):
+        """Note that a response is complete, or was given up."""
+        self.parsers.discard(parser)
+        self.parse_ms += parser.parse_ms
+
+    def note_unfinished(self, parser, exchange, address, reason):
+        """Count and report a response that was given up, if much of it was read."""
+        if parser.n_received_bytes < REPORTED_MIN_BYTES:
+            return
+        self.n_unfinished += 1
+        self.n_unfinished_bytes += parser.n_received_bytes
+        unfinished = UnfinishedResponse(
+            address, exchange.expected_id, reason, parser, self.n_reading_bytes
+        )
+        self.report(unfinished)
+
+    def gauges(self):
+        """Return the functions that read the gauges, by name."""
+        return {
+            "response_bytes_reading": lambda: self.n_reading_bytes,
+            "responses_unfinished": lambda: self.n_unfinished,
+            "response_bytes_unfinished": lambda: self.n_unfinished_bytes,
+            "response_parse_ms": lambda: self.parse_ms,
+        }
