Keep no exchange that has ended in tasks that wait

Operators saw the memory of VMs grow with the bodies of requests and answers that no longer counted.

Cause: the same class of fault as that of killed greenlets, a reference that outlives the ByteHold. The task of an idle connection kept its last exchange by a local variable, with the request's body, up to 64 connections a target; pools and task loops kept their last message. A result that arrived after its requester had cancelled the exchange kept itself alive by the mailbox that it was in.

Change: the variables end before the wait. A cancelled exchange forgets its mailbox, and results of cancelled exchanges are not delivered.

--- a/packages/entry/hornbeamstand_entry/tasks/connections.py
+++ b/packages/entry/hornbeamstand_entry/tasks/connections.py
@@ -19,7 +19,6 @@
 
 from ..header_numbers import read_count
 from .byte_budget import ByteBudget
-from .exchange import ExchangeResult
 from .failures import report_failure
 from .greenlets import spawn
 from .open_connections import OpenConnections
@@ -220,6 +219,8 @@
         if is_kept:
             connection.last_response_at_ms = clock.now_ms()
             pool_task.post(ConnectionIdle(connection))
+        # An idle connection would keep the request, and the mailbox of its requester.
+        del exchange
 
 
 def end_connection(connection, address, pool_task, closed):
@@ -357,8 +358,9 @@
 
 
 def reply(exchange, result):
-    """Pass the result of an exchange to its requester."""
-    exchange.reply_to.put(ExchangeResult(exchange, result))
+    """Pass the result of an exchange to its requester, who may no longer want it."""
+    if not exchange.is_cancelled:
+        exchange.report(result)
 
 
 def is_unusable(sock):
--- a/packages/entry/hornbeamstand_entry/tasks/exchange.py
+++ b/packages/entry/hornbeamstand_entry/tasks/exchange.py
@@ -24,7 +24,8 @@
     complete. ``expected_id`` is the request id that the response echoes, or None.
     ``is_sent`` is set as soon as any byte may have been sent, ``is_whole_sent`` once
     all have, and ``has_ended_sending`` once the sending side is to end after them.
-    ``connection`` carries the exchange, and is None until one is assigned. If
+    ``connection`` carries the exchange, and is None until one is assigned.
+    ``reply_to`` is None once the exchange is cancelled. If
     ``keeps_answer_hold`` is set, the memory of the response counts until the requester
     calls ``release_answer``; otherwise only while it is read. An exchange that
     ``is_optional`` fails if it needs a new connection while few descriptors are left.
@@ -136,9 +137,8 @@
         if self.is_cancelled:
             return
         if not self.is_sent:
-            self.cancel()
-            failure = SendFailure(CANCELLED, False)
-            self.report(failure)
+            self._stop()
+            self.report(SendFailure(CANCELLED, False))
             return
         self.has_ended_sending = True
         if self.is_whole_sent:
@@ -161,8 +161,13 @@
 
         ``has_timed_out`` states that no response came in time.
         """
-        self.is_cancelled = True
         self.has_timed_out = has_timed_out
+        # A result that is in the mailbox already would keep itself alive otherwise.
+        self.reply_to = None
+        self._stop()
+
+    def _stop(self):
+        self.is_cancelled = True
         connection = self.connection
         if connection is not None and connection.exchange is self:
             connection.task.greenlet.kill(block=False)
--- a/packages/entry/hornbeamstand_entry/tasks/pools.py
+++ b/packages/entry/hornbeamstand_entry/tasks/pools.py
@@ -74,15 +74,18 @@
 
     def _run(self):
         while True:
-            message = self.task.mailbox.get()
-            if type(message) is Exchange:
-                self._assign(message)
-            elif type(message) is ConnectionIdle:
-                self._note_idle(message.connection)
-            elif type(message) is CloseOutdated:
-                self._close_outdated()
-            else:
-                self._note_closed(message)
+            # Not by a name here: a pool would keep its last message while it waits.
+            self._handle(self.task.mailbox.get())
+
+    def _handle(self, message):
+        if type(message) is Exchange:
+            self._assign(message)
+        elif type(message) is ConnectionIdle:
+            self._note_idle(message.connection)
+        elif type(message) is CloseOutdated:
+            self._close_outdated()
+        else:
+            self._note_closed(message)
 
     def _assign(self, exchange):
         if exchange.is_cancelled:
--- a/packages/entry/hornbeamstand_entry/tasks/task.py
+++ b/packages/entry/hornbeamstand_entry/tasks/task.py
@@ -90,6 +90,8 @@
                 next_tick_ms = now_ms + tick()
             if message is not None:
                 handle(message)
+                # What it refers to would stay in memory while the task waits.
+                del message
             message = timer.receive(next_tick_ms - clock.now_ms())
 
 
