--- a/packages/entry/hornbeamstand_entry/edge/connection_rules.py
+++ b/packages/entry/hornbeamstand_entry/edge/connection_rules.py
@@ -1,6 +1,6 @@
 """The rules of the connections that an edge process opens to others."""
 
-from ..tasks.connections import ConnectionRules
+from ..tasks.connection_rules import ConnectionRules
 from ..tasks.response_parser import HEAD_MAX_BYTES
 from .servers import PEER_REUSE_MS
 
--- a/packages/entry/hornbeamstand_entry/process.py
+++ b/packages/entry/hornbeamstand_entry/process.py
@@ -27,7 +27,7 @@
 from .performers import make_performers
 from .tasks.byte_budget import ByteBudget
 from .tasks.config_watcher import WATCH_WAIT_MS, ConfigWatcher
-from .tasks.connections import ConnectionRules
+from .tasks.connection_rules import ConnectionRules
 from .tasks.control_task import ControlTask
 from .tasks.datagrams import Datagrams
 from .tasks.open_connections import OpenConnections
--- a/packages/entry/hornbeamstand_entry/tasks/pools.py
+++ b/packages/entry/hornbeamstand_entry/tasks/pools.py
@@ -6,10 +6,10 @@
 from hornbeamstand_core.messages import NO_DESCRIPTOR, SendFailure
 from hornbeamstand_core.records import Record
 
+from .connection_rules import ConnectionRules
 from .connections import (
     Connection,
     ConnectionIdle,
-    ConnectionRules,
     fail_exchange,
     reply,
     start_connection,
--- a/packages/entry/tests/test_connect_timeouts.py
+++ b/packages/entry/tests/test_connect_timeouts.py
@@ -4,7 +4,7 @@
 
 import pytest
 from hornbeamstand_entry.tasks import sockets
-from hornbeamstand_entry.tasks.connections import ConnectionRules
+from hornbeamstand_entry.tasks.connection_rules import ConnectionRules
 
 
 @pytest.mark.parametrize(
--- a/packages/entry/tests/test_connection_opening.py
+++ b/packages/entry/tests/test_connection_opening.py
@@ -12,7 +12,7 @@
 from hornbeamstand_entry.clock import make_process_clock
 from hornbeamstand_entry.tasks import failures
 from hornbeamstand_entry.tasks import pools as pools_module
-from hornbeamstand_entry.tasks.connections import ConnectionRules
+from hornbeamstand_entry.tasks.connection_rules import ConnectionRules
 from hornbeamstand_entry.tasks.exchange import Exchange
 from hornbeamstand_entry.tasks.pools import ConnectionPool, Pools
 
--- a/packages/entry/tests/test_connections.py
+++ b/packages/entry/tests/test_connections.py
@@ -10,7 +10,7 @@
 from hornbeamstand_core.messages import SendFailure
 from hornbeamstand_entry.clock import make_process_clock
 from hornbeamstand_entry.tasks import response_parser
-from hornbeamstand_entry.tasks.connections import ConnectionRules
+from hornbeamstand_entry.tasks.connection_rules import ConnectionRules
 from hornbeamstand_entry.tasks.exchange import Exchange, ExchangeResult
 from hornbeamstand_entry.tasks.pools import ConnectionPool, Pools
 
--- a/packages/entry/tests/test_descriptors.py
+++ b/packages/entry/tests/test_descriptors.py
@@ -11,7 +11,7 @@
 from hornbeamstand_entry.edge import descriptors, servers
 from hornbeamstand_entry.edge.descriptors import ConnectionLimits
 from hornbeamstand_entry.edge.servers import stop_accepting
-from hornbeamstand_entry.tasks.connections import ConnectionRules
+from hornbeamstand_entry.tasks.connection_rules import ConnectionRules
 from hornbeamstand_entry.tasks.exchange import Exchange
 from hornbeamstand_entry.tasks.open_connections import OpenConnections
 from hornbeamstand_entry.tasks.pools import Pools
--- a/packages/entry/tests/test_edge_answers.py
+++ b/packages/entry/tests/test_edge_answers.py
@@ -19,7 +19,7 @@
     target_response,
 )
 from hornbeamstand_entry.encoding import encode_request
-from hornbeamstand_entry.tasks.connections import ConnectionRules
+from hornbeamstand_entry.tasks.connection_rules import ConnectionRules
 from hornbeamstand_entry.tasks.exchange import Exchange
 from hornbeamstand_entry.tasks.pools import ConnectionPool
 from hornbeamstand_entry.tasks.response_parser import CompleteResponse
--- a/packages/entry/tests/test_outgoing_ports.py
+++ b/packages/entry/tests/test_outgoing_ports.py
@@ -7,7 +7,7 @@
 from gevent import socket
 from hornbeamstand_entry.life.addresses import open_listener
 from hornbeamstand_entry.tasks import sockets
-from hornbeamstand_entry.tasks.connections import ConnectionRules
+from hornbeamstand_entry.tasks.connection_rules import ConnectionRules
 from hornbeamstand_wire.platform import StoreConnectionPool
 
 # Option of Linux by which the system chooses the port when the socket connects.
--- a/packages/entry/tests/test_repeated_answers.py
+++ b/packages/entry/tests/test_repeated_answers.py
@@ -9,7 +9,7 @@
 from hornbeamstand_entry.edge.messages import target_response
 from hornbeamstand_entry.encoding import target_response as product_target_response
 from hornbeamstand_entry.tasks.byte_budget import ByteBudget
-from hornbeamstand_entry.tasks.connections import ConnectionRules
+from hornbeamstand_entry.tasks.connection_rules import ConnectionRules
 from hornbeamstand_entry.tasks.exchange import Exchange
 
 from tests.scripted_targets import (
--- a/packages/entry/tests/test_response_cuts.py
+++ b/packages/entry/tests/test_response_cuts.py
@@ -2,7 +2,7 @@
 
 import pytest
 from gevent.queue import SimpleQueue
-from hornbeamstand_entry.tasks.connections import ConnectionRules
+from hornbeamstand_entry.tasks.connection_rules import ConnectionRules
 from hornbeamstand_entry.tasks.exchange import Exchange
 from hornbeamstand_entry.tasks.response_parser import (
     ResponseError,
--- a/packages/entry/tests/test_response_fuzz.py
+++ b/packages/entry/tests/test_response_fuzz.py
@@ -10,7 +10,7 @@
     encode_heartbeat,
 )
 from hornbeamstand_entry.peer_codec import decode_orders
-from hornbeamstand_entry.tasks.connections import ConnectionRules
+from hornbeamstand_entry.tasks.connection_rules import ConnectionRules
 from hornbeamstand_entry.tasks.exchange import Exchange
 from hornbeamstand_entry.tasks.response_parser import (
     HEAD_MAX_BYTES,
--- a/tests/partial_responses.py
+++ b/tests/partial_responses.py
@@ -6,7 +6,7 @@
 from gevent.server import StreamServer
 from hornbeamstand_entry.clock import make_process_clock
 from hornbeamstand_entry.tasks.byte_budget import ByteBudget
-from hornbeamstand_entry.tasks.connections import ConnectionRules
+from hornbeamstand_entry.tasks.connection_rules import ConnectionRules
 from hornbeamstand_entry.tasks.exchange import Exchange
 from hornbeamstand_entry.tasks.pools import Pools
 from hornbeamstand_entry.tasks.response_reads import ResponseReads
--- a/tests/scripted_targets.py
+++ b/tests/scripted_targets.py
@@ -4,7 +4,7 @@
 from gevent.queue import SimpleQueue
 from gevent.server import StreamServer
 from hornbeamstand_entry.clock import make_process_clock
-from hornbeamstand_entry.tasks.connections import ConnectionRules
+from hornbeamstand_entry.tasks.connection_rules import ConnectionRules
 from hornbeamstand_entry.tasks.exchange import Exchange
 from hornbeamstand_entry.tasks.pools import ConnectionPool
 
--- a/tests/test_host_features.py
+++ b/tests/test_host_features.py
@@ -5,7 +5,7 @@
 import socket
 
 import pytest
-from hornbeamstand_entry.tasks.connections import ConnectionRules
+from hornbeamstand_entry.tasks.connection_rules import ConnectionRules
 from hornbeamstand_entry.tasks.sockets import set_options
 
 from .programs import PROGRAMS
--- a/tests/test_store_answer_cuts.py
+++ b/tests/test_store_answer_cuts.py
@@ -11,7 +11,7 @@
 from hornbeamstand_entry.edge.store_client import StoreClient
 from hornbeamstand_entry.edge.store_era import StoreEra
 from hornbeamstand_entry.encoding import encode_request
-from hornbeamstand_entry.tasks.connections import ConnectionRules
+from hornbeamstand_entry.tasks.connection_rules import ConnectionRules
 from hornbeamstand_entry.tasks.pools import Pools
 from hornbeamstand_platform.dialect import make_dialect
 from hornbeamstand_wire.platform import PlatformClient
