Give up a response at its head if it states more than may be read

Callers of a target that stated a huge length, or one huge chunk, waited until 64 MB or the whole budget had been read, or their time was over; many got 504, also for requests that another target could have served.

Cause: the limits counted what had arrived, though the head or the chunk had said how much would come. The class of fault: work goes on that is known to be in vain.

Change: bytes that a length or a chunk announces count against the maximum size of a body and the largest body that the budget could ever hold. Nothing is reserved: a target could hold memory by a line. What follows a complete response does not fail it.

--- a/packages/entry/hornbeamstand_entry/tasks/response_parser.py
+++ b/packages/entry/hornbeamstand_entry/tasks/response_parser.py
@@ -37,6 +37,8 @@
 # Number of bytes of chunk sizes that are read in addition for each byte of a body. Each
 # chunk costs time, so that one target could take all of this VM's time with tiny ones.
 CHUNK_OVERHEAD_SHARE = 0.25
+# Number of the lengths that the parser's signed count of remaining bytes stands for.
+N_LENGTHS = 1 << 64
 # Size at which the bytes of a body begin a new piece.
 PIECE_BYTES = 65536
 # Maximum number of responses to other requests that are dropped during one exchange.
@@ -155,6 +157,16 @@
         self.n_calls = 0
         self.parse_ms = 0.0
 
+    @property
+    def n_announced_bytes(self):
+        """The bytes still to come of a body of a stated length, or of a chunk.
+
+        There are none once a response is complete, whatever follows it.
+        """
+        if self.complete or not self.headers_complete or self.message_complete:
+            return 0
+        return self.get_remaining_content_length() % N_LENGTHS
+
     def begin_exchange(self, method, reports_interim=False):
         """Prepare for the response to a request with ``method``."""
         self.method = method
@@ -317,12 +329,20 @@
 
 
 def check_size(parser, exchange, hold, head_max_bytes):
-    """Raise ResponseError if more was read for an exchange than its limits allow."""
+    """Raise ResponseError if a response is longer than the limits of its exchange.
+
+    A length that is stated counts as if the body had arrived: all that is still read of
+    a body that is too long would be in vain.
+    """
     n_body_bytes = parser.n_body_bytes
-    if n_body_bytes > exchange.answer_max_bytes:
+    n_stated_bytes = n_body_bytes + parser.n_announced_bytes
+    if n_stated_bytes > exchange.answer_max_bytes:
         raise ResponseError(
-            f"response body is longer than {exchange.answer_max_bytes} bytes"
+            f"response body is longer than {exchange.answer_max_bytes} bytes:"
+            f" {n_stated_bytes} or more"
         )
+    if n_stated_bytes > hold.budget.max_bytes(n_stated_bytes):
+        raise ResponseError(f"no memory for a response body of {n_stated_bytes} bytes")
     n_other_bytes = parser.n_received_bytes - n_body_bytes
     n_chunk_bytes = n_other_bytes - CHUNK_OVERHEAD_SHARE * n_body_bytes
     if max(parser.n_header_bytes, n_chunk_bytes) > head_max_bytes:
