Eject targets whose cancelled responses do not end

Callers of repeatable requests lost time at targets that send without end: a hedge rescued them, and the target stayed in use.

Cause: a send that is cancelled counted as slowness alone, unless it had lasted five times the mean latency; with a mean of 220 ms and a hedge after 210 ms it never had. What had been read of its response did not count.

Change: the effect Abort replies how much was read. A response that is 16 times as long as the exchanges of its service, and 1 MB or more, counts as an error and towards the ejection of its target.

--- a/packages/core/hornbeamstand_core/controllers/targets/learning.py
+++ b/packages/core/hornbeamstand_core/controllers/targets/learning.py
@@ -19,6 +19,10 @@
 # Multiple of the mean latency from which on a cancelled send counts as an error: its
 # target may never have answered.
 HANG_FACTOR = 5.0
+# Multiple of the mean size of an exchange, and minimum size, from which on the response
+# to a cancelled send counts as an error: its target may never have ended it.
+RUNAWAY_FACTOR = 16
+RUNAWAY_MIN_BYTES = 1 << 20
 # Status "Misdirected Request": the request was meant for a different target.
 MISDIRECTED_STATUS = 421
 # Ejection time after a misdirected request: a different target has the address now,
@@ -38,13 +42,7 @@
     if failure.kind == NO_DESCRIPTOR:
         return []
     if failure.kind == CANCELLED:
-        # The latency of a cancelled send, such as a hedge that another target answered
-        # first, is a lower bound of what this target would have taken.
-        if service.mean_ms and latency_ms > service.mean_ms:
-            target.note_latency_ratio(latency_ms / service.mean_ms, now_ms)
-            if latency_ms > HANG_FACTOR * service.mean_ms:
-                target.note_error(True, now_ms)
-        return []
+        return learn_cancelled(service, target, failure, latency_ms, now_ms)
     if failure.kind == TIMED_OUT and not failure.may_have_run:
         # The time ended on this VM, before the request was sent.
         return []
@@ -56,6 +54,29 @@
     return []
 
 
+def learn_cancelled(service, target, failure, latency_ms, now_ms):
+    """Learn from a send that was cancelled, such as a hedge that came second.
+
+    Its latency and what was read of its response are lower bounds of what the target
+    would have taken and sent.
+    """
+    if service.mean_ms and latency_ms > service.mean_ms:
+        target.note_latency_ratio(latency_ms / service.mean_ms, now_ms)
+    if is_runaway(failure.n_read_bytes, service.leaving.mean_bytes):
+        target.note_error(True, now_ms)
+        if target.note_failure(now_ms):
+            reason = f"{failure.n_read_bytes} bytes without an end"
+            return [ejection_decision(service, target, reason, now_ms)]
+    elif service.mean_ms and latency_ms > HANG_FACTOR * service.mean_ms:
+        target.note_error(True, now_ms)
+    return []
+
+
+def is_runaway(n_read_bytes, mean_bytes):
+    """Return whether an incomplete response is far longer than those of its service."""
+    return n_read_bytes > max(RUNAWAY_MIN_BYTES, RUNAWAY_FACTOR * mean_bytes)
+
+
 def learn_response(service, target, response, latency_ms, now_ms):
     """Learn from a complete response."""
     out = []
--- a/packages/core/hornbeamstand_core/edge_messages.py
+++ b/packages/core/hornbeamstand_core/edge_messages.py
@@ -344,9 +344,10 @@
 
 
 class Abort(Record):
-    """Cancel an exchange, that is a started send or relay; no reply.
+    """Cancel an exchange, that is a started send or relay.
 
-    ``key`` is the Permit of the send, or the Relay.
+    The reply is the number of bytes that were read of its response. ``key`` is the
+    Permit of the send, or the Relay.
     """
 
     __slots__ = ("key",)
--- a/packages/core/hornbeamstand_core/filters/attempts.py
+++ b/packages/core/hornbeamstand_core/filters/attempts.py
@@ -345,6 +345,7 @@
 def abort_all(state, kind=CANCELLED):
     """Abort every send in flight and release its slot."""
     for permit in state.permits:
-        yield Abort(permit)
-        yield Release(permit, SendFailure(kind, True, permit.target_id))
+        n_read_bytes = yield Abort(permit)
+        failure = SendFailure(kind, True, permit.target_id, n_read_bytes or 0)
+        yield Release(permit, failure)
     state.permits.clear()
--- a/packages/core/hornbeamstand_core/messages.py
+++ b/packages/core/hornbeamstand_core/messages.py
@@ -340,15 +340,17 @@
 class SendFailure(Record):
     """No complete response came; ``may_have_run`` is set if any byte was sent.
 
-    ``peer`` is the id or address of the target or VM that the request was sent to.
+    ``peer`` is the id or address of the target or VM that the request was sent to, and
+    ``n_read_bytes`` what was read of its response when the send was cancelled.
     """
 
-    __slots__ = ("kind", "may_have_run", "peer")
+    __slots__ = ("kind", "may_have_run", "peer", "n_read_bytes")
 
-    def __init__(self, kind, may_have_run, peer=""):
+    def __init__(self, kind, may_have_run, peer="", n_read_bytes=0):
         self.kind = kind
         self.may_have_run = may_have_run
         self.peer = peer
+        self.n_read_bytes = n_read_bytes
 
 
 class Release(Record):
--- a/packages/entry/hornbeamstand_entry/tasks/exchange.py
+++ b/packages/entry/hornbeamstand_entry/tasks/exchange.py
@@ -124,6 +124,14 @@
             return False
         return connection.parser.has_unparsed or has_bytes(connection.sock)
 
+    @property
+    def n_read_bytes(self):
+        """The bytes of an incomplete response that its connection has read."""
+        connection = self.connection
+        if connection is None or connection.exchange is not self:
+            return 0
+        return connection.parser.n_received_bytes if connection.parser else 0
+
     def report(self, result):
         """Pass a result to the requester."""
         self.reply_to.put(ExchangeResult(self, result))
