Answer in time while a target sends without end

Callers of a target that sends without end got their 504 up to 0.4 s after the route's timeout of 0.6 s, or none by their deadline.

Cause: after a timeout a VM first reads what may have arrived in time, since it may be late itself. That ended after 128 turns of the event loop, or once nothing was left to read, which is never with such a target; each turn reads a part of every response. The class of fault: a wait that is bounded by turns, not by what it waits for.

Change: a response is awaited only if its end may have arrived: of a stated length no more than 1 MB, or than is unread, may be missing, and a body of another kind must be smaller than 1 MB.

--- a/packages/entry/hornbeamstand_entry/tasks/exchange.py
+++ b/packages/entry/hornbeamstand_entry/tasks/exchange.py
@@ -6,12 +6,15 @@
 from hornbeamstand_core.messages import CANCELLED, SendFailure
 from hornbeamstand_core.records import Record
 
-from .sockets import has_bytes
+from .sockets import count_unread_bytes, has_bytes
 from .task import receive, receive_arrived
 
 # Maximum number of turns of the event loop in which the bytes that have arrived for an
 # exchange are read. In each turn, a connection reads a part of a response.
 N_READ_TURNS_MAX = 128
+# Size from which on a body without a stated length, or what is missing of another one,
+# is not awaited after a timeout.
+LARGE_BODY_BYTES = 1 << 20
 
 
 class Exchange:
@@ -115,14 +118,24 @@
             if message.exchange is self:
                 return message.result
 
-    def has_unread_bytes(self):
-        """Return whether bytes have arrived that the connection has not handled yet."""
+    def may_have_arrived(self):
+        """Return whether the rest of the response may have arrived without being read.
+
+        Of a body of a stated length, no more may be missing than arrives while the rest
+        is read. Other bodies are not awaited once they are large.
+        """
         connection = self.connection
         if connection is None or connection.exchange is not self:
             return False
         if connection.sock is None or connection.parser is None:
             return False
-        return connection.parser.has_unparsed or has_bytes(connection.sock)
+        parser = connection.parser
+        if not parser.has_unparsed and not has_bytes(connection.sock):
+            return False
+        if parser.has_stated_length:
+            n_unread_bytes = count_unread_bytes(connection.sock)
+            return parser.n_announced_bytes <= max(n_unread_bytes, LARGE_BODY_BYTES)
+        return parser.n_body_bytes < LARGE_BODY_BYTES
 
     @property
     def n_read_bytes(self):
@@ -195,12 +208,12 @@
 
 
 def receive_unread(mailbox, exchanges):
-    """Return the next message, or None once no exchange has bytes that are unread.
+    """Return the next message, or None once no response may have arrived unread.
 
     The rest of a response may have arrived in time though this process was late.
     """
     for _ in range(N_READ_TURNS_MAX):
-        if not any(exchange.has_unread_bytes() for exchange in exchanges):
+        if not any(exchange.may_have_arrived() for exchange in exchanges):
             return None
         message = receive_arrived(mailbox)
         if message is not None:
--- a/packages/entry/hornbeamstand_entry/tasks/response_parser.py
+++ b/packages/entry/hornbeamstand_entry/tasks/response_parser.py
@@ -157,6 +157,11 @@
         self.n_calls = 0
         self.parse_ms = 0.0
 
+    @property
+    def has_stated_length(self):
+        """Whether the head of the response has arrived and states its length."""
+        return self.headers_complete and self.get("Content-Length") is not None
+
     @property
     def n_announced_bytes(self):
         """The bytes still to come of a body of a stated length, or of a chunk.
--- a/packages/entry/hornbeamstand_entry/tasks/sockets.py
+++ b/packages/entry/hornbeamstand_entry/tasks/sockets.py
@@ -1,8 +1,10 @@
 """Opens the sockets of connections to targets, peers and the store."""
 
 import errno
+import fcntl
 import socket
 import sys
+import termios
 from math import inf
 
 from gevent import socket as gevent_socket
@@ -16,6 +18,8 @@
 NO_OPTION_ERRORS = frozenset(
     [errno.ENOPROTOOPT, errno.EOPNOTSUPP, errno.ENOSYS, errno.EPERM, errno.EACCES]
 )
+# Size of the system's count of unread bytes.
+COUNT_BYTES = 4
 # Offset and end of tcpi_last_data_recv, in milliseconds, in the system's TCP_INFO.
 LAST_DATA_OFFSET = 52
 LAST_DATA_END = LAST_DATA_OFFSET + 4
@@ -74,6 +78,18 @@
         return False
 
 
+def count_unread_bytes(sock):
+    """Return the number of bytes that have arrived at a socket and were not read yet.
+
+    It is infinity if the system can't tell.
+    """
+    try:
+        raw = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(COUNT_BYTES))
+    except (OSError, ValueError):
+        return inf
+    return int.from_bytes(raw, sys.byteorder)
+
+
 def set_options(sock, rules):
     """Set the TCP options that send small requests at once and detect a dead server.
 
