Limit what the system holds of responses that are not read yet

Bytes that have arrived and wait to be read are memory of the VM too, in no budget.

Cause: the system lets the receive buffer of each connection grow, here up to 32 MB, for as long as a server sends faster than this process reads. Several answers without end held some 30 MB that way.

Change: connections that a VM opens ask for a receive buffer of 256 kB. That carries 90 MB a second over 3 ms.

--- a/packages/entry/hornbeamstand_entry/tasks/connection_rules.py
+++ b/packages/entry/hornbeamstand_entry/tasks/connection_rules.py
@@ -15,6 +15,9 @@
 LAST_RESPONSE_MAX_AGE_MS = 1000.0
 # Maximum idle time after which a connection is still reused.
 IDLE_MAX_MS = 30_000.0
+# Size of the receive buffer, which the system doubles. It grows to many megabytes
+# otherwise, for a server that sends faster than this process reads.
+RECEIVE_BUFFER_BYTES = 262_144
 # Minimum of a timeout for opening a connection that is a share of the time left.
 CONNECT_MIN_MS = 100.0
 
@@ -53,6 +56,8 @@
         Limits the connections of all pools that share it.
     reads : ResponseReads, optional
         Counts and reports what is read of responses.
+    receive_buffer_bytes : int
+        Size of the receive buffer that is asked for.
     """
 
     __slots__ = (
@@ -69,6 +74,7 @@
         "head_max_bytes",
         "open_connections",
         "reads",
+        "receive_buffer_bytes",
     )
 
     def __init__(
@@ -86,6 +92,7 @@
         open_connections=None,
         connect_share=1.0,
         reads=None,
+        receive_buffer_bytes=RECEIVE_BUFFER_BYTES,
     ):
         self.connect_timeout_ms = connect_timeout_ms
         self.connect_share = connect_share
@@ -100,6 +107,7 @@
         self.head_max_bytes = head_max_bytes
         self.open_connections = open_connections or OpenConnections()
         self.reads = reads or ResponseReads()
+        self.receive_buffer_bytes = receive_buffer_bytes
 
     def connect_limit_ms(self, left_ms):
         """Return the timeout for opening a connection, with this time left."""
--- a/packages/entry/hornbeamstand_entry/tasks/sockets.py
+++ b/packages/entry/hornbeamstand_entry/tasks/sockets.py
@@ -47,6 +47,7 @@
     try:
         # A later start of this VM may listen at the port that the system chooses.
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, rules.receive_buffer_bytes)
         sock.settimeout(rules.connect_limit_ms(left_ms) / MS_PER_S)
         connect_in_time(sock, address)
         sock.settimeout(None)
