Let a failed allocation fail one exchange, not the process

Operators saw processes end by themselves with status 70, and the requests of everybody with them: a `MemoryError` while another one was reported.

Cause: an exchange that found no memory handled its error in the same shortage, with the bytes that it had read still in the frames of the traceback. The second error left its greenlet, gevent found no memory to print it, and what then reached the event loop was taken for a callback that was lost, which ends the process. The class of fault: an error is handled with the resource whose lack it reports.

The frames are dropped before the error is handled, and a failed allocation never leaves a greenlet of a connection: the end of the greenlet settles its exchange. Tasks and callbacks whose state would be wrong still end the process.

Measured: a new test lets the read, the report and gevent's print find no memory; before, the process ended (status 70), now the exchange fails alone and the next one is answered.

--- a/packages/entry/hornbeamstand_entry/life/running.py
+++ b/packages/entry/hornbeamstand_entry/life/running.py
@@ -9,6 +9,7 @@
 from ..closing import close_bounded
 from ..process_use import describe_limits
 from ..tasks.failures import handle_loop_failures, spawn_supervised
+from ..tasks.memory_errors import MemoryReserve, relieve_with
 from .addresses import AddressError, wait_for_sockets
 from .host_features import find_missing
 from .output import OutputStream
@@ -63,6 +64,7 @@
     signals.install(early_signals)
     with ExitStack() as stack:
         handle_loop_failures(stack)
+        keep_memory_reserve(stack)
         clock = make_process_clock()
         log = program.open_log(loaded.ok_value, clock, stack)
         if corrections is not None:
@@ -81,6 +83,14 @@
     return 0
 
 
+def keep_memory_reserve(stack):
+    """Keep memory for the handling of failed allocations until the stack is closed."""
+    reserve = MemoryReserve()
+    relieve_with(reserve.release, stack)
+    keeper = spawn_supervised("memory-reserve", reserve.restore_forever)
+    stack.callback(keeper.kill, block=False)
+
+
 def log_corrections(log, corrections):
     """Log what was corrected of the inherited state, if anything was."""
     fields = corrections.describe()
--- a/packages/entry/hornbeamstand_entry/tasks/connections.py
+++ b/packages/entry/hornbeamstand_entry/tasks/connections.py
@@ -20,6 +20,7 @@
 from ..header_numbers import read_count
 from .failures import report_failure
 from .greenlets import spawn
+from .memory_errors import note_failed_allocation
 from .response_parser import (
     ERROR_STATUS_MIN,
     ResponseError,
@@ -107,6 +108,11 @@
             is_kept = perform_exchange(
                 connection, exchange, address, pool_task, clock, closed
             )
+        except MemoryError as error:
+            # The frames of its traceback hold what was read last.
+            is_kept = False
+            note_failed_allocation()
+            fail_exchange(exchange, address, error.with_traceback(None))
         except Exception as error:
             is_kept = False
             fail_exchange(exchange, address, error)
--- a/packages/entry/hornbeamstand_entry/tasks/failures.py
+++ b/packages/entry/hornbeamstand_entry/tasks/failures.py
@@ -8,6 +8,7 @@
 from gevent.baseserver import BaseServer
 
 from .greenlets import spawn
+from .memory_errors import note_failed_allocation
 
 # Exit status of a process after one of its tasks raised an exception (EX_SOFTWARE of
 # sysexits.h).
@@ -58,6 +59,8 @@
     handle_error = hub.handle_error
 
     def handle_loop_error(context, kind, error, trace):
+        if issubclass(kind, MemoryError):
+            note_failed_allocation()
         if isinstance(context, tuple) and isinstance(context[-1], BaseServer):
             # A connection that was accepted, with its server; it is closed already.
             context = context[-1]
@@ -68,7 +71,9 @@
             report_failure("acceptor", error)
         elif isinstance(context, gevent.Greenlet) and not issubclass(kind, OSError):
             report_failure("greenlet", error)
-        handle_error(context, kind, error, trace)
+        # To print the error may take more memory than there is.
+        with suppress(MemoryError):
+            handle_error(context, kind, error, trace)
 
     hub.handle_error = handle_loop_error
     stack.callback(delattr, hub, "handle_error")
--- /dev/null
+++ b/packages/entry/tests/test_failed_allocations.py
@@ -0,0 +1,78 @@
+"""An allocation that fails in one exchange harms no other request."""
+
+import gevent
+import pytest
+from gevent.queue import SimpleQueue
+from gevent.server import StreamServer
+from hornbeamstand_core.messages import BROKEN_RESPONSE
+from hornbeamstand_entry.clock import make_process_clock
+from hornbeamstand_entry.tasks import connections, memory_errors
+from hornbeamstand_entry.tasks.exchange import Exchange
+from hornbeamstand_entry.tasks.failures import handle_loop_failures
+from hornbeamstand_entry.tasks.memory_errors import (
+    MemoryReserve,
+    note_failed_allocation,
+    relieve_with,
+)
+from hornbeamstand_entry.tasks.pools import ConnectionPool
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+PATIENCE_MS = 3000.0
+
+
+def find_no_memory(*args, **kwargs):
+    raise MemoryError
+
+
+@pytest.fixture
+def pool(stack):
+    def serve(sock, _):
+        while sock.recv(65536):
+            sock.sendall(ANSWER)
+
+    server = StreamServer(("127.0.0.1", 0), serve)
+    server.start()
+    stack.callback(server.stop, timeout=0)
+    made = ConnectionPool(f"127.0.0.1:{server.server_port}", make_process_clock())
+    made.start(stack)
+    return made
+
+
+def send(pool):
+    not_after_ms = pool.clock.now_ms() + PATIENCE_MS
+    exchange = Exchange("GET", REQUEST, not_after_ms, False, 1000, SimpleQueue())
+    pool.task.post(exchange)
+    return exchange.receive_result(PATIENCE_MS)
+
+
+@pytest.mark.parametrize("failing", [[], ["report_failure"], ["report_failure", "hub"]])
+def test_an_exchange_without_memory_fails_alone(stack, pool, monkeypatch, failing):
+    """Guards against a process that ends because the report of an error failed too."""
+    ended = []
+    monkeypatch.setattr("os._exit", ended.append)
+    handle_loop_failures(stack)
+    with monkeypatch.context() as patch:
+        patch.setattr(connections, "read_response", find_no_memory)
+        if "report_failure" in failing:
+            patch.setattr(connections, "report_failure", find_no_memory)
+        if "hub" in failing:
+            patch.setattr(type(gevent.get_hub()), "print_exception", find_no_memory)
+        result = send(pool)
+        gevent.sleep(0.01)
+    assert (result.kind, result.may_have_run) == (BROKEN_RESPONSE, True)
+    assert send(pool).body == b"ok"
+    assert ended == []
+
+
+def test_the_reserve_is_given_up_at_a_failure_and_taken_again(stack, monkeypatch):
+    monkeypatch.setattr(memory_errors, "RESTORE_DELAY_MS", 1.0)
+    reserve = MemoryReserve()
+    relieve_with(reserve.release, stack)
+    keeper = gevent.spawn(reserve.restore_forever)
+    stack.callback(keeper.kill)
+    note_failed_allocation()
+    assert not reserve.is_held
+    with gevent.Timeout(PATIENCE_MS / 1000.0):
+        while not reserve.is_held:
+            gevent.sleep(0.001)
