Move the responses that were read to a module of their own

Change: CompleteResponse, InterimResponse and ResponseError stand in tasks/response_messages.py. No behaviour changes.

--- a/packages/entry/hornbeamstand_entry/edge/performers.py
+++ b/packages/entry/hornbeamstand_entry/edge/performers.py
@@ -47,7 +47,7 @@
 from ..header_numbers import read_count
 from ..tasks.exchange import Exchange, ExchangeResult, receive_unread
 from ..tasks.failures import report_failure
-from ..tasks.response_parser import InterimResponse
+from ..tasks.response_messages import InterimResponse
 from ..tasks.task import receive
 from .context import INTERRUPTS, STOP_ENDS
 from .load_probes import (
--- a/packages/entry/hornbeamstand_entry/tasks/connections.py
+++ b/packages/entry/hornbeamstand_entry/tasks/connections.py
@@ -21,12 +21,8 @@
 from .failures import report_failure
 from .greenlets import spawn
 from .memory_errors import note_failed_allocation
-from .response_parser import (
-    ERROR_STATUS_MIN,
-    ResponseError,
-    ResponseParser,
-    read_response,
-)
+from .response_messages import ResponseError
+from .response_parser import ERROR_STATUS_MIN, ResponseParser, read_response
 from .sockets import NO_DESCRIPTOR_ERRORS, open_socket, parse_address
 from .task import Task
 
--- a/packages/entry/tests/test_caller_answers.py
+++ b/packages/entry/tests/test_caller_answers.py
@@ -7,7 +7,7 @@
 from hornbeamstand_core.routes import CallerLimits
 from hornbeamstand_entry.edge.front import forward_response, respond
 from hornbeamstand_entry.edge.servers import start_server
-from hornbeamstand_entry.tasks.response_parser import CompleteResponse
+from hornbeamstand_entry.tasks.response_messages import CompleteResponse
 
 from tests.caller_front import read_to_end
 
--- a/packages/entry/tests/test_edge_answers.py
+++ b/packages/entry/tests/test_edge_answers.py
@@ -22,7 +22,7 @@
 from hornbeamstand_entry.tasks.connection_rules import ConnectionRules
 from hornbeamstand_entry.tasks.exchange import Exchange
 from hornbeamstand_entry.tasks.pools import ConnectionPool
-from hornbeamstand_entry.tasks.response_parser import CompleteResponse
+from hornbeamstand_entry.tasks.response_messages import CompleteResponse
 
 NAMES = HeaderNames("Id", "Left", "Seal", "Not-Run", "Expect", "Load")
 DIALECT = Dialect(
--- a/packages/entry/tests/test_edge_front_errors.py
+++ b/packages/entry/tests/test_edge_front_errors.py
@@ -33,7 +33,7 @@
 from hornbeamstand_entry.edge.suspensions import Suspensions, make_boot_clock
 from hornbeamstand_entry.tasks.byte_budget import ByteBudget
 from hornbeamstand_entry.tasks.failures import report_failures_to
-from hornbeamstand_entry.tasks.response_parser import CompleteResponse
+from hornbeamstand_entry.tasks.response_messages import CompleteResponse
 
 NAMES = HeaderNames("Id", "Left", "Seal", "Not-Run", "Expect", "Load", "Wait")
 REQUEST = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
--- a/packages/entry/tests/test_performers.py
+++ b/packages/entry/tests/test_performers.py
@@ -23,7 +23,7 @@
 from hornbeamstand_entry.peer_codec import decode_orders, encode_orders
 from hornbeamstand_entry.performers import make_performers
 from hornbeamstand_entry.tasks.exchange import ExchangeResult
-from hornbeamstand_entry.tasks.response_parser import CompleteResponse
+from hornbeamstand_entry.tasks.response_messages import CompleteResponse
 
 
 def forward_request(end):
--- a/packages/entry/tests/test_relayed_notices.py
+++ b/packages/entry/tests/test_relayed_notices.py
@@ -13,7 +13,7 @@
 from hornbeamstand_entry.edge.front import EdgeFront
 from hornbeamstand_entry.edge.performers import make_performers
 from hornbeamstand_entry.tasks.exchange import ExchangeResult
-from hornbeamstand_entry.tasks.response_parser import CompleteResponse
+from hornbeamstand_entry.tasks.response_messages import CompleteResponse
 from result import Ok
 
 NAMES = HeaderNames("Id", "Left", "Seal", "Not-Run", "Expect", "Load", "Wait")
--- a/packages/entry/tests/test_response_cuts.py
+++ b/packages/entry/tests/test_response_cuts.py
@@ -4,11 +4,8 @@
 from gevent.queue import SimpleQueue
 from hornbeamstand_entry.tasks.connection_rules import ConnectionRules
 from hornbeamstand_entry.tasks.exchange import Exchange
-from hornbeamstand_entry.tasks.response_parser import (
-    ResponseError,
-    ResponseParser,
-    read_response,
-)
+from hornbeamstand_entry.tasks.response_messages import ResponseError
+from hornbeamstand_entry.tasks.response_parser import ResponseParser, read_response
 from hypothesis import given
 from hypothesis import strategies as st
 
--- a/packages/entry/tests/test_response_fuzz.py
+++ b/packages/entry/tests/test_response_fuzz.py
@@ -12,10 +12,10 @@
 from hornbeamstand_entry.peer_codec import decode_orders
 from hornbeamstand_entry.tasks.connection_rules import ConnectionRules
 from hornbeamstand_entry.tasks.exchange import Exchange
+from hornbeamstand_entry.tasks.response_messages import ResponseError
 from hornbeamstand_entry.tasks.response_parser import (
     HEAD_MAX_BYTES,
     READ_BYTES,
-    ResponseError,
     ResponseParser,
     read_response,
 )
--- a/packages/entry/tests/test_stated_lengths.py
+++ b/packages/entry/tests/test_stated_lengths.py
@@ -5,9 +5,9 @@
 from hornbeamstand_entry.tasks.byte_budget import ByteBudget
 from hornbeamstand_entry.tasks.connection_rules import ConnectionRules
 from hornbeamstand_entry.tasks.exchange import Exchange
+from hornbeamstand_entry.tasks.response_messages import ResponseError
 from hornbeamstand_entry.tasks.response_parser import (
     READ_BYTES,
-    ResponseError,
     ResponseParser,
     read_response,
 )
--- a/packages/entry/tests/test_unexpected_errors.py
+++ b/packages/entry/tests/test_unexpected_errors.py
@@ -19,7 +19,7 @@
 from hornbeamstand_entry.tasks.exchange import Exchange
 from hornbeamstand_entry.tasks.failures import report_failures_to
 from hornbeamstand_entry.tasks.pools import ConnectionPool
-from hornbeamstand_entry.tasks.response_parser import CompleteResponse
+from hornbeamstand_entry.tasks.response_messages import CompleteResponse
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -4,7 +4,7 @@
 from hornbeamstand_core.messages import NOT_RUN
 from hornbeamstand_entry import headers
 from hornbeamstand_entry.edge.messages import peer_response
-from hornbeamstand_entry.tasks.response_parser import CompleteResponse
+from hornbeamstand_entry.tasks.response_messages import CompleteResponse
 
 from standins.edge_cell import DOMAINS, HOST, EdgeCell
 
