Count a VM's own connections in the tests of crowds

Cause: the tests counted the bytes queued at the VM's IP address.

Change: the connections of the process count, by the inodes of its descriptors, and those that wait at its listeners. Its outgoing connections are new in the count; the bound stays.

--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -24,10 +24,14 @@
 # of an answer first are as few as the target's slots.
 N_SENDERS = 64
 N_ASKERS = 3
-# Column of the system's table of connections with the lengths of their two queues, and
-# the state of a listener there.
+# Columns of the system's table of connections: local address, state, lengths of the two
+# queues, and inode, which is 0 for a connection that is not accepted yet.
+LOCAL_COLUMN = 1
+STATE_COLUMN = 3
 QUEUES_COLUMN = 4
+INODE_COLUMN = 9
 LISTENING = "0A"
+NO_INODE = "0"
 
 
 class Crowd:
@@ -128,8 +132,8 @@
     """What a process has used at most, in MB, and what it uses now.
 
     ``peak_mb`` is the largest resident size, ``queued_mb`` what the system holds now
-    for connections of the process's address: bytes that are unread, or sent and not yet
-    received. ``n_descriptors`` is the number of descriptors.
+    for connections of the process: bytes that are unread, or sent and not yet received.
+    ``n_descriptors`` is the number of descriptors.
     """
 
     __slots__ = ("peak_mb", "queued_mb", "n_descriptors")
@@ -141,7 +145,7 @@
         status = Path(f"/proc/{process_id}/status").read_text()
         peak_kb = int(status.split("VmHWM:")[1].split()[0])
         self.peak_mb = peak_kb * BYTES_PER_KB / BYTES_PER_MB
-        self.queued_mb = read_queued_bytes(ip) / BYTES_PER_MB
+        self.queued_mb = read_queued_bytes(process_id, ip) / BYTES_PER_MB
         self.n_descriptors = len(os.listdir(f"/proc/{process_id}/fd"))
         return self
 
@@ -151,17 +155,44 @@
         return self.peak_mb + self.queued_mb
 
 
-def read_queued_bytes(ip):
-    """Return the bytes that the system holds for connections of an IP address."""
+def read_queued_bytes(process_id, ip):
+    """Return the bytes that the system holds for connections of a process.
+
+    Those that it has not accepted yet count too, at its IP address.
+    """
     # The system writes the four bytes of an address in reverse.
     local = "".join(f"{int(part):02X}" for part in reversed(ip.split(".")))
-    n_bytes = 0
-    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
-        columns = line.split()
+    lines = Path("/proc/net/tcp").read_text().splitlines()[1:]
+    connections = [line.split() for line in lines]
+    inodes = read_socket_inodes(process_id)
+    own = [columns for columns in connections if columns[INODE_COLUMN] in inodes]
+    listening = {
+        columns[LOCAL_COLUMN] for columns in own if columns[STATE_COLUMN] == LISTENING
+    }
+    waiting = [
+        columns
+        for columns in connections
+        if columns[INODE_COLUMN] == NO_INODE
+        and columns[LOCAL_COLUMN].startswith(f"{local}:")
+        and columns[LOCAL_COLUMN] in listening
+    ]
+    return sum(
+        int(part, 16)
+        for columns in own + waiting
         # A listener has connections in its queue, not bytes.
-        if columns[1].startswith(f"{local}:") and columns[3] != LISTENING:
-            n_bytes += sum(int(part, 16) for part in columns[QUEUES_COLUMN].split(":"))
-    return n_bytes
+        if columns[STATE_COLUMN] != LISTENING
+        for part in columns[QUEUES_COLUMN].split(":")
+    )
+
+
+def read_socket_inodes(process_id):
+    """Return the inodes of the sockets of a process, as texts."""
+    links = []
+    for path in Path(f"/proc/{process_id}/fd").iterdir():
+        # A descriptor may be closed meanwhile.
+        with suppress(OSError):
+            links.append(os.readlink(path))
+    return {link[8:-1] for link in links if link.startswith("socket:[")}
 
 
 def assert_holds(process, ip, memory_mb, n_descriptors):
