Eject no target for a long response whose length is stated

Callers that left while they read a long, legal answer, and hedges of such answers, took sound targets out of use: two in a row eject a target whose service has mostly short answers.

Cause: a cancelled send counts as one without end from 1 MB and 16 times the mean size on. In a service of 2 kB answers with one of 8 MB in 20, 50, 100 or 200, two cancelled sends with 6 MB read ejected the target (trial on the service's controllers; one in 10 did not).

Change: only what was read of a response without a stated length counts. One with a length is refused at its head if it may not be read, or ends by itself.

Long chunked answers that callers abandon still count; this is open.

--- a/packages/core/hornbeamstand_core/edge_messages.py
+++ b/packages/core/hornbeamstand_core/edge_messages.py
@@ -346,8 +346,8 @@
 class Abort(Record):
     """Cancel an exchange, that is a started send or relay.
 
-    The reply is the number of bytes that were read of its response. ``key`` is the
-    Permit of the send, or the Relay.
+    The reply is the number of bytes that were read of its response if that states no
+    length, or else 0. ``key`` is the Permit of the send, or the Relay.
     """
 
     __slots__ = ("key",)
--- a/packages/core/hornbeamstand_core/messages.py
+++ b/packages/core/hornbeamstand_core/messages.py
@@ -341,7 +341,8 @@
     """No complete response came; ``may_have_run`` is set if any byte was sent.
 
     ``peer`` is the id or address of the target or VM that the request was sent to, and
-    ``n_read_bytes`` what was read of its response when the send was cancelled.
+    ``n_read_bytes`` what was read of its response when the send was cancelled, if that
+    stated no length.
     """
 
     __slots__ = ("kind", "may_have_run", "peer", "n_read_bytes")
--- a/packages/entry/hornbeamstand_entry/edge/performers.py
+++ b/packages/entry/hornbeamstand_entry/edge/performers.py
@@ -313,13 +313,13 @@
         context.announce_sends(effect.n_sends)
 
     def abort(effect, context):
-        n_read_bytes = 0
+        n_open_ended_bytes = 0
         for exchange, key in list(context.key_by_exchange.items()):
             if key is effect.key:
                 del context.key_by_exchange[exchange]
-                n_read_bytes += exchange.n_read_bytes
+                n_open_ended_bytes += exchange.n_open_ended_bytes
                 exchange.cancel()
-        return n_read_bytes
+        return n_open_ended_bytes
 
     def end_sending(effect, context):
         for exchange, key in context.key_by_exchange.items():
--- a/packages/entry/hornbeamstand_entry/tasks/exchange.py
+++ b/packages/entry/hornbeamstand_entry/tasks/exchange.py
@@ -138,12 +138,18 @@
         return parser.n_body_bytes < LARGE_BODY_BYTES
 
     @property
-    def n_read_bytes(self):
-        """The bytes of an incomplete response that its connection has read."""
+    def n_open_ended_bytes(self):
+        """The bytes that were read of an incomplete response without a stated length.
+
+        One that states its length is either refused at its head or comes to an end.
+        """
         connection = self.connection
         if connection is None or connection.exchange is not self:
             return 0
-        return connection.parser.n_received_bytes if connection.parser else 0
+        parser = connection.parser
+        if parser is None or parser.has_stated_length:
+            return 0
+        return parser.n_received_bytes
 
     def report(self, result):
         """Pass a result to the requester."""
