Free memory when the parser of a response finds none

While targets sent without end, VMs short of address space still ended with status 70.

Cause of a part: an allocation fails mostly in the parser, which holds what is read.

Change: the MemoryError reaches the connection, unless the response is complete.

Measured: the new test failed before (nothing was freed).

--- a/packages/entry/hornbeamstand_entry/tasks/response_parser.py
+++ b/packages/entry/hornbeamstand_entry/tasks/response_parser.py
@@ -289,6 +289,8 @@
     except Exception as error:
         # The parser raises exceptions of its own and of its callbacks.
         if not parser.complete:
+            if isinstance(error, MemoryError):
+                raise
             raise ResponseError(f"response is malformed: {error!r}") from error
         parser.complete[-1].closes_connection = True
         parser.complete[-1].is_followed = True
--- a/packages/entry/tests/test_failed_allocations.py
+++ b/packages/entry/tests/test_failed_allocations.py
@@ -15,6 +15,7 @@
     relieve_with,
 )
 from hornbeamstand_entry.tasks.pools import ConnectionPool
+from hornbeamstand_entry.tasks.response_parser import ResponseParser
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -65,6 +66,18 @@
     assert ended == []
 
 
+def test_memory_is_freed_when_the_parser_finds_none(stack, pool, monkeypatch):
+    """Guards against failed allocations that pass for malformed responses."""
+    noted = []
+    relieve_with(lambda: noted.append(True), stack)
+    with monkeypatch.context() as patch:
+        patch.setattr(ResponseParser, "_on_body", find_no_memory)
+        result = send(pool)
+    assert (result.kind, result.may_have_run) == (BROKEN_RESPONSE, True)
+    assert noted == [True]
+    assert send(pool).body == b"ok"
+
+
 def test_the_reserve_is_given_up_at_a_failure_and_taken_again(stack, monkeypatch):
     monkeypatch.setattr(memory_errors, "RESTORE_DELAY_MS", 1.0)
     reserve = MemoryReserve()
