Keep the process when a greenlet can't report its error

VMs short of address space still ended with status 70, with the trace that operators had reported: a `MemoryError` out of `Greenlet.__report_error`.

Cause: a new greenlet needs pages for the stack of its first call. Without them it can call neither its function nor gevent's report, so that the error leaves the greenlet and reaches the event loop as that of a callback, which ended the process as if a greenlet would wait for good. But gevent calls the greenlet's links before it reports: who is linked to it learns of its end.

Change: such an error is contained. A supervised greenlet that could not be called at all ends the process by a link, as its failure did.

Measured: a new test fills the address space of a process and starts 20 greenlets; it ended with 70 before, now all 20 end and the process goes on.

--- a/packages/entry/hornbeamstand_entry/tasks/failures.py
+++ b/packages/entry/hornbeamstand_entry/tasks/failures.py
@@ -13,6 +13,8 @@
 # Exit status of a process after one of its tasks raised an exception (EX_SOFTWARE of
 # sysexits.h).
 EXIT_TASK_FAILED = 70
+# Ending of the name of gevent's function that reports the error of a greenlet.
+GREENLET_REPORT_NAME = "__report_error"
 # Functions that ``report_failures_to`` has registered.
 failure_reports = []
 
@@ -65,6 +67,7 @@
             # A connection that was accepted, with its server; it is closed already.
             context = context[-1]
         is_contained = isinstance(context, (gevent.Greenlet, BaseServer, dict))
+        is_contained |= comes_from_greenlet_report(trace)
         if issubclass(kind, MemoryError) and not is_contained:
             exit_on_failure("event-loop", error or MemoryError())
         if isinstance(context, BaseServer):
@@ -79,12 +82,32 @@
     stack.callback(delattr, hub, "handle_error")
 
 
+def comes_from_greenlet_report(trace):
+    """Return whether an error was raised while gevent reported that of a greenlet.
+
+    For want of memory, a new greenlet may be unable to call any function, also this
+    report. It has ended then, and who is linked to it learns of that.
+    """
+    while trace is not None and trace.tb_next is not None:
+        trace = trace.tb_next
+    if trace is None:
+        return False
+    return trace.tb_frame.f_code.co_name.endswith(GREENLET_REPORT_NAME)
+
+
 def spawn_supervised(name, run, *args):
     """Return a new greenlet that calls ``run``, and whose failure ends the process.
 
     A greenlet that nobody waits for would otherwise end without notice.
     """
-    return spawn(run_supervised, name, run, *args)
+
+    def exit_if_not_called(greenlet):
+        if isinstance(greenlet.exception, MemoryError):
+            exit_on_failure(name, greenlet.exception)
+
+    greenlet = spawn(run_supervised, name, run, *args)
+    greenlet.rawlink(exit_if_not_called)
+    return greenlet
 
 
 def run_supervised(name, run, *args):
--- a/packages/entry/tests/test_failed_allocations.py
+++ b/packages/entry/tests/test_failed_allocations.py
@@ -1,5 +1,9 @@
 """An allocation that fails in one exchange harms no other request."""
 
+import subprocess
+import sys
+from pathlib import Path
+
 import gevent
 import pytest
 from gevent.queue import SimpleQueue
@@ -8,7 +12,10 @@
 from hornbeamstand_entry.clock import make_process_clock
 from hornbeamstand_entry.tasks import connections, memory_errors
 from hornbeamstand_entry.tasks.exchange import Exchange
-from hornbeamstand_entry.tasks.failures import handle_loop_failures
+from hornbeamstand_entry.tasks.failures import (
+    EXIT_TASK_FAILED,
+    handle_loop_failures,
+)
 from hornbeamstand_entry.tasks.memory_errors import (
     MemoryReserve,
     note_failed_allocation,
@@ -26,6 +33,17 @@
     raise MemoryError
 
 
+def run_full_process(start):
+    """Run a process that starts greenlets while it can't allocate any pages.
+
+    Returns its exit status, and the numbers of greenlets that ended and that ran.
+    """
+    script = Path(__file__).with_name("full_process.py")
+    command = [sys.executable, script, start]
+    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    return done.returncode, done.stdout.split()
+
+
 @pytest.fixture
 def pool(stack):
     def serve(sock, _):
@@ -66,6 +84,15 @@
     assert ended == []
 
 
+def test_greenlets_that_can_call_nothing_end_alone():
+    """Guards against a process that ends because a greenlet can't report its error."""
+    assert run_full_process("spawn") == (0, ["20", "0"])
+
+
+def test_a_supervised_greenlet_that_can_call_nothing_ends_the_process():
+    assert run_full_process("spawn_supervised") == (EXIT_TASK_FAILED, [])
+
+
 def test_memory_is_freed_when_the_parser_finds_none(stack, pool, monkeypatch):
     """Guards against failed allocations that pass for malformed responses."""
     noted = []
