Fail an exchange whose connection can call nothing

A VM short of address space opened connections in a loop for requests that none of them could carry, until their callers gave up.

Cause: an exchange that was not sent yet goes back to its pool when its connection ends. If the connection's greenlet found no memory for its first call, the next one finds none either.

Change: the exchange fails with the kind `no-memory`. Like a missing descriptor it says nothing about the target, which stays in use, and no further send is tried.

Measured: the new test got no result within 3 s before, and passes.

--- a/packages/core/hornbeamstand_core/controllers/owned_targets/results.py
+++ b/packages/core/hornbeamstand_core/controllers/owned_targets/results.py
@@ -3,7 +3,7 @@
 ``service`` is the ServiceController of the target and ``state`` its TargetState.
 """
 
-from ...messages import CANCELLED, NO_DESCRIPTOR, STATUS_ERROR, TIMED_OUT, SendFailure
+from ...messages import CANCELLED, LACKS_OF_VM, STATUS_ERROR, TIMED_OUT, SendFailure
 from .cold_start import count_good_completion, enter_cold, note_start
 from .health import note_failure, note_latency, note_success
 from .target_state import COLD, DRAINING, READY
@@ -46,7 +46,7 @@
 
 def learn_failure(service, state, failure, latency_ms, now_ms):
     """Update the target from a request without a complete response."""
-    if failure.kind in (CANCELLED, NO_DESCRIPTOR):
+    if failure.kind == CANCELLED or failure.kind in LACKS_OF_VM:
         return
     if failure.kind == TIMED_OUT:
         if not failure.may_have_run:
--- a/packages/core/hornbeamstand_core/controllers/targets/learning.py
+++ b/packages/core/hornbeamstand_core/controllers/targets/learning.py
@@ -4,7 +4,7 @@
 from ...messages import (
     CANCELLED,
     CONNECT_FAILED,
-    NO_DESCRIPTOR,
+    LACKS_OF_VM,
     STATUS_ERROR,
     TIMED_OUT,
     SendFailure,
@@ -39,7 +39,7 @@
 
 def learn_failure(service, target, failure, latency_ms, now_ms):
     """Learn from a send that did not get a complete response."""
-    if failure.kind == NO_DESCRIPTOR:
+    if failure.kind in LACKS_OF_VM:
         return []
     if failure.kind == CANCELLED:
         return learn_cancelled(service, target, failure, latency_ms, now_ms)
--- a/packages/core/hornbeamstand_core/filters/attempts.py
+++ b/packages/core/hornbeamstand_core/filters/attempts.py
@@ -20,7 +20,7 @@
 from ..load_probe_messages import ProbeLoads, ProbesNeeded
 from ..messages import (
     CANCELLED,
-    NO_DESCRIPTOR,
+    LACKS_OF_VM,
     NOT_RUN,
     OUTCOME_UNKNOWN,
     STATUS_ERROR,
@@ -266,8 +266,8 @@
 def may_retry(call, result):
     """Return whether the request may be sent once more after a failed send."""
     policy = call.policy
-    if isinstance(result, SendFailure) and result.kind == NO_DESCRIPTOR:
-        # Another send would find none either.
+    if isinstance(result, SendFailure) and result.kind in LACKS_OF_VM:
+        # Another send would lack it too.
         return False
     if not did_not_run(result) and not policy.is_idempotent:
         return False
--- a/packages/core/hornbeamstand_core/messages.py
+++ b/packages/core/hornbeamstand_core/messages.py
@@ -329,12 +329,15 @@
 
 
 # Values of ``SendFailure.kind``. A send is cancelled if its caller has disconnected or
-# another send of the same request has succeeded. NO_DESCRIPTOR is a lack of this VM's.
+# another send of the same request has succeeded.
 CONNECT_FAILED = "connect-failed"
 NO_DESCRIPTOR = "no-descriptor"
+NO_MEMORY = "no-memory"
 TIMED_OUT = "timed-out"
 BROKEN_RESPONSE = "broken-answer"
 CANCELLED = "caller-gone"
+# Those that say what this VM lacks, and nothing about the target or peer.
+LACKS_OF_VM = frozenset([NO_DESCRIPTOR, NO_MEMORY])
 
 
 class SendFailure(Record):
--- a/packages/entry/hornbeamstand_entry/edge/load_probes.py
+++ b/packages/entry/hornbeamstand_entry/edge/load_probes.py
@@ -7,7 +7,7 @@
 
 from hornbeamstand_core.balancer_messages import SendProbe
 from hornbeamstand_core.edge_messages import LoadProbeResult
-from hornbeamstand_core.messages import NO_DESCRIPTOR, TIMED_OUT, SendFailure
+from hornbeamstand_core.messages import LACKS_OF_VM, TIMED_OUT, SendFailure
 
 from ..encoding import encode_request
 from ..tasks.exchange import Exchange, ExchangeResult
@@ -18,7 +18,7 @@
 # Maximum wait for a probe's answer, enforced when the task's next message arrives.
 LOAD_PROBE_TIMEOUT_MS = 40.0
 # Failures of a probe that may mean that it was not sent.
-UNSENT_KINDS = frozenset([NO_DESCRIPTOR, TIMED_OUT])
+UNSENT_KINDS = LACKS_OF_VM | {TIMED_OUT}
 
 
 class LoadProber:
--- a/packages/entry/hornbeamstand_entry/tasks/connections.py
+++ b/packages/entry/hornbeamstand_entry/tasks/connections.py
@@ -12,6 +12,7 @@
     BROKEN_RESPONSE,
     CONNECT_FAILED,
     NO_DESCRIPTOR,
+    NO_MEMORY,
     TIMED_OUT,
     SendFailure,
 )
@@ -135,6 +136,9 @@
     if exchange is not None and not exchange.is_cancelled:
         if exchange.is_sent:
             reply(exchange, SendFailure(BROKEN_RESPONSE, True, address))
+        elif isinstance(connection.task.greenlet.exception, MemoryError):
+            # Another connection could call nothing either.
+            reply(exchange, SendFailure(NO_MEMORY, False, address))
         else:
             pool_task.post(exchange)
     # The exchange refers to its connection. Without this, what was read of a response
--- a/packages/entry/tests/test_failed_allocations.py
+++ b/packages/entry/tests/test_failed_allocations.py
@@ -8,7 +8,7 @@
 import pytest
 from gevent.queue import SimpleQueue
 from gevent.server import StreamServer
-from hornbeamstand_core.messages import BROKEN_RESPONSE
+from hornbeamstand_core.messages import BROKEN_RESPONSE, NO_MEMORY
 from hornbeamstand_entry.clock import make_process_clock
 from hornbeamstand_entry.tasks import connections, memory_errors
 from hornbeamstand_entry.tasks.exchange import Exchange
@@ -84,6 +84,22 @@
     assert ended == []
 
 
+def test_an_exchange_whose_connection_can_call_nothing_fails_at_once(pool, monkeypatch):
+    """Guards against exchanges that open connections in a loop until they time out."""
+    started = []
+
+    def start_without_memory(*args):
+        started.append(args)
+        return gevent.spawn(find_no_memory)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(connections, "spawn", start_without_memory)
+        result = send(pool)
+    assert (result.kind, result.may_have_run) == (NO_MEMORY, False)
+    assert len(started) == 1
+    assert send(pool).body == b"ok"
+
+
 def test_greenlets_that_can_call_nothing_end_alone():
     """Guards against a process that ends because a greenlet can't report its error."""
     assert run_full_process("spawn") == (0, ["20", "0"])
