Drop interim responses of exchanges that are cancelled

A VM could log an unexpected error for a relay that was given up.

Cause: a connection may read on until its greenlet is killed, and passes on interim responses; since an exchange drops its mailbox when it is cancelled, that raised an AttributeError.

Change: `report` passes nothing on after that.

--- a/packages/entry/hornbeamstand_entry/tasks/exchange.py
+++ b/packages/entry/hornbeamstand_entry/tasks/exchange.py
@@ -152,8 +152,9 @@
         return parser.n_received_bytes
 
     def report(self, result):
-        """Pass a result to the requester."""
-        self.reply_to.put(ExchangeResult(self, result))
+        """Pass a result to the requester, unless the exchange is cancelled."""
+        if self.reply_to is not None:
+            self.reply_to.put(ExchangeResult(self, result))
 
     def end_sending(self):
         """End the sending side of the connection once the request is sent as a whole.
--- a/packages/entry/tests/test_kept_exchanges.py
+++ b/packages/entry/tests/test_kept_exchanges.py
@@ -10,6 +10,7 @@
 from hornbeamstand_core.messages import SendFailure
 from hornbeamstand_entry.clock import make_process_clock
 from hornbeamstand_entry.tasks.exchange import Exchange
+from hornbeamstand_entry.tasks.response_parser import InterimResponse
 from hornbeamstand_entry.tasks.task import Task, start_loop
 
 from tests.scripted_server import REQUEST, start
@@ -90,3 +91,11 @@
         task.post(message)
         del message
         assert is_freed(reference)
+
+
+def test_an_interim_response_that_came_too_late_is_dropped():
+    """Guards against errors of exchanges that are cancelled while they read."""
+    exchange = Exchange("GET", b"", 0.0, False, 1000, SimpleQueue())
+    exchange.cancel()
+    exchange.report(InterimResponse([]))
+    assert exchange.is_cancelled
