Eject no target because callers leave its long responses

One client that left six long answers took all three sound targets of a service out of use, for everybody: 600 ms, and twice as long each further time.

Cause: a send that ended since its caller left counted as one without end by what had been read. The caller decides that, not the target.

Change: what was read counts only of sends that end for another reason, such as a hedge that came second.

Hedges of long answers without a stated length can still eject a sound target; this wasn't run.

--- a/packages/core/hornbeamstand_core/filters/attempts.py
+++ b/packages/core/hornbeamstand_core/filters/attempts.py
@@ -314,7 +314,7 @@
     """
     if not call.policy.is_idempotent:
         return (yield from finish_sends(call, state))
-    yield from abort_all(state)
+    yield from abort_all(state, has_caller=False)
     return Err(
         Refusal(CANCELLED, OUTCOME_UNKNOWN, 499, "send", call.policy.service_name)
     )
@@ -342,10 +342,16 @@
     return final_failure(call, state)
 
 
-def abort_all(state, kind=CANCELLED):
-    """Abort every send in flight and release its slot."""
+def abort_all(state, kind=CANCELLED, has_caller=True):
+    """Abort every send in flight and release its slot.
+
+    A caller may leave long responses of any target: what was read of them then says
+    nothing about the target.
+    """
     for permit in state.permits:
         n_read_bytes = yield Abort(permit)
+        if not has_caller:
+            n_read_bytes = 0
         failure = SendFailure(kind, True, permit.target_id, n_read_bytes or 0)
         yield Release(permit, failure)
     state.permits.clear()
--- a/packages/core/tests/test_unending_responses.py
+++ b/packages/core/tests/test_unending_responses.py
@@ -6,6 +6,7 @@
 
 from hornbeamstand_core.controllers.targets.learning import RUNAWAY_MIN_BYTES
 from hornbeamstand_core.edge_messages import Abort
+from hornbeamstand_core.event_messages import CallerDisconnected
 from hornbeamstand_core.messages import CANCELLED, Release, SendFailure
 
 MANY_BYTES = 2 * RUNAWAY_MIN_BYTES
@@ -50,7 +51,8 @@
     assert harness.acquire().target_id == "t1"
 
 
-def test_the_end_of_a_cancelled_send_says_how_much_was_read():
+def run_with_long_response(*events):
+    """Run a call; return the results of its releases by target."""
     driver = Driver()
     perform = driver.perform
 
@@ -60,7 +62,17 @@
         return perform(effect, events)
 
     driver.perform = abort
-    driver.run(wait_times_out, send_ends(1, SUCCESS))
+    driver.run(*events)
     releases = driver.effects_of(Release)
-    read = {effect.permit.target_id: effect.result for effect in releases}["t1"]
+    return {effect.permit.target_id: effect.result for effect in releases}
+
+
+def test_the_end_of_a_cancelled_send_says_how_much_was_read():
+    read = run_with_long_response(wait_times_out, send_ends(1, SUCCESS))["t1"]
     assert (read.kind, read.n_read_bytes) == (CANCELLED, MANY_BYTES)
+
+
+def test_a_caller_that_leaves_a_long_response_says_nothing_of_its_target():
+    """Guards against clients that eject all targets by leaving their answers."""
+    read = run_with_long_response(CallerDisconnected(10.0))["t1"]
+    assert (read.kind, read.n_read_bytes) == (CANCELLED, 0)
