Close the connections of callers that stall within a request line

Callers that sent a part of a request line and no more were answered with 408, but the descriptor and the buffers of their connections stayed with the VM.

Cause: the error of the header timeout had a name in the frame that reads the request line. With that frame in its traceback the error kept itself, the handler's frames and the file of the connection, whose descriptor is closed only with the file. Only a collection of the oldest generation frees it. The class of fault: an error that a frame of its own traceback refers to.

Change: the error is made in `limit_header_time`, whose frame is not in the traceback.

Measured: one of eight cases of the new test_ended_connections.py (a stalled request line) failed before, with collections off; the seven others (stalled, broken and too large heads, idle connections that time out or are ended) passed and guard what holds already. test_caller_limits.py passes.

--- a/packages/entry/hornbeamstand_entry/http_server.py
+++ b/packages/entry/hornbeamstand_entry/http_server.py
@@ -12,7 +12,6 @@
 from .request_headers import RequestHeaders
 from .request_limits import (
     ArrivalTimeout,
-    HeaderTimeout,
     HeaderTooLarge,
     LimitedLines,
     RefusedBody,
@@ -20,6 +19,7 @@
     check_headers,
     discard_rest,
     error_response,
+    limit_header_time,
 )
 from .tasks.failures import report_failure
 
@@ -99,8 +99,7 @@
         if not self.wait_for_request():
             return ""
         limits = self.server.limits()
-        error = HeaderTimeout("headers did not arrive in time")
-        self.header_timer = ArrivalTimeout(self.socket, limits.header_ms, error)
+        self.header_timer = limit_header_time(self.socket, limits.header_ms)
         self.head_lines = LimitedLines(
             self.rfile,
             limits.header_max_bytes,
--- a/packages/entry/hornbeamstand_entry/request_limits.py
+++ b/packages/entry/hornbeamstand_entry/request_limits.py
@@ -94,6 +94,16 @@
         self._timer.close()
 
 
+def limit_header_time(sock, timeout_ms):
+    """Return an ArrivalTimeout for headers.
+
+    The caller of this function doesn't refer to the error: with its frame in the
+    traceback, the error would keep itself and the connection's descriptor.
+    """
+    error = HeaderTimeout("headers did not arrive in time")
+    return ArrivalTimeout(sock, timeout_ms, error)
+
+
 class HeadWithoutMemory(RequestError):
     """The request line and headers find no memory on this VM."""
 
