Keep no request whose performer failed

A request whose error left the filter chain stayed in memory, with its context and body, though its hold was released.

Cause: `drive` kept the error, or the effect that reports it, in a local variable. The error's traceback refers to that frame, so the two kept each other until a collection of the oldest generation. The class of fault: an error that a frame of its own traceback refers to.

Change: the variables end with the call.

--- a/packages/entry/hornbeamstand_entry/performers.py
+++ b/packages/entry/hornbeamstand_entry/performers.py
@@ -45,16 +45,19 @@
     An exception of a performer is raised in the filter that yielded its effect.
     """
     steps = handler(call)
-    advance, value = steps.send, None
-    while True:
-        try:
+    advance, value, effect = steps.send, None, None
+    try:
+        while True:
             effect = advance(value)
-        except StopIteration as stop:
-            return stop.value
-        try:
-            advance, value = steps.send, performers[type(effect)](effect, context)
-        except Exception as error:
-            advance, value = steps.throw, error
+            try:
+                advance, value = steps.send, performers[type(effect)](effect, context)
+            except Exception as error:
+                advance, value = steps.throw, error
+    except StopIteration as stop:
+        return stop.value
+    finally:
+        # An error that refers to this frame would keep itself, and the context.
+        del value, effect
 
 
 def make_performers(node, control_task, orders_task, pools, metrics, clock, settings):
