Make the servers of callers in edge/servers.py

Change: `make_server` stands beside `start_server`, for EdgeServer alone; an unused constant is gone. No behaviour changes.

Measured: test_edge_servers.py and test_ended_connections.py pass.

--- a/packages/entry/hornbeamstand_entry/edge/servers.py
+++ b/packages/entry/hornbeamstand_entry/edge/servers.py
@@ -6,7 +6,7 @@
 from gevent.pywsgi import WSGIServer
 
 from ..clock import make_process_clock
-from ..http_server import CLOSE, make_server
+from ..http_server import CLOSE
 from ..memory.costs import CONNECTION_BYTES
 from ..memory.limited_handler import LimitedHandler
 from ..tasks.byte_budget import ByteBudget
@@ -264,7 +264,7 @@
     before each request, so that new limits apply to open connections too.
     ``handler_class`` is EdgeHandler or a subclass.
     """
-    server = make_server(address, app, handler_class, EdgeServer)
+    server = make_server(address, app, handler_class)
     if listener is not None:
         server.set_listener(listener)
     server.caller_idle_s = idle_ms() / MS_PER_S
@@ -276,6 +276,22 @@
     return server
 
 
+def make_server(address, app, handler_class):
+    """Return an EdgeServer for a WSGI application, which does not listen yet.
+
+    The library would ask a name server for the name of its address.
+    """
+    host, _, port = address.rpartition(":")
+    return EdgeServer(
+        (host, int(port)),
+        app,
+        log=None,
+        error_log=None,
+        handler_class=handler_class,
+        environ={"SERVER_NAME": host},
+    )
+
+
 def stop_accepting(servers):
     """Accept the connections that wait, then close the listening sockets.
 
--- a/packages/entry/hornbeamstand_entry/http_server.py
+++ b/packages/entry/hornbeamstand_entry/http_server.py
@@ -4,7 +4,7 @@
 from contextlib import closing, contextmanager, nullcontext
 
 import gevent
-from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.pywsgi import WSGIHandler
 from hornbeamstand_core.messages import NOT_RUN, Refusal
 
 from .context import CALLER_GONE
@@ -29,7 +29,6 @@
 JOINED_BODY_MAX_BYTES = 16_384
 # Time after which a caller may retry a request whose body finds no memory.
 NO_MEMORY_RETRY_MS = 200.0
-MS_PER_S = 1000.0
 # Header of the last response on a connection.
 CLOSE = ("Connection", "close")
 
@@ -378,19 +377,3 @@
 
     watcher.start(check_connection)
     return watcher
-
-
-def make_server(address, app, handler_class, server_class=WSGIServer):
-    """Return a server for a WSGI application, which does not listen yet.
-
-    The library would ask a name server for the name of its address.
-    """
-    host, _, port = address.rpartition(":")
-    return server_class(
-        (host, int(port)),
-        app,
-        log=None,
-        error_log=None,
-        handler_class=handler_class,
-        environ={"SERVER_NAME": host},
-    )
