Refuse a request whose body finds no memory, and read no more of it

Callers whose body met a failed allocation had no answer until they had sent all of it or were idle for too long, and what was read of it stayed in memory meanwhile, held by nothing.

Cause: the error left the application, and the server's library then read the rest of the body to drop it, with the error and its frames still in its hands. The hold was released by then.

Change: a failed allocation while a body is read drops its frames, refuses the request with 503 like a body that the budget refuses, and ends the connection. `report_failure` frees memory after any failed allocation, so that no handler has to think of it.

Measured: the new case in test_request_memory.py failed before (no answer within 3 s); it passes now, with the tests of callers' limits and of failed allocations.

--- a/packages/entry/hornbeamstand_entry/http_server.py
+++ b/packages/entry/hornbeamstand_entry/http_server.py
@@ -283,6 +283,11 @@
     except OSError as error:
         environ["hornbeamstand.refuse_body"]()
         raise BodyError(Refusal("body broke off", NOT_RUN, 408, "front")) from error
+    except MemoryError as error:
+        environ["hornbeamstand.refuse_body"]()
+        # The frames of its traceback hold what was read.
+        report_failure("http-server", error.with_traceback(None))
+        raise no_memory() from error
 
 
 def limit_arrival(sock, timeout_ms):
--- a/packages/entry/hornbeamstand_entry/tasks/failures.py
+++ b/packages/entry/hornbeamstand_entry/tasks/failures.py
@@ -33,7 +33,10 @@
     """Report an unexpected error to the functions that were registered for it.
 
     A report that fails itself is left out: the error has to be handled in any case.
+    After a failed allocation, memory is freed first.
     """
+    if isinstance(error, MemoryError):
+        note_failed_allocation()
     for report in failure_reports:
         with suppress(Exception):
             report(name, error, ends_process)
--- a/packages/entry/tests/test_request_memory.py
+++ b/packages/entry/tests/test_request_memory.py
@@ -1,5 +1,6 @@
 """What was read of a request is freed without a collection once it counts no more."""
 
+import builtins
 import gc
 import weakref
 
@@ -149,3 +150,21 @@
         assert not is_caught
     del context
     assert reference() is None
+
+
+def test_a_failed_allocation_within_a_body_waits_for_nothing(
+    stack, buffers, monkeypatch
+):
+    """Guards against a body that stays in memory while its rest is awaited."""
+    front = Front(stack)
+    sock = begin_body(stack, front, buffers, LENGTH)
+    monkeypatch.setattr(http_server, "len", fail_for_buffers, raising=False)
+    sock.sendall(b"x")
+    assert b" 503 " in read_to_end(sock)
+    assert_is_freed(front, buffers)
+
+
+def fail_for_buffers(value):
+    if isinstance(value, bytearray):
+        raise MemoryError
+    return builtins.len(value)
