Let a failed allocation end one caller's connection, not the process

Callers lost their requests with a process that ended (status 70) because the request of another one found no memory.

Cause: the greenlet of a connection left a `MemoryError` to gevent. If its report found no memory either, the second error reached the event loop, where it was taken for a callback that was lost, which ends the process. The class of fault: an error is handled with the resource whose lack it reports.

Change: EdgeServer ends the error where the connection ends, and frees memory. The socket is closed as after any end.

Measured: of nine new cases in test_failed_connections.py, where one step of a connection finds no memory and its report neither, eight ended the process before (the ninth, the reading of the head, is answered by the library). All pass, with test_edge_servers.py and test_ended_connections.py.

--- a/packages/entry/hornbeamstand_entry/edge/servers.py
+++ b/packages/entry/hornbeamstand_entry/edge/servers.py
@@ -10,6 +10,7 @@
 from ..memory.costs import CONNECTION_BYTES
 from ..memory.limited_handler import LimitedHandler
 from ..tasks.byte_budget import ByteBudget
+from ..tasks.failures import report_failure
 from ..tasks.sockets import NO_DESCRIPTOR_ERRORS, has_bytes
 
 MS_PER_S = 1000.0
@@ -158,7 +159,11 @@
     def handle(self, sock, address):
         """Serve a connection; its greenlet calls this as it begins to run."""
         self.n_unstarted -= 1
-        super().handle(sock, address)
+        try:
+            super().handle(sock, address)
+        except MemoryError as error:
+            # gevent would report it, for which there may be no memory either.
+            report_failure("http-server", error)
 
 
 class EdgeHandler(LimitedHandler):
--- /dev/null
+++ b/packages/entry/tests/test_failed_connections.py
@@ -0,0 +1,120 @@
+"""An allocation that fails for one caller's connection harms no other one."""
+
+import gc
+import weakref
+
+import gevent
+import pytest
+from gevent import socket
+from hornbeamstand_core.routes import CallerLimits
+from hornbeamstand_entry.edge.pipelining import PipelineHandler
+from hornbeamstand_entry.edge.servers import start_server
+from hornbeamstand_entry.tasks.failures import handle_loop_failures
+
+from tests.caller_front import read_to_end
+
+PATIENCE_S = 3.0
+HANG_S = 0.2
+LIMITS = CallerLimits()
+
+
+def find_no_memory(*args, **kwargs):
+    raise MemoryError
+
+
+def fail_for_greenlets():
+    """Return an error handler of the event loop that finds no memory for greenlets."""
+    handle_error = gevent.get_hub().handle_error
+
+    def fail(context, *error):
+        if isinstance(context, gevent.Greenlet):
+            raise MemoryError
+        handle_error(context, *error)
+
+    return fail
+
+
+def get(path):
+    return f"GET {path} HTTP/1.1\r\nHost: h\r\n\r\n".encode()
+
+
+class Held:
+    """What the failing application refers to."""
+
+
+class FailingFront:
+    """A server whose application fails for the path /fail, and waits for /hang."""
+
+    def __init__(self, stack):
+        self.held = []
+        self.n_hanging = 0
+        self.server = start_server(
+            "127.0.0.1:0",
+            self.app,
+            stack,
+            lambda: 5000.0,
+            lambda: LIMITS,
+            handler_class=PipelineHandler,
+        )
+        self.server.may_start_early = lambda host, path: True
+
+    def app(self, environ, start_response):
+        path = environ["PATH_INFO"]
+        if path == "/fail":
+            held = Held()
+            self.held.append(weakref.ref(held))
+            raise ValueError
+        if path == "/hang":
+            self.n_hanging += 1
+            unwatch = environ["hornbeamstand.watch_caller"](gevent.queue.SimpleQueue())
+            gevent.sleep(HANG_S)
+            unwatch()
+            self.n_hanging -= 1
+        start_response("200 OK", [("Content-Length", "0")])
+        return []
+
+    def connect(self, stack):
+        address = ("127.0.0.1", self.server.server_port)
+        sock = socket.create_connection(address, timeout=PATIENCE_S)
+        stack.callback(sock.close)
+        return sock
+
+    def wait_for_the_end(self):
+        with gevent.Timeout(PATIENCE_S):
+            while self.server.n_connections:
+                gevent.sleep(0.001)
+
+    def assert_serves(self, stack):
+        with self.connect(stack) as sock:
+            sock.sendall(get("/"))
+            assert sock.recv(1000).startswith(b"HTTP/1.1 200 ")
+
+
+@pytest.fixture
+def front(stack, monkeypatch):
+    ended = []
+    monkeypatch.setattr("os._exit", ended.append)
+    handle_loop_failures(stack)
+    gc.disable()
+    yield FailingFront(stack)
+    gc.enable()
+    assert ended == []
+
+
+@pytest.mark.parametrize(
+    "name",
+    ["__init__", "handle", "handle_one_request", "read_request", "get_environ"]
+    + ["start_response", "_sendall", "handle_error", "finish_request"],
+)
+def test_a_connection_without_memory_ends_alone(stack, front, monkeypatch, name):
+    """Guards against a process whose event loop gets the error of one connection."""
+    with monkeypatch.context() as patch:
+        patch.setattr(PipelineHandler, name, find_no_memory)
+        patch.setattr(gevent.get_hub(), "handle_error", fail_for_greenlets())
+        sock = front.connect(stack)
+        sock.sendall(get("/fail"))
+        assert b" 200 " not in read_to_end(sock)
+    sock.close()
+    front.wait_for_the_end()
+    assert front.server.budget.n_held_bytes == 0
+    front.assert_serves(stack)
