Drop what a failed request refers to before its error response

What a request had in memory stayed, in no hold, while the response with status 500 was sent to a caller that may take it slowly.

Cause: the server's library keeps the traceback until the response is sent, and its frames refer to the body of the request and to the responses of targets. Their holds were released as the error left the application.

Change: `handle_error` clears the frames after the error is logged and before it responds.

Measured: a new test that looks at an object of the failed application as the response is about to be sent found it before; it is gone now. Tests of front ends' errors, callers' limits and pipelining pass.

--- a/packages/entry/hornbeamstand_entry/http_server.py
+++ b/packages/entry/hornbeamstand_entry/http_server.py
@@ -2,6 +2,7 @@
 
 import socket
 from contextlib import closing, contextmanager, nullcontext
+from traceback import clear_frames
 
 import gevent
 from gevent.pywsgi import WSGIHandler
@@ -132,15 +133,17 @@
     def handle_error(self, error_type, error, traceback):
         """Log an error, and send an error response if no byte of another was sent.
 
-        The library checks only whether the whole head was sent.
+        The library checks only whether the whole head was sent, and keeps the traceback
+        until the response is.
         """
         if not isinstance(error, OSError):
             report_failure("http-server", error)
-        if not self.headers_sent:
-            super().handle_error(error_type, error, traceback)
-            return
         self._log_error(error_type, error, traceback)
-        self.close_connection = True
+        clear_frames(traceback)
+        if self.headers_sent:
+            self.close_connection = True
+        else:
+            self._send_error_response_if_possible(500)
 
     def _handle_client_error(self, ex):
         return error_response(ex)
--- a/packages/entry/tests/test_failed_connections.py
+++ b/packages/entry/tests/test_failed_connections.py
@@ -118,3 +118,18 @@
     front.wait_for_the_end()
     assert front.server.budget.n_held_bytes == 0
     front.assert_serves(stack)
+
+
+def test_what_failed_is_free_before_its_error_response(stack, front, monkeypatch):
+    """Guards against an error response that a caller takes slowly."""
+    kept = []
+
+    def send(handler, error_code):
+        kept.append(front.held[0]() is not None)
+        handler.close_connection = True
+
+    monkeypatch.setattr(PipelineHandler, "_send_error_response_if_possible", send)
+    sock = front.connect(stack)
+    sock.sendall(get("/fail"))
+    read_to_end(sock)
+    assert kept == [False]
