Limit the memory of answers that are kept for resends of orders

A client with idempotency keys could end a VM of the own program: each answer of an order is kept for ten minutes, up to 100,000 of them of any size, at the primary and at the backup.

Cause: the order book limited the number of orders, not their bytes, and what it kept counted in no budget; nor did the copies that are encoded for a peer. The class of fault: state that callers fill outlives the request whose memory was counted.

Change: OrderMemory (packages/core) counts orders and answers, those of peers too. Beyond half of the VM's budget (128 MB by default) it drops answers, large ones first and the oldest of about the same size. The order stays: a resend gets "outcome unknown", and never runs again. Requests that wait for the outcome still get it whole. The orders task counts all of it in the budget of the VM, and the copies for a peer while they are sent; without room for these the peer gets the order without its answer.

--- a/packages/core/hornbeamstand_core/controllers/orders/order_book.py
+++ b/packages/core/hornbeamstand_core/controllers/orders/order_book.py
@@ -49,6 +49,8 @@
         When the VM started. Orders from before that time are unknown to it.
     retention_ms : float
         Time for which orders are kept.
+    memory : OrderMemory, optional
+        Counts what the orders take, and drops answers beyond its limit.
 
     ``_transferred_view`` is the latest view for which all members have transferred
     their orders. ``_held_messages`` are the ReserveOrder messages that wait for
@@ -68,12 +70,12 @@
         "_n_attempts",
     )
 
-    def __init__(self, member_id, now_ms, retention_ms=RETENTION_MS):
+    def __init__(self, member_id, now_ms, retention_ms=RETENTION_MS, memory=None):
         self.member_id = member_id
         self.view = View.empty()
         self.configuration = None
         self.retention_ms = retention_ms
-        self._orders = OrderTable(retention_ms)
+        self._orders = OrderTable(retention_ms, memory)
         self._held_messages = []
         self._transferred_view = View.empty()
         self._transfers = OrderTransfers(member_id)
@@ -83,6 +85,11 @@
     def __len__(self):
         return len(self._orders)
 
+    @property
+    def memory(self):
+        """What the orders take, as an OrderMemory."""
+        return self._orders.memory
+
     # Requests.
 
     def reserve(self, message, now_ms):
@@ -213,8 +220,7 @@
         """Record the first outcome of an order; return the replies that it allows."""
         if order.state == DONE:
             return []
-        order.complete(outcome)
-        waiters = self._orders.take_waiters(order)
+        waiters = self._orders.complete(order, outcome)
         if order.reservation is not None:
             waiters = [self._orders.end_reservation(order), *waiters]
         return reply_completed(waiters, outcome)
--- a/packages/core/hornbeamstand_core/controllers/orders/order_table.py
+++ b/packages/core/hornbeamstand_core/controllers/orders/order_table.py
@@ -1,5 +1,6 @@
 """The orders that one VM holds by their key, and the requests that wait for them."""
 
+from .order_memory import OrderMemory
 from .order_record import Order
 
 # Maximum number of orders kept by one VM, above which it refuses new orders.
@@ -16,12 +17,15 @@
     ----------
     retention_ms : float
         Time for which orders are kept.
+    memory : OrderMemory, optional
+        Counts what the orders take.
     """
 
-    __slots__ = ("retention_ms", "_orders", "_with_waiters", "_unstarted")
+    __slots__ = ("retention_ms", "memory", "_orders", "_with_waiters", "_unstarted")
 
-    def __init__(self, retention_ms):
+    def __init__(self, retention_ms, memory=None):
         self.retention_ms = retention_ms
+        self.memory = memory or OrderMemory()
         self._orders = {}
         self._with_waiters = {}
         self._unstarted = {}
@@ -47,7 +51,7 @@
         order_key = (message.service_name, message.key)
         order = Order(*order_key, now_ms)
         order.reservation = message
-        self._orders[order_key] = order
+        self._add(order_key, order)
         self._unstarted[order_key] = order
         return order
 
@@ -57,16 +61,30 @@
         order = self._orders.get(order_key)
         if order is None:
             order = Order(*order_key, recorded_at_ms)
-            self._orders[order_key] = order
+            self._add(order_key, order)
         elif recorded_at_ms > order.recorded_at_ms:
             # The copy may be of a later attempt; the order moves to the youngest ones.
             order.recorded_at_ms = recorded_at_ms
             self._orders[order_key] = self._orders.pop(order_key)
         return order
 
+    def _add(self, order_key, order):
+        self._orders[order_key] = order
+        self.memory.add(order)
+
+    def complete(self, order, outcome):
+        """Record the outcome of an attempt that may have run; return the waiters.
+
+        They get the outcome whole. The order's answer may be dropped later, or now.
+        """
+        order.complete(outcome)
+        self.memory.add_answer(order)
+        return self.take_waiters(order)
+
     def remove(self, order):
         """Remove an order of which no attempt is left; return its waiters."""
         del self._orders[(order.service_name, order.key)]
+        self.memory.remove(order)
         return self.take_waiters(order)
 
     def end_reservation(self, order):
@@ -119,4 +137,4 @@
                 break
             expired.append(order_key)
         for order_key in expired:
-            del self._orders[order_key]
+            self.memory.remove(self._orders.pop(order_key))
--- a/packages/entry/hornbeamstand_entry/peer_codec.py
+++ b/packages/entry/hornbeamstand_entry/peer_codec.py
@@ -3,6 +3,7 @@
 import msgspec
 from hornbeamstand_core.balancer_messages import CapacityReport
 from hornbeamstand_core.controllers.node import SendCapacityReport
+from hornbeamstand_core.controllers.orders.order_memory import refuse_dropped
 from hornbeamstand_core.messages import Answer, Refusal
 from hornbeamstand_core.order_messages import (
     DONE,
@@ -31,6 +32,8 @@
 PART_MAX_BYTES = 256 << 10
 # Size that is counted for an order without its response.
 ORDER_BYTES = 512
+# Size that is counted for a header of a response, besides its text.
+HEADER_BYTES = 256
 # Separates the state of an order from the number of its attempt. VMs of the version
 # before know no numbers and read every such state as OPEN, which lets nothing run.
 ATTEMPT_SEPARATOR = ":"
@@ -151,9 +154,34 @@
 
 
 def outcome_bytes(outcome):
-    """Return the size of the response in an outcome, without its headers."""
+    """Return the size of the response in an outcome, with its headers."""
     payload = getattr(outcome, "payload", None)
-    return len(payload.body) if payload is not None else 0
+    if payload is None:
+        return 0
+    n_header_bytes = sum(
+        HEADER_BYTES + len(name) + len(value) for name, value in payload.items()
+    )
+    return len(payload.body) + n_header_bytes
+
+
+def orders_bytes(message):
+    """Return the size of the orders of a SendOrders."""
+    return sum(
+        ORDER_BYTES + len(stored.key) + outcome_bytes(stored.outcome)
+        for stored in message.orders
+    )
+
+
+def without_answers(message):
+    """Return a SendOrders whose answers are replaced: their outcome is unknown."""
+    return message.replace(orders=[without_answer(s) for s in message.orders])
+
+
+def without_answer(stored):
+    """Return a StoredOrder without the answer of its outcome, if that is one."""
+    if not isinstance(stored.outcome, Answer):
+        return stored
+    return stored.replace(outcome=refuse_dropped(stored.key))
 
 
 def decode_orders(raw, query=""):
--- a/packages/entry/hornbeamstand_entry/process.py
+++ b/packages/entry/hornbeamstand_entry/process.py
@@ -6,6 +6,7 @@
 from hornbeamstand_core.config import Configuration
 from hornbeamstand_core.controllers.node import Node
 from hornbeamstand_core.controllers.orders.order_book import OrderBook
+from hornbeamstand_core.controllers.orders.order_memory import OrderMemory
 from hornbeamstand_core.controllers.owned_targets import choice, limits
 from hornbeamstand_core.controllers.stopping import RUNNING
 from hornbeamstand_core.filters import build_default_chain
@@ -24,6 +25,7 @@
 from .life.late_servers import LateServer
 from .memory.relief import limit_connections, limit_memory
 from .metrics import Metrics
+from .peer_codec import outcome_bytes
 from .performers import make_performers
 from .tasks.byte_budget import ByteBudget
 from .tasks.config_watcher import WATCH_WAIT_MS, ConfigWatcher
@@ -43,6 +45,8 @@
 # Share of a VM's memory for what is held for callers. The rest is for the process
 # itself, its state and the buffers of the system.
 HELD_MEMORY_SHARE = 0.5
+# Share of that for orders and their answers, which are kept for resends.
+ORDERS_SHARE = 0.5
 BYTES_PER_MB = 1 << 20
 # Number of descriptors up to which the limit that the process inherits is raised.
 N_DESCRIPTORS_WANTED = 16_384
@@ -115,8 +119,11 @@
         )
         self.pools = Pools(self.clock, stack, rules)
         self.metrics = Metrics()
-        book = OrderBook(self.node.balancer.member_id, self.clock.now_ms())
-        self.orders_task = OrdersTask(book, self.pools, self.clock)
+        memory = OrderMemory(ORDERS_SHARE * self.budget.limit_bytes, outcome_bytes)
+        book = OrderBook(
+            self.node.balancer.member_id, self.clock.now_ms(), memory=memory
+        )
+        self.orders_task = OrdersTask(book, self.pools, self.clock, self.budget)
         self._build_control(stack)
         self._build_front()
         return self
--- a/packages/entry/hornbeamstand_entry/tasks/orders_task.py
+++ b/packages/entry/hornbeamstand_entry/tasks/orders_task.py
@@ -16,10 +16,13 @@
     KeptResponse,
     decode_orders,
     encode_orders,
+    orders_bytes,
     orders_path,
     split_transfer,
+    without_answers,
 )
 from ..responses import respond_json
+from .byte_budget import ByteBudget
 from .exchange import Exchange
 from .failures import spawn_supervised
 from .task import Ask, Task, receive, start_loop
@@ -40,6 +43,8 @@
 REFUSED = 409
 # Maximum size of the body of a peer's acknowledgement.
 ACK_MAX_BYTES = 4096
+# Number of copies of orders in memory while they are sent: encoded, and as a request.
+N_SENT_COPIES = 2
 
 
 class OrdersTask:
@@ -53,15 +58,28 @@
         Connections to peers.
     clock : Clock
         The process's clock.
+    budget : ByteBudget, optional
+        Counts what the orders take.
     """
 
-    __slots__ = ("book", "pools", "clock", "task", "_reply_mailboxes", "_handlers")
-
-    def __init__(self, book, pools, clock):
+    __slots__ = (
+        "book",
+        "pools",
+        "clock",
+        "task",
+        "budget",
+        "_hold",
+        "_reply_mailboxes",
+        "_handlers",
+    )
+
+    def __init__(self, book, pools, clock, budget=None):
         self.book = book
         self.pools = pools
         self.clock = clock
         self.task = Task("orders")
+        self.budget = budget or ByteBudget()
+        self._hold = self.budget.hold()
         self._reply_mailboxes = {}
         self._handlers = {
             ReserveOrder: book.reserve,
@@ -89,14 +107,20 @@
         elif type(message) is RecordOutcome:
             keep_payload(message)
         messages = self._handlers[type(message)](message, self.clock.now_ms())
+        self._count_memory()
         if acknowledge_to is not None:
             acknowledge_to.put(True)
         self._deliver(messages)
 
     def _tick(self):
         self._deliver(self.book.tick(self.clock.now_ms()))
+        self._count_memory()
         return TICK_MS
 
+    def _count_memory(self):
+        """Count what the orders take now; their answers are limited by the book."""
+        self._hold.add(self.book.memory.n_bytes - self._hold.n_bytes)
+
     def _deliver(self, messages):
         for message in messages:
             if type(message) is DeferredReply:
@@ -120,10 +144,22 @@
         self.task.post(OrdersSent(message, True))
 
     def _send_orders(self, message):
-        """Send orders to a peer; return the status of its response, 0 without one."""
+        """Send orders to a peer; return the status of its response, 0 without one.
+
+        Answers for whose copies no memory is left are not sent with their orders.
+        """
         peer = self.book.view.members.get(message.peer_id)
         if peer is None:
             return 0
+        hold = self.budget.hold()
+        if not hold.grow_to(N_SENT_COPIES * orders_bytes(message)):
+            message = without_answers(message)
+        try:
+            return self._send_encoded(peer, message)
+        finally:
+            hold.release()
+
+    def _send_encoded(self, peer, message):
         address = peer.front_address
         body = encode_orders(self.book.member_id, message)
         request_bytes = encode_request(
