Refuse new orders once orders alone fill their share of memory

A client that sends orders with long keys could fill the memory of the own program.

Cause: 100,000 orders were allowed whatever their keys, which may be as long as a head, and a backup stored any number of copies. The class of fault: a limit of a number where the size is chosen by others.

Change: keys can't be dropped, or orders would run twice. A new order is refused, "not run", once orders without their answers take the share of memory that OrderMemory has. A backup answers 503 to the copy of an order that it doesn't know then, and the next one is tried. Parts of a transfer carry the version of the configuration, by which they are told from such copies: they are stored in any case.

--- a/packages/core/hornbeamstand_core/controllers/orders/order_book.py
+++ b/packages/core/hornbeamstand_core/controllers/orders/order_book.py
@@ -141,7 +141,7 @@
         return []
 
     def _open(self, message, holders, now_ms):
-        if self._orders.is_full:
+        if self._orders.is_full_for(message.service_name, message.key):
             return [refuse(message, "order book full", NOT_RUN)]
         self._n_attempts += 1
         order = self._orders.add_reserved(message, now_ms)
@@ -263,6 +263,16 @@
             return True
         return all(stored.state != OPEN for stored in message.orders)
 
+    def has_room_for(self, message):
+        """Return whether there is memory for the orders of an OrdersReceived.
+
+        Parts of a transfer, which have a version, are stored in any case: without them
+        no new order of their keys could run.
+        """
+        if message.config_version != 0:
+            return True
+        return all(map(self._orders.has_room_for, message.orders))
+
     def note_received(self, message, now_ms):
         """Store the orders of an OrdersReceived; return the replies that they allow."""
         out = []
--- a/packages/core/hornbeamstand_core/controllers/orders/order_table.py
+++ b/packages/core/hornbeamstand_core/controllers/orders/order_table.py
@@ -1,5 +1,6 @@
 """The orders that one VM holds by their key, and the requests that wait for them."""
 
+from ...order_messages import DROPPED
 from .order_memory import OrderMemory
 from .order_record import Order
 
@@ -33,10 +34,17 @@
     def __len__(self):
         return len(self._orders)
 
-    @property
-    def is_full(self):
-        """Whether new orders are refused."""
-        return len(self._orders) >= N_ORDERS_MAX
+    def is_full_for(self, service_name, key):
+        """Return whether a new order is refused."""
+        if len(self._orders) >= N_ORDERS_MAX:
+            return True
+        return not self.memory.has_room(service_name, key)
+
+    def has_room_for(self, stored):
+        """Return whether there is memory for a copy."""
+        if stored.state == DROPPED or self.find(stored.service_name, stored.key):
+            return True
+        return self.memory.has_room(stored.service_name, stored.key)
 
     def values(self):
         """Return all orders."""
--- a/packages/core/tests/test_order_memory.py
+++ b/packages/core/tests/test_order_memory.py
@@ -1,5 +1,6 @@
 """The memory of orders: which answers are dropped, and what resends get then."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -10,9 +11,11 @@
     OrderMemory,
     order_bytes,
 )
-from hornbeamstand_core.messages import OUTCOME_UNKNOWN, Answer, Refusal
+from hornbeamstand_core.messages import NOT_RUN, OUTCOME_UNKNOWN, Answer, Refusal
 from hornbeamstand_core.order_messages import (
     DONE,
+    DROPPED,
+    OPEN,
     EpochAdopted,
     OrderCompleted,
     OrdersReceived,
@@ -114,6 +117,40 @@
     assert stored.outcome.certainty == OUTCOME_UNKNOWN
 
 
+def test_new_orders_are_refused_once_orders_alone_take_the_limit():
+    """Guards against long keys, which can't be dropped, that fill the memory."""
+    book = make_book(3 * SERVICE_KEY_BYTES)
+    for i in range(3):
+        run(book, f"k{i}", 10_000)
+    refusal = reserve(book, "k3")
+    assert refusal.certainty == NOT_RUN
+    assert book.memory.n_bytes <= 3 * SERVICE_KEY_BYTES
+    assert kept_sizes(book, ["k0", "k1", "k2"]) == [None] * 3
+
+
+@pytest.mark.parametrize(
+    ("key", "state", "config_version", "has_room"),
+    [
+        ("new", OPEN, 0, False),
+        ("new", DONE, 0, False),
+        ("new", DROPPED, 0, True),
+        ("k0", DONE, 0, True),
+        ("new", OPEN, 3, True),
+        ("new", OPEN, None, True),
+    ],
+)
+def test_a_full_backup_stores_transfers_and_what_it_knows(
+    key, state, config_version, has_room
+):
+    """Guards against copies that fill a backup, and a transfer that can't end."""
+    book = make_book(SERVICE_KEY_BYTES, "vm1")
+    first = StoredOrder(SERVICE, "k0", OPEN, None, 0.0, "vm1", 1)
+    book.note_received(OrdersReceived("vm1", [first], 0, False, 0), 0.0)
+    stored = StoredOrder(SERVICE, key, state, None, 0.0, "vm1", 1)
+    message = OrdersReceived("vm1", [stored], 0, False, config_version)
+    assert book.has_room_for(message) == has_room
+
+
 @given(st.lists(st.integers(0, 40_000), max_size=40), st.integers(ORDER_BYTES, 200_000))
 def test_what_is_kept_stays_within_the_limit_and_ends_at_zero(sizes, limit_bytes):
     """Guards against bytes that count twice or for ever."""
--- a/packages/entry/hornbeamstand_entry/peer_codec.py
+++ b/packages/entry/hornbeamstand_entry/peer_codec.py
@@ -139,7 +139,9 @@
     for stored in message.orders:
         n_order_bytes = ORDER_BYTES + outcome_bytes(stored.outcome)
         if part and n_bytes + n_order_bytes > PART_MAX_BYTES:
-            parts.append(SendOrders(message.peer_id, part))
+            parts.append(
+                SendOrders(message.peer_id, part, config_version=message.config_version)
+            )
             part, n_bytes = [], 0
         part.append(stored)
         n_bytes += n_order_bytes
--- a/packages/entry/hornbeamstand_entry/tasks/orders_task.py
+++ b/packages/entry/hornbeamstand_entry/tasks/orders_task.py
@@ -38,9 +38,16 @@
 # Timeout for storing a peer's orders, after which the peer gets status 503. It is
 # shorter than REPLICATION_TIMEOUT_MS, for which the peer waits.
 ACK_TIMEOUT_MS = 200.0
-# Statuses of a peer's responses: the orders are stored, or the sender is no member.
+# Statuses of a peer's responses: the orders are stored, the sender is no member, or
+# they can't be stored now.
 STORED = 200
 REFUSED = 409
+UNAVAILABLE = 503
+ACKNOWLEDGEMENTS = {
+    STORED: {},
+    REFUSED: {"error": "not a member"},
+    UNAVAILABLE: {"error": "busy"},
+}
 # Maximum size of the body of a peer's acknowledgement.
 ACK_MAX_BYTES = 4096
 # Number of copies of orders in memory while they are sent: encoded, and as a request.
@@ -99,17 +106,20 @@
             ask, message = message, message.message
             if type(message) is not OrdersReceived:
                 self._reply_mailboxes[message.request_id] = ask.reply_to
-            elif self.book.may_store(message):
-                acknowledge_to = ask.reply_to
-            else:
-                ask.reply_to.put(False)
+            elif not self.book.may_store(message):
+                ask.reply_to.put(REFUSED)
+                return
+            elif not self.book.has_room_for(message):
+                ask.reply_to.put(UNAVAILABLE)
                 return
+            else:
+                acknowledge_to = ask.reply_to
         elif type(message) is RecordOutcome:
             keep_payload(message)
         messages = self._handlers[type(message)](message, self.clock.now_ms())
         self._count_memory()
         if acknowledge_to is not None:
-            acknowledge_to.put(True)
+            acknowledge_to.put(STORED)
         self._deliver(messages)
 
     def _tick(self):
@@ -183,12 +193,8 @@
             return respond_json(start_response, 400, {"error": "malformed orders"})
         mailbox = Task("ack").mailbox
         self.task.post(Ask(message, mailbox))
-        is_stored = receive(mailbox, ACK_TIMEOUT_MS)
-        if is_stored is None:
-            return respond_json(start_response, 503, {"error": "busy"})
-        if not is_stored:
-            return respond_json(start_response, REFUSED, {"error": "not a member"})
-        return respond_json(start_response, STORED, {})
+        status = receive(mailbox, ACK_TIMEOUT_MS) or UNAVAILABLE
+        return respond_json(start_response, status, ACKNOWLEDGEMENTS[status])
 
 
 def keep_payload(message):
--- a/packages/entry/tests/test_order_memory.py
+++ b/packages/entry/tests/test_order_memory.py
@@ -10,6 +10,7 @@
 from hornbeamstand_core.messages import OUTCOME_UNKNOWN, Answer
 from hornbeamstand_core.order_messages import (
     DONE,
+    OPEN,
     EpochAdopted,
     SendOrders,
     StoredOrder,
@@ -20,7 +21,9 @@
     KeptResponse,
     decode_orders,
     encode_orders,
+    orders_path,
     outcome_bytes,
+    split_transfer,
 )
 from hornbeamstand_entry.tasks.byte_budget import ByteBudget
 from hornbeamstand_entry.tasks.orders_task import OrdersTask
@@ -56,6 +59,23 @@
     assert task.book.memory.n_dropped > 0
 
 
+def test_a_backup_without_memory_refuses_an_order_and_stores_a_transfer():
+    """Guards against a backup that long keys fill, or that no transfer reaches."""
+    with ExitStack() as stack:
+        task = make_task(ByteBudget(LIMIT_BYTES))
+        task.start(stack)
+        stored = StoredOrder("shop", "k" * LIMIT_BYTES, OPEN, None, 0.0, "vm2", 1)
+        statuses = []
+        for message in (
+            SendOrders("vm1", [stored]),
+            split_transfer(SendOrders("vm1", [stored] * 2, 1, False, 1))[0],
+        ):
+            raw = encode_orders("vm2", message)
+            query = orders_path(message).partition("?")[2]
+            task.answer_peer(raw, query, lambda line, items: statuses.append(line[:3]))
+    assert statuses == ["503", "200"]
+
+
 @pytest.mark.parametrize("n_held_bytes", [0, LIMIT_BYTES])
 def test_an_answer_is_copied_to_a_peer_only_if_its_copies_find_memory(n_held_bytes):
     """Guards against copies of answers that fill the memory while a peer is slow."""
--- a/tests/test_crowds_orders.py
+++ b/tests/test_crowds_orders.py
@@ -11,6 +11,7 @@
 from standins.cluster import request
 
 from .crowds import (
+    BYTES_PER_KB,
     assert_holds,
     try_request,
     wait_until_served,
@@ -21,6 +22,7 @@
 N_DESCRIPTORS_MAX = 4100
 N_SENDERS = 12
 LONG_BODY_BYTES = 1_000_000
+LONG_KEY_BYTES = 14 * BYTES_PER_KB
 TIMEOUT_S = 10.0
 UNKNOWN = "outcome-unknown"
 
@@ -66,3 +68,13 @@
             is_whole = status == 200 and len(body) > LONG_BODY_BYTES
             assert is_whole or headers["hornbeam-outcome"] == UNKNOWN
         assert total(targets, "n_runs") == n_run
+
+
+def test_long_keys_of_orders_end_no_vm():
+    """Guards against orders whose keys alone fill the memory."""
+    with ExitStack() as stack:
+        settings = {"memory_mb": MEMORY_MB}
+        cluster, _ = start_cluster(stack, 2, overrides=settings)
+        keys = [f"{i:0{LONG_KEY_BYTES}}" for i in range(9_000)]
+        send_orders(cluster.vms[0], keys, 0)
+        assert_cluster_holds(cluster)
