--- a/soak/day/lost.py
+++ b/soak/day/lost.py
@@ -19,6 +19,8 @@
 SLACK_S = 0.02
 NOT_RUN_STATUSES = frozenset([408, 421, 429, 503])
 SERVER_ERROR = 500
+# Beginnings of the kinds of disruptions that excuse no loss.
+UNEXCUSED_KINDS = ("store", "endless")
 MS_PER_S = 1000.0
 
 
@@ -140,7 +142,7 @@
 def find_disruption(journal, attempt, kind=""):
     """Return the unplanned disruption around an attempt, the latest that began.
 
-    That of its own VM comes first. A disturbance of the store excuses nothing.
+    That of its own VM comes first.
     """
     found = [
         work
@@ -155,11 +157,11 @@
 
 
 def list_disruptions(journal, attempt):
-    """Return the unplanned disruptions around an attempt, but for the store's."""
+    """Return the unplanned disruptions around an attempt that may excuse its loss."""
     return [
         work
         for work in journal.unplanned
-        if not work.kind.startswith("store")
+        if not work.kind.startswith(UNEXCUSED_KINDS)
         and work.start_s <= attempt.ended_s
         and work.end_s >= attempt.sent_s - CONTACT_S
     ]
--- a/soak/day/operations.py
+++ b/soak/day/operations.py
@@ -7,6 +7,7 @@
 from standins.edge_cell import DOMAINS
 
 from ..proxy import ONE_WAY, PASS, SILENT
+from .endless import play_endless
 from .probes import Prober
 from .processes import Processes
 from .records import now_s
@@ -81,6 +82,7 @@
             "target-reset": self._reset_target,
             "target-reuse": self._reuse_address,
             "target-slow": self._slow_target,
+            "endless": lambda event: play_endless(cell, journal, seed, event),
             "store-refuses-one": self._refuse_one,
             "store-reset": self._reset_store,
             "store-forgets": lambda event: cell.store.compact_history(),
--- a/soak/day/run.py
+++ b/soak/day/run.py
@@ -15,6 +15,7 @@
 from .config_logs import check_config_logs
 from .ends import check_answered, count_beside
 from .lost import find_losses
+from .memory import check_memory
 from .operations import Operations
 from .own_answers import count_own_answers
 from .records import DayJournal, now_s
@@ -23,6 +24,8 @@
 from .site import KINDS
 from .store_checks import check_refusals, check_strays, describe_beside
 
+# Beginnings of the kinds of events beside which the ends of attempts are counted.
+COUNTED_KINDS = ("add-many", "endless")
 # Interval at which the lag of the event loop is measured, and the least one noted.
 LAG_INTERVAL_S = 0.02
 LAG_MIN_S = 0.02
@@ -45,6 +48,7 @@
         cell.young_vms.clear()
         prober = play_day(cell, journal, events, plan)
         findings = [*journal.findings, *check_orders(journal)]
+        findings += check_memory(cell, "the day")
         findings += [*check_denied(journal), *check_config_logs(folder)]
         findings += [*check_strays(journal), *check_refusals(journal)]
         findings += [*check_answered(journal), *check_recovered(journal)]
@@ -54,8 +58,8 @@
     losses = find_losses(journal)
     beside = [
         f"{work.kind}, {work.end_s - work.start_s:.1f} s: {count_beside(journal, work)}"
-        for work in journal.planned
-        if work.kind == "add-many"
+        for work in [*journal.planned, *journal.unplanned]
+        if work.kind.startswith(COUNTED_KINDS)
     ]
     beside += describe_beside(journal, prober.late)
     beside += count_own_answers(journal)
--- a/soak/day/schedule.py
+++ b/soak/day/schedule.py
@@ -51,6 +51,7 @@
     "target-reset": 2,
     "target-reuse": 2,
     "target-slow": 1,
+    "endless": 2,
 }
 # Cuts of the paths between VMs, and from them to the store.
 CUTS = {
@@ -61,6 +62,9 @@
 }
 # Duration of the only cut of a day: longer than peers need to notice a silence.
 SINGLE_CUT_S = 5.0
+# Kinds that, as the only event of a day, last longer than others, and how long.
+LASTING = frozenset(["endless"])
+SINGLE_LASTING_S = 4.0
 # Drills: the store comes back from a copy, or several VMs die while it is down. Beside
 # them, changes that a copy may lack.
 DRILLS = {"store-copy": 8, "store-down": 3, "domain-out": 2, "leave": 2}
@@ -73,6 +77,8 @@
 def single_event(kind):
     """Return the events of a day with one event after the calm start."""
     duration_s = SINGLE_CUT_S if kind in CUTS else DURATION_MIN_S
+    if kind in LASTING:
+        duration_s = SINGLE_LASTING_S
     return [Fault(2.0 * CALM_START_S, kind, 0, duration_s)]
 
 
--- a/soak/day/target.py
+++ b/soak/day/target.py
@@ -6,6 +6,7 @@
 import gevent
 from gevent.pywsgi import WSGIServer
 
+from standins.endless import send_without_end
 from standins.server import NoDelayHandler, Server, respond, send_extra_response
 
 from ..proxy import reset
@@ -42,12 +43,18 @@
 
 
 class DayTarget(Server):
-    """A Server that draws work times and records its runs in a DayJournal."""
+    """A Server that draws work times and records its runs in a DayJournal.
+
+    ``endless`` is the Form in which its answers never end, or None, and
+    ``has_endless_health`` whether those of its health path don't either.
+    """
 
     __slots__ = (
         "journal",
         "rng",
         "find_sender",
+        "endless",
+        "has_endless_health",
         "_listener",
         "_n_entries",
         "_runs",
@@ -61,6 +68,8 @@
         self.rng = rng
         # Takes both ends of a connection; returns the VM that opened it, or None.
         self.find_sender = None
+        self.endless = None
+        self.has_endless_health = False
         self._n_entries = 0
         self._listener = None
         self._runs = []
@@ -90,6 +99,9 @@
 
     def serve(self, environ, start_response):
         """Note the arrival of a request and serve it (a WSGI application)."""
+        is_health = environ["PATH_INFO"] == "/health"
+        if is_health and self.endless and self.has_endless_health:
+            send_without_end(environ["standin.socket"], self.endless, b"")
         attempt_id = environ.get("HTTP_ATTEMPT_ID")
         if attempt_id is not None:
             arrived = self.journal.arrivals.setdefault(attempt_id, [])
@@ -136,6 +148,8 @@
         """Answer in the form that was drawn for the request."""
         self.n_running -= 1
         form, sock = environ["day.form"], environ["standin.socket"]
+        if self.endless is not None:
+            send_without_end(sock, self.endless, attempt_id.encode())
         body = f"ran {environ['standin.request_target']} ".encode() + form.padding
         items = [("Attempt-Id", attempt_id), ("Server-Seal", f"seal-{self.server_id}")]
         items.append(("Server-Load", self.load_figures()))
--- a/standins/process_limits.py
+++ b/standins/process_limits.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 BYTES_PER_MB = 1 << 20
+KB_PER_MB = 1024
 # Memory and descriptors of a VM in the platform's settings.
 MEMORY_MB = 300
 N_DESCRIPTORS_MAX = 4100
@@ -91,3 +92,10 @@
             len(os.listdir(folder / "task")),
             len(os.listdir(folder / "fd")),
         )
+
+
+def peak_memory_mb(process_id):
+    """Return the highest resident size of a process so far; 0 if it has ended."""
+    text = Path(f"/proc/{process_id}/status").read_text()
+    peak_kb = text.partition("VmHWM:")[2].split()[:1] or [0]
+    return int(peak_kb[0]) / KB_PER_MB
--- a/tests/test_soak_day.py
+++ b/tests/test_soak_day.py
@@ -13,11 +13,15 @@
 from soak.day.site import CONFIG_APPLY_S, CONTACT_S, GRACE_S, KINDS, LOSS_SLACK_S
 
 SHORT_S = 13.0
+# Length of a day with a single event.
+SINGLE_EVENT_S = 12.0
 N_VMS = 5
 # Planned work beside a disturbed store, which excuses nothing.
 SEED = 10
 # Three cuts that overlap, and no other events.
 CUTS_SEED = 21
+# Two thirds of the targets for orders state a huge length.
+ENDLESS_SEED = 18
 SENT_S = 100.0
 LASTS_S = 0.5
 ORDER = KINDS[1]
@@ -140,6 +144,16 @@
     assert clauses(journal) == {("o", "kill of its VM")}
 
 
+@pytest.mark.parametrize("kind", ["endless tubo-lookup 200 no length"])
+def test_targets_without_end_excuse_no_loss(kind):
+    journal = journal_of(attempt())
+    add(journal.unplanned, kind, "", SENT_S)
+    assert clauses(journal) == {("o", "")}
+    journal.attempts[0].end = SILENT
+    journal.attempts[0].ended_s = SENT_S + ORDER.deadline_s + 0.4
+    assert len(check_answered(journal)) == 1
+
+
 def test_a_target_that_broke_off_or_a_deadline_excuses():
     journal = journal_of(attempt())
     journal.runs["a"][0].is_broken = True
@@ -232,3 +246,13 @@
     assert report.findings == []
     assert [loss.details for loss in report.counted()] == []
     assert report.statuses[200] > 0
+
+
+def test_a_short_day_with_targets_without_end_loses_nothing(tmp_path):
+    """No process ends or takes more than its memory, and each request is answered."""
+    plan = DayPlan(ENDLESS_SEED, SINGLE_EVENT_S, N_VMS, only="endless")
+    report = run_day(plan, tmp_path)
+    assert report.findings == []
+    assert [loss.details for loss in report.counted()] == []
+    assert report.statuses[200] > 0
+    assert any(line.startswith("endless") for line in report.beside)
