--- a/soak/day/target.py
+++ b/soak/day/target.py
@@ -6,7 +6,6 @@
 import gevent
 from gevent.pywsgi import WSGIServer
 
-from standins.endless import send_without_end
 from standins.server import NoDelayHandler, Server, respond, send_extra_response
 
 from ..proxy import reset
@@ -45,15 +44,15 @@
 class DayTarget(Server):
     """A Server that draws work times and records its runs in a DayJournal.
 
-    ``endless`` is the Form in which its answers never end, or None, and
-    ``has_endless_health`` whether those of its health path don't either.
+    ``send_endless`` takes a socket and an attempt id and sends an answer without end,
+    or is None; ``has_endless_health`` is set if the health path has such answers too.
     """
 
     __slots__ = (
         "journal",
         "rng",
         "find_sender",
-        "endless",
+        "send_endless",
         "has_endless_health",
         "_listener",
         "_n_entries",
@@ -68,7 +67,7 @@
         self.rng = rng
         # Takes both ends of a connection; returns the VM that opened it, or None.
         self.find_sender = None
-        self.endless = None
+        self.send_endless = None
         self.has_endless_health = False
         self._n_entries = 0
         self._listener = None
@@ -100,8 +99,8 @@
     def serve(self, environ, start_response):
         """Note the arrival of a request and serve it (a WSGI application)."""
         is_health = environ["PATH_INFO"] == "/health"
-        if is_health and self.endless and self.has_endless_health:
-            send_without_end(environ["standin.socket"], self.endless, b"")
+        if is_health and self.send_endless and self.has_endless_health:
+            self.send_endless(environ["standin.socket"], b"")
         attempt_id = environ.get("HTTP_ATTEMPT_ID")
         if attempt_id is not None:
             arrived = self.journal.arrivals.setdefault(attempt_id, [])
@@ -148,8 +147,8 @@
         """Answer in the form that was drawn for the request."""
         self.n_running -= 1
         form, sock = environ["day.form"], environ["standin.socket"]
-        if self.endless is not None:
-            send_without_end(sock, self.endless, attempt_id.encode())
+        if self.send_endless is not None:
+            self.send_endless(sock, attempt_id.encode())
         body = f"ran {environ['standin.request_target']} ".encode() + form.padding
         items = [("Attempt-Id", attempt_id), ("Server-Seal", f"seal-{self.server_id}")]
         items.append(("Server-Load", self.load_figures()))
--- a/standins/endless.py
+++ b/standins/endless.py
@@ -54,10 +54,13 @@
 }
 
 
-def send_without_end(sock, form, attempt_id):
-    """Send an answer of a Form until the caller closes the connection."""
+def send_without_end(sock, form, attempt_id, pause_s=0.0):
+    """Send an answer of a Form until the caller closes the connection.
+
+    ``pause_s`` is the time between two pieces.
+    """
     with suppress(OSError):
         sock.sendall(form.begin(attempt_id))
         while True:
             sock.sendall(form.more)
-            gevent.sleep(0)
+            gevent.sleep(pause_s)
--- a/tests/test_soak_day.py
+++ b/tests/test_soak_day.py
@@ -16,12 +16,14 @@
 # Length of a day with a single event.
 SINGLE_EVENT_S = 12.0
 N_VMS = 5
+# Number of VMs, so few that each has many of the answers.
+N_VMS_FEW = 3
 # Planned work beside a disturbed store, which excuses nothing.
 SEED = 10
 # Three cuts that overlap, and no other events.
 CUTS_SEED = 21
-# Two thirds of the targets for orders state a huge length.
-ENDLESS_SEED = 18
+# Half of the targets for queries state a huge length and send at a moderate rate.
+ENDLESS_SEED = 190
 SENT_S = 100.0
 LASTS_S = 0.5
 ORDER = KINDS[1]
@@ -250,7 +252,7 @@
 
 def test_a_short_day_with_targets_without_end_loses_nothing(tmp_path):
     """No process ends or takes more than its memory, and each request is answered."""
-    plan = DayPlan(ENDLESS_SEED, SINGLE_EVENT_S, N_VMS, only="endless")
+    plan = DayPlan(ENDLESS_SEED, SINGLE_EVENT_S, N_VMS_FEW, only="endless")
     report = run_day(plan, tmp_path)
     assert report.findings == []
     assert [loss.details for loss in report.counted()] == []
