Log only the beginning of a stated length

Cause: a target decides how many zeros its Content-Length begins with; 60,000 of them made a log line of 60 kB.

Change: 24 characters of it are reported.

Measured: the new test failed before (60,007 characters).

--- a/packages/entry/hornbeamstand_entry/tasks/response_reads.py
+++ b/packages/entry/hornbeamstand_entry/tasks/response_reads.py
@@ -4,15 +4,18 @@
 
 # Number of bytes read from which on an incomplete response is reported.
 REPORTED_MIN_BYTES = 65_536
+# Maximum length of a reported Content-Length: it may have any number of leading zeros.
+LENGTH_MAX_CHARS = 24
 
 
 class UnfinishedResponse(Record):
     """What was read of a response that was given up before it was complete.
 
-    ``status`` is 0 if its head did not arrive. ``length`` is the Content-Length as it
-    was sent, or None, and ``is_chunked`` whether it has chunks. ``parse_ms`` is the
-    time that its parts of more than PARSE_BYTES took to parse. ``n_reading_bytes`` are
-    the bytes of the bodies that were being read then, of all responses.
+    ``status`` is 0 if its head did not arrive. ``length`` is the beginning of the
+    Content-Length as it was sent, or None, and ``is_chunked`` whether it has chunks.
+    ``parse_ms`` is the time that its parts of more than PARSE_BYTES took to parse.
+    ``n_reading_bytes`` are the bytes of the bodies that were being read then, of all
+    responses.
     """
 
     __slots__ = (
@@ -34,7 +37,8 @@
         self.reason = reason
         has_head = parser.headers_complete
         self.status = parser.status_code if has_head else 0
-        self.length = parser.get("Content-Length") if has_head else None
+        length = parser.get("Content-Length") if has_head else None
+        self.length = length and str(length)[:LENGTH_MAX_CHARS]
         self.is_chunked = has_head and parser.get("Transfer-Encoding") is not None
         self.n_body_bytes = parser.n_body_bytes
         self.n_received_bytes = parser.n_received_bytes
--- a/packages/entry/tests/test_response_reads.py
+++ b/packages/entry/tests/test_response_reads.py
@@ -3,6 +3,8 @@
 import gevent
 import pytest
 from hornbeamstand_core.messages import SendFailure
+from hornbeamstand_entry.tasks.response_parser import ResponseParser
+from hornbeamstand_entry.tasks.response_reads import UnfinishedResponse
 
 from tests.partial_responses import (
     HEAD,
@@ -47,3 +49,12 @@
     exchange.cancel()
     gevent.sleep(0.01)
     assert reader.reports == []
+
+
+def test_a_length_that_is_reported_is_short():
+    """Guards against log lines as long as a target likes."""
+    parser = ResponseParser()
+    length = b"0" * 60_000 + b"1000000"
+    parser.feed(b"HTTP/1.1 200 OK\r\nContent-Length: %s\r\n\r\n" % length)
+    unfinished = UnfinishedResponse("address", "a1", "cancelled", parser, 0)
+    assert len(unfinished.length) <= 24
