Blame no target for a failed allocation of this VM

Cause: an exchange whose response found no memory failed as a broken response. Two in a row eject a sound target, for all callers.

Change: it fails with the kind `no-memory`, as one whose connection can't start. The requester gets the failure before it is reported, since the report may fail too.

--- a/packages/entry/hornbeamstand_entry/tasks/connections.py
+++ b/packages/entry/hornbeamstand_entry/tasks/connections.py
@@ -21,7 +21,6 @@
 from ..header_numbers import read_count
 from .failures import report_failure
 from .greenlets import spawn
-from .memory_errors import note_failed_allocation
 from .response_messages import ResponseError
 from .response_parser import ERROR_STATUS_MIN, ResponseParser, read_response
 from .sockets import NO_DESCRIPTOR_ERRORS, open_socket, parse_address
@@ -108,7 +107,6 @@
         except MemoryError as error:
             # The frames of its traceback hold what was read last.
             is_kept = False
-            note_failed_allocation()
             fail_exchange(exchange, address, error.with_traceback(None))
         except Exception as error:
             is_kept = False
@@ -191,10 +189,13 @@
 
 
 def fail_exchange(exchange, address, error):
-    """Report an unexpected error, and fail the exchange that it interrupted."""
-    report_failure(f"connection {address}", error)
+    """Fail the exchange that an unexpected error interrupted, and report the error."""
     kind = BROKEN_RESPONSE if exchange.is_sent else CONNECT_FAILED
+    if isinstance(error, MemoryError):
+        # It says nothing about the target.
+        kind = NO_MEMORY
     reply(exchange, SendFailure(kind, exchange.is_sent, f"{address} {error!r}"))
+    report_failure(f"connection {address}", error)
 
 
 def send_and_read(connection, exchange):
