Keep nothing of a failed early request until its turn

What a pipelined request that failed had in memory stayed, in no hold, until the requests before it were answered.

Cause: its greenlet waits for its turn with the error in flight, whose frames refer to the request and to the responses of targets. Their holds are released as the error leaves the application.

Change: the frames are cleared before the wait.

--- a/packages/entry/hornbeamstand_entry/edge/pipelining.py
+++ b/packages/entry/hornbeamstand_entry/edge/pipelining.py
@@ -8,6 +8,7 @@
 from errno import EPIPE
 from functools import partial
 from io import BufferedReader
+from traceback import clear_frames
 
 from gevent.event import Event
 
@@ -189,6 +190,10 @@
             try:
                 self.result = self.application(self.environ, self.note_response)
                 self.n_answer_bytes = count_body_bytes(self.result)
+            except Exception as error:
+                # Nothing counts what its frames refer to until the turn has come.
+                clear_frames(error.__traceback__)
+                raise
             finally:
                 self._await_turn()
             self.start_response(*self.noted_response)
--- a/packages/entry/tests/test_failed_connections.py
+++ b/packages/entry/tests/test_failed_connections.py
@@ -133,3 +133,15 @@
     sock.sendall(get("/fail"))
     read_to_end(sock)
     assert kept == [False]
+
+
+def test_an_early_request_that_failed_keeps_nothing_until_its_turn(stack, front):
+    """Guards against answers that stay in memory behind a slow request."""
+    sock = front.connect(stack)
+    sock.sendall(get("/hang") + get("/fail"))
+    while not front.held:
+        gevent.sleep(0.001)
+    gevent.sleep(0.01)
+    assert front.n_hanging == 1
+    assert front.held[0]() is None
+    assert b" 500 " in read_to_end(sock)
