Count an early request only once its greenlet exists

A server lost room for one connection for good with each pipelined request whose greenlet found no memory.

Cause: the request was counted before its greenlet was spawned, and only that greenlet gives the count back.

Change: it is counted after the spawn; the greenlet begins to run in a later turn of the event loop.

Measured: of four new cases, in which a pipelined request finds no memory at one step, the spawn left a count of 1 before; the others guard what held already: the connection ends alone. test_pipelining.py passes.

--- a/packages/entry/hornbeamstand_entry/edge/pipelining.py
+++ b/packages/entry/hornbeamstand_entry/edge/pipelining.py
@@ -151,8 +151,9 @@
         self.read_request(line)
         if self._may_start_early():
             self._prepare()
-            self.server.n_ahead += 1
             self.greenlet = spawn_supervised("pipelined-request", self._run)
+            # It has not begun to run; without memory for it, nothing is counted.
+            self.server.n_ahead += 1
         return True
 
     def _may_start_early(self):
--- a/packages/entry/tests/test_failed_connections.py
+++ b/packages/entry/tests/test_failed_connections.py
@@ -7,7 +7,8 @@
 import pytest
 from gevent import socket
 from hornbeamstand_core.routes import CallerLimits
-from hornbeamstand_entry.edge.pipelining import PipelineHandler
+from hornbeamstand_entry.edge import pipelining
+from hornbeamstand_entry.edge.pipelining import AheadHandler, PipelineHandler
 from hornbeamstand_entry.edge.servers import start_server
 from hornbeamstand_entry.tasks.failures import handle_loop_failures
 
@@ -145,3 +146,27 @@
     assert front.n_hanging == 1
     assert front.held[0]() is None
     assert b" 500 " in read_to_end(sock)
+
+
+@pytest.mark.parametrize(
+    "owner, name",
+    [
+        (pipelining, "spawn_supervised"),
+        (AheadHandler, "__init__"),
+        (AheadHandler, "read_request"),
+        (AheadHandler, "_await_turn"),
+    ],
+)
+def test_a_pipelined_request_without_memory_ends_its_connection(
+    stack, front, monkeypatch, owner, name
+):
+    """Guards against an early request that ends the process, or counts for good."""
+    sock = front.connect(stack)
+    with monkeypatch.context() as patch:
+        patch.setattr(owner, name, find_no_memory)
+        sock.sendall(get("/hang") + get("/"))
+        assert read_to_end(sock).count(b" 200 ") == 1
+    sock.close()
+    front.wait_for_the_end()
+    assert front.server.n_ahead == 0
+    front.assert_serves(stack)
