Let a reader of pipelined requests without memory end its connection alone

A caller that pipelined requests while memory was short ended the process, with everybody's requests.

Cause: the bytes of a pipelined request are noticed by a callback of the event loop, which then looks whether the request may be read and spawns its reader. A failed allocation there counted as a callback that was lost.

Change: the pipeline handles it: nothing more is read, and the connection ends after the answers to what was read. No state but the connection's own is concerned.

Measured: of five new cases the three that fail in the callback ended the process before; the others, in which the reader's own greenlet fails, passed. All pass, with test_pipelining.py.

--- a/packages/entry/hornbeamstand_entry/edge/pipeline.py
+++ b/packages/entry/hornbeamstand_entry/edge/pipeline.py
@@ -159,6 +159,12 @@
             return
         if self._reader is not None or not self._mailboxes:
             return
+        try:
+            self._read_or_wait()
+        except MemoryError as error:
+            self._note_failure(error)
+
+    def _read_or_wait(self):
         if self._may_read() and self._connection.has_buffered_bytes():
             self._start_reading()
         else:
@@ -167,10 +173,13 @@
     def _handle_readable(self):
         """Handle the arrival of bytes or of the end; runs in the event loop."""
         self._watcher.stop()
-        if has_left(self._connection.socket):
-            self._note_left()
-        elif self._may_read():
-            self._start_reading()
+        try:
+            if has_left(self._connection.socket):
+                self._note_left()
+            elif self._may_read():
+                self._start_reading()
+        except MemoryError as error:
+            self._note_failure(error)
 
     def _note_left(self):
         """Tell the requests at work, once, that the caller sends nothing more."""
@@ -200,12 +209,16 @@
             while self._may_read() and self._connection.has_buffered_bytes():
                 self._read_one()
         except Exception as error:
-            report_failure("pipelining", error)
-            self.has_failed = self._is_last = True
+            self._note_failure(error)
         finally:
             self._reader = None
         self.continue_reading()
 
+    def _note_failure(self, error):
+        """Let the connection end after the answers to what was read."""
+        self.has_failed = self._is_last = True
+        report_failure("pipelining", error)
+
     def _read_one(self):
         request = self._make_next(self)
         try:
--- a/packages/entry/tests/test_failed_connections.py
+++ b/packages/entry/tests/test_failed_connections.py
@@ -7,7 +7,7 @@
 import pytest
 from gevent import socket
 from hornbeamstand_core.routes import CallerLimits
-from hornbeamstand_entry.edge import pipelining
+from hornbeamstand_entry.edge import pipeline, pipelining
 from hornbeamstand_entry.edge.pipelining import AheadHandler, PipelineHandler
 from hornbeamstand_entry.edge.servers import start_server
 from hornbeamstand_entry.tasks.failures import handle_loop_failures
@@ -170,3 +170,46 @@
     front.wait_for_the_end()
     assert front.server.n_ahead == 0
     front.assert_serves(stack)
+
+
+@pytest.mark.parametrize(
+    "name, n_before",
+    [
+        ("spawn_supervised", 0),
+        ("spawn_supervised", 1),
+        ("has_read_all", 0),
+        ("has_read_all", 1),
+        ("has_read_all", 2),
+    ],
+)
+def test_a_reader_without_memory_ends_its_connection(
+    stack, front, monkeypatch, name, n_before
+):
+    """Guards against a reader of pipelined requests whose error ends the process."""
+    sock = front.connect(stack)
+    sock.sendall(get("/hang"))
+    while not front.n_hanging:
+        gevent.sleep(0.001)
+    with monkeypatch.context() as patch:
+        patch.setattr(pipeline, name, fail_after(getattr(pipeline, name), n_before))
+        sock.sendall(get("/") + get("/"))
+        gevent.sleep(0.01)
+        sock.sendall(get("/") + get("/"))
+        assert read_to_end(sock).count(b" 200 ") >= 1
+    sock.close()
+    front.wait_for_the_end()
+    assert front.server.n_ahead == 0
+    front.assert_serves(stack)
+
+
+def fail_after(call, n_before):
+    """Return a function that finds no memory after a number of calls."""
+    n_left = [n_before]
+
+    def call_or_fail(*args):
+        if not n_left[0]:
+            raise MemoryError
+        n_left[0] -= 1
+        return call(*args)
+
+    return call_or_fail
