Test that a request that ends keeps no response to its other send

Cause: the response of a hedge that came second, unread in the mailbox of the request or kept for later, was suspected of keeping itself by that mailbox.

Change: two tests with collections off, one for each place. No change of the product.

Measured: both passed on the code as it was, which refutes the suspicion: a request cancels all its exchanges at its end, which forget their mailbox.

--- a/packages/entry/tests/test_kept_exchanges.py
+++ b/packages/entry/tests/test_kept_exchanges.py
@@ -9,6 +9,7 @@
 from gevent.queue import SimpleQueue
 from hornbeamstand_core.messages import SendFailure
 from hornbeamstand_entry.clock import make_process_clock
+from hornbeamstand_entry.edge.context import EdgeContext
 from hornbeamstand_entry.tasks.exchange import Exchange
 from hornbeamstand_entry.tasks.response_parser import InterimResponse
 from hornbeamstand_entry.tasks.task import Task, start_loop
@@ -34,11 +35,12 @@
     gc.enable()
 
 
-def start_exchange(pool):
+def start_exchange(pool, mailbox=None):
     """Return an exchange in progress and the reference of its request."""
     raw = RequestBytes(REQUEST)
     not_after_ms = pool.clock.now_ms() + PATIENCE_MS
-    exchange = Exchange("GET", raw, not_after_ms, False, 1000, SimpleQueue())
+    reply_to = mailbox or SimpleQueue()
+    exchange = Exchange("GET", raw, not_after_ms, False, 1000, reply_to)
     pool.task.post(exchange)
     return exchange, weakref.ref(raw)
 
@@ -82,6 +84,28 @@
     assert is_freed(request)
 
 
+@pytest.mark.parametrize("place", ["mailbox", "pending"])
+def test_a_request_that_ends_does_not_keep_the_response_to_its_other_send(stack, place):
+    _, pool = start(stack)
+    context = EdgeContext("r", "GET", "/", [], b"")
+    requests = []
+    for _ in range(2):
+        exchange, request = start_exchange(pool, context.mailbox)
+        context.exchanges.append(exchange)
+        context.key_by_exchange[exchange] = "permit"
+        requests.append(request)
+        del exchange
+    while context.mailbox.qsize() < 2:
+        gevent.sleep(0.001)
+    if place == "pending":
+        context.pending.append(context.mailbox.get())
+    for exchange in context.key_by_exchange:
+        exchange.cancel()
+    context.release_answers()
+    del context, exchange
+    assert all(map(is_freed, requests))
+
+
 def test_a_task_that_waits_does_not_keep_its_last_message():
     task, clock = Task("task"), make_process_clock()
     with ExitStack() as stack:
