--- a/tests/test_soak_day.py
+++ b/tests/test_soak_day.py
@@ -1,10 +1,14 @@
 """The day of the soak: what it counts as lost on made-up records, and a short run."""
 
+import os
+from types import SimpleNamespace
+
 import pytest
 
 from soak.day import lost
 from soak.day.checks import check_orders
 from soak.day.ends import check_answered
+from soak.day.memory import check_memory
 from soak.day.own_answers import count_own_answers
 from soak.day.plan import DayPlan
 from soak.day.records import ANSWERED, CLOSED, SILENT, DayAttempt, DayJournal, Run
@@ -230,6 +234,16 @@
     assert len(check_answered(journal_of(made))) == n_findings
 
 
+@pytest.mark.parametrize(("memory_mb", "n_findings"), [(1, 1), (100_000, 0)])
+def test_a_vm_that_used_more_than_its_memory_is_found(memory_mb, n_findings):
+    process = SimpleNamespace(pid=os.getpid(), poll=lambda: None)
+    vm = SimpleNamespace(name="edge-0", process=process)
+    cell = SimpleNamespace(vms=[vm], memory_mb=memory_mb)
+    assert len(check_memory(cell, "the day")) == n_findings
+    process.poll = lambda: 70
+    assert check_memory(cell, "the day") == []
+
+
 @pytest.mark.parametrize("seed", range(1, 7))
 def test_a_day_ends_without_events(seed):
     events = draw_events(seed, 60.0)
