Close a connection whose start finds no memory

Callers whose connection met a failed allocation as it began to be served waited for good, and the connection counted against the maximum number.

Cause: the handler was registered with its server, and the caller's memory with the budget, before the blocks that take them out again. The handler in the server's set kept the file of the connection, so that its descriptor stayed open.

Change: both are registered inside these blocks.

Measured: two of three new cases in test_failed_connections.py failed before (no end of the connection within 3 s; a CallerMemory left in the budget). They pass now, with test_edge_servers.py, test_caller_memory.py, test_ended_connections.py and test_late_servers.py.

--- a/packages/entry/hornbeamstand_entry/edge/servers.py
+++ b/packages/entry/hornbeamstand_entry/edge/servers.py
@@ -176,11 +176,11 @@
 
     def handle(self):
         """Register the handler with its server while the connection is open."""
-        self.server.open_handlers.add(self)
-        self.greenlet = gevent.getcurrent()
-        self.is_idle = True
-        self.idle_since_ms = self.server.clock.now_ms()
         try:
+            self.greenlet = gevent.getcurrent()
+            self.is_idle = True
+            self.idle_since_ms = self.server.clock.now_ms()
+            self.server.open_handlers.add(self)
             super().handle()
         finally:
             self.server.note_closed(self)
--- a/packages/entry/hornbeamstand_entry/memory/limited_handler.py
+++ b/packages/entry/hornbeamstand_entry/memory/limited_handler.py
@@ -1,5 +1,7 @@
 """Counts what the connection of one caller takes in memory, and sends what it can."""
 
+from contextlib import closing
+
 from ..http_server import CallerHandler
 from ..request_limits import HeadWithoutMemory
 from .caller_memory import CallerMemory, make_stalled_error
@@ -20,12 +22,12 @@
     def handle(self):
         """Serve the connection, and give back what is held for it at its end."""
         self.memory = CallerMemory(self.server.budget, self.server.clock)
-        self.head_hold = self.server.budget.hold(self.memory)
-        try:
-            super().handle()
-        finally:
-            self.head_hold.release()
-            self.memory.close()
+        with closing(self.memory):
+            self.head_hold = self.server.budget.hold(self.memory)
+            try:
+                super().handle()
+            finally:
+                self.head_hold.release()
 
     def handle_one_request(self):
         """Serve one request, and drop what is left of it in memory."""
--- a/packages/entry/tests/test_failed_connections.py
+++ b/packages/entry/tests/test_failed_connections.py
@@ -10,6 +10,8 @@
 from hornbeamstand_entry.edge import pipeline, pipelining
 from hornbeamstand_entry.edge.pipelining import AheadHandler, PipelineHandler
 from hornbeamstand_entry.edge.servers import start_server
+from hornbeamstand_entry.memory import limited_handler
+from hornbeamstand_entry.tasks.byte_budget import ByteBudget
 from hornbeamstand_entry.tasks.failures import handle_loop_failures
 
 from tests.caller_front import read_to_end
@@ -121,6 +123,23 @@
     front.assert_serves(stack)
 
 
+@pytest.mark.parametrize(
+    "owner, name",
+    [(gevent, "getcurrent"), (limited_handler, "CallerMemory"), (ByteBudget, "hold")],
+)
+def test_a_connection_whose_start_finds_no_memory_takes_no_room(
+    stack, front, monkeypatch, owner, name
+):
+    """Guards against connections that count for good."""
+    with monkeypatch.context() as patch:
+        patch.setattr(owner, name, find_no_memory)
+        sock = front.connect(stack)
+        assert read_to_end(sock) == b""
+    assert front.server.n_connections == 0
+    assert not front.server.budget.callers
+    front.assert_serves(stack)
+
+
 def test_what_failed_is_free_before_its_error_response(stack, front, monkeypatch):
     """Guards against an error response that a caller takes slowly."""
     kept = []
