Accept connections later when that finds no memory

A process ended, with everybody's requests, because it found no memory to accept a connection.

Cause: connections are accepted in a callback of the event loop. The library handles a failed allocation within an accept, but not one in the look whether there is room, which asks the budget, or in what this server does after it. Such an error counted as a callback that was lost.

Change: the server reports it, which frees memory, and accepts again after the interval of connections that are held back.

--- a/packages/entry/hornbeamstand_entry/edge/servers.py
+++ b/packages/entry/hornbeamstand_entry/edge/servers.py
@@ -102,7 +102,18 @@
         return self.n_connections + self.n_ahead < self.n_connections_max
 
     def _do_read(self):
-        """Accept the connections that wait, up to the maximum number."""
+        """Accept the connections that wait, up to the maximum number.
+
+        This runs in the event loop, which takes an error for a callback that was lost.
+        """
+        try:
+            self._accept()
+        except MemoryError as error:
+            report_failure("acceptor", error)
+            self.stop_accepting()
+            self._accept_later()
+
+    def _accept(self):
         super()._do_read()
         if self.full() and self._watcher is None and self._timer is None:
             self._hold_back()
@@ -125,6 +136,9 @@
         n_max = min(self.n_connections_max, self.n_connections)
         n_ended_max = max(N_ENDED_MIN, int(ENDED_SHARE * n_max))
         end_longest_idle([self], n_ended_max)
+        self._accept_later()
+
+    def _accept_later(self):
         self._timer = self.loop.timer(HOLD_BACK_INTERVAL_MS / MS_PER_S)
         self._timer.start(self._start_accepting_if_started)
 
--- a/packages/entry/tests/test_failed_connections.py
+++ b/packages/entry/tests/test_failed_connections.py
@@ -9,7 +9,7 @@
 from hornbeamstand_core.routes import CallerLimits
 from hornbeamstand_entry.edge import pipeline, pipelining
 from hornbeamstand_entry.edge.pipelining import AheadHandler, PipelineHandler
-from hornbeamstand_entry.edge.servers import start_server
+from hornbeamstand_entry.edge.servers import EdgeServer, start_server
 from hornbeamstand_entry.memory import limited_handler
 from hornbeamstand_entry.tasks.byte_budget import ByteBudget
 from hornbeamstand_entry.tasks.failures import handle_loop_failures
@@ -140,6 +140,23 @@
     front.assert_serves(stack)
 
 
+@pytest.mark.parametrize("name", ["full", "do_read", "do_handle", "_hold_back"])
+def test_a_server_without_memory_accepts_connections_later(
+    stack, front, monkeypatch, name
+):
+    """Guards against an accept that ends the process, or is the last one."""
+    if name == "_hold_back":
+        front.server.n_connections_max = 1
+    first = front.connect(stack)
+    with monkeypatch.context() as patch:
+        patch.setattr(EdgeServer, name, find_no_memory)
+        front.connect(stack)
+        gevent.sleep(0.05)
+    front.server.n_connections_max = 100
+    first.close()
+    front.assert_serves(stack)
+
+
 def test_what_failed_is_free_before_its_error_response(stack, front, monkeypatch):
     """Guards against an error response that a caller takes slowly."""
     kept = []
