Leave out an end of a connection that finds no memory

A process ended for want of memory just as it was about to free some.

Cause: the ends of stalled callers and idle connections, and the return of free memory to the system, run as callbacks of the event loop, where a failed allocation counts as a callback that somebody waits for. Nobody waits for these: they are tried again while memory is short.

Change: `call_soon_if_possible` reports their failed allocations. All other callbacks still end the process.

--- a/packages/entry/hornbeamstand_entry/edge/servers.py
+++ b/packages/entry/hornbeamstand_entry/edge/servers.py
@@ -10,7 +10,7 @@
 from ..memory.costs import CONNECTION_BYTES
 from ..memory.limited_handler import LimitedHandler
 from ..tasks.byte_budget import ByteBudget
-from ..tasks.failures import report_failure
+from ..tasks.failures import call_soon_if_possible, report_failure
 from ..tasks.sockets import NO_DESCRIPTOR_ERRORS, has_bytes
 
 MS_PER_S = 1000.0
@@ -358,11 +358,10 @@
 
 def close_idle_connections(servers):
     """End the servers' connections on which no request has begun to arrive."""
-    run_callback = gevent.get_hub().loop.run_callback
     for server in servers:
         for handler in server.open_handlers:
             if handler.is_idle:
-                run_callback(end_if_idle, handler)
+                call_soon_if_possible(end_if_idle, handler)
 
 
 def end_longest_idle(servers, n_ended_max=inf):
@@ -375,9 +374,8 @@
         if handler.is_idle and now_ms - handler.idle_since_ms >= server.min_idle_ms
     ]
     idle.sort(key=lambda handler: handler.idle_since_ms)
-    run_callback = gevent.get_hub().loop.run_callback
     for handler in idle[: min(len(idle), n_ended_max)]:
-        run_callback(end_if_idle, handler)
+        call_soon_if_possible(end_if_idle, handler)
 
 
 def end_if_idle(handler):
--- a/packages/entry/hornbeamstand_entry/memory/caller_memory.py
+++ b/packages/entry/hornbeamstand_entry/memory/caller_memory.py
@@ -4,6 +4,8 @@
 
 import gevent
 
+from ..tasks.failures import call_soon_if_possible
+
 # Number of bytes that a caller must send or read before it counts as moving: single
 # bytes now and then would keep the memory of a whole body.
 MOVED_MIN_BYTES = 4096
@@ -81,7 +83,7 @@
 
     def end_soon(self):
         """Raise the error of the present wait in its greenlet, unless it ends first."""
-        gevent.get_hub().loop.run_callback(self._end, self.began_at_ms)
+        call_soon_if_possible(self._end, self.began_at_ms)
 
     def _end(self, began_at_ms):
         if self.waits_since_ms is not None and self.began_at_ms == began_at_ms:
--- a/packages/entry/hornbeamstand_entry/memory/relief.py
+++ b/packages/entry/hornbeamstand_entry/memory/relief.py
@@ -2,11 +2,11 @@
 
 from math import ceil, inf
 
-import gevent
 from hornbeamstand_core.controllers.load.shortage import choose_callers
 
 from ..edge.servers import end_longest_idle
 from ..life.native_memory import return_free_memory
+from ..tasks.failures import call_soon_if_possible
 from .costs import CONNECTION_BYTES
 from .queued_bytes import QueuedBytes, limit_send_buffer
 
@@ -97,13 +97,13 @@
         if is_exhausted and n_wanted_bytes > 0:
             n_idle = min(N_IDLE_ENDED_MAX, ceil(n_wanted_bytes / CONNECTION_BYTES))
             # Whoever calls this method may be serving a request on one of these.
-            gevent.get_hub().loop.run_callback(end_longest_idle, self.servers, n_idle)
+            call_soon_if_possible(end_longest_idle, self.servers, n_idle)
         if ended or is_exhausted:
             self._report(now_ms)
 
     def return_memory(self):
         """Return the heap's free memory to the system in the next event loop turn."""
-        gevent.get_hub().loop.run_callback(return_free_memory)
+        call_soon_if_possible(return_free_memory)
 
     def gauges(self):
         """Return the functions that read the gauges, by name."""
--- a/packages/entry/hornbeamstand_entry/tasks/failures.py
+++ b/packages/entry/hornbeamstand_entry/tasks/failures.py
@@ -98,6 +98,22 @@
     return trace.tb_frame.f_code.co_name.endswith(GREENLET_REPORT_NAME)
 
 
+def call_soon_if_possible(call, *args):
+    """Call a function in the next turn of the event loop, unless it finds no memory.
+
+    Nobody waits for what it does: otherwise the error would end the process.
+    """
+    gevent.get_hub().loop.run_callback(run_if_possible, call, *args)
+
+
+def run_if_possible(call, *args):
+    """Call a function; a failed allocation is reported."""
+    try:
+        call(*args)
+    except MemoryError as error:
+        report_failure("event-loop", error)
+
+
 def spawn_supervised(name, run, *args):
     """Return a new greenlet that calls ``run``, and whose failure ends the process.
 
--- a/packages/entry/tests/test_failed_connections.py
+++ b/packages/entry/tests/test_failed_connections.py
@@ -7,10 +7,15 @@
 import pytest
 from gevent import socket
 from hornbeamstand_core.routes import CallerLimits
-from hornbeamstand_entry.edge import pipeline, pipelining
+from hornbeamstand_entry.edge import pipeline, pipelining, servers
 from hornbeamstand_entry.edge.pipelining import AheadHandler, PipelineHandler
-from hornbeamstand_entry.edge.servers import EdgeServer, start_server
+from hornbeamstand_entry.edge.servers import (
+    EdgeServer,
+    close_idle_connections,
+    start_server,
+)
 from hornbeamstand_entry.memory import limited_handler
+from hornbeamstand_entry.memory.caller_memory import CallerMemory
 from hornbeamstand_entry.tasks.byte_budget import ByteBudget
 from hornbeamstand_entry.tasks.failures import handle_loop_failures
 
@@ -157,6 +162,25 @@
     front.assert_serves(stack)
 
 
+@pytest.mark.parametrize(
+    "owner, name", [(servers, "end_if_idle"), (CallerMemory, "_end")]
+)
+def test_an_end_of_a_connection_that_finds_no_memory_is_left_out(
+    stack, front, monkeypatch, owner, name
+):
+    """Guards against a relief of memory that ends the process for want of memory."""
+    sock = front.connect(stack)
+    sock.sendall(get("/"))
+    assert sock.recv(1000)
+    with monkeypatch.context() as patch:
+        patch.setattr(owner, name, find_no_memory)
+        close_idle_connections([front.server])
+        (caller,) = front.server.budget.callers
+        caller.end_soon()
+        gevent.sleep(0.01)
+    front.assert_serves(stack)
+
+
 def test_what_failed_is_free_before_its_error_response(stack, front, monkeypatch):
     """Guards against an error response that a caller takes slowly."""
     kept = []
