Limit the connections at the operators' address of the own program

Idle connections at the address for operators kept callers out of a VM of the own program.

Cause: its server had no maximum of connections and a budget of its own without a limit, and no server knew the others: when no descriptor was left, the server of callers ended only its own idle connections.

Change: 16 connections at a time, further ones wait and idle ones are ended for them. Bodies and heads there count in the VM's budget, and both servers end idle connections when descriptors run out.

--- a/packages/entry/hornbeamstand_entry/process.py
+++ b/packages/entry/hornbeamstand_entry/process.py
@@ -50,6 +50,9 @@
 BYTES_PER_MB = 1 << 20
 # Number of descriptors up to which the limit that the process inherits is raised.
 N_DESCRIPTORS_WANTED = 16_384
+# Maximum number of connections at the address for operators; further ones wait. A few
+# collectors of metrics need one each.
+N_OPERATORS_CONNECTIONS_MAX = 16
 
 # By value of the setting ``choice``: makes the function that chooses a target, from a
 # random generator.
@@ -157,19 +160,27 @@
             FrontHandler,
         )
         self.front_server.ends_connections = lambda: stopping.phase != RUNNING
-        self._limit_memory()
+        servers = [self.front_server]
+        self._limit_memory(servers)
         address, app = settings.admin_address, make_admin_app(self)
 
         def serve_admin(listener, owner):
-            start_server(address, app, owner, idle_ms, CallerLimits, listener)
+            server = start_server(address, app, owner, idle_ms, CallerLimits, listener)
+            server.n_connections_max = N_OPERATORS_CONNECTIONS_MAX
+            server.budget = self.budget
+            servers.append(server)
 
         LateServer(address, serve_admin, self.clock, self.log).start(stack)
 
-    def _limit_memory(self):
-        """Limit the connections, count them in the budget, and free memory if short."""
+    def _limit_memory(self, servers):
+        """Limit the connections, count them in the budget, and free memory if short.
+
+        ``servers`` begins with that of callers; their idle connections may be ended.
+        """
         server, limits = self.front_server, self.connection_limits
         server.n_connections_max = limits.n_callers_max + limits.n_peers_max
         server.budget = self.budget
+        server.siblings = servers
         limit_connections(server)
         log = self.log
 
@@ -186,7 +197,7 @@
         server.report_held_back = report_held_back
         self.relief = limit_memory(
             self.budget,
-            [server],
+            servers,
             self.pools.rules.open_connections,
             self.clock,
             report,
