Limit the connections at the peers' port of the own program

Idle connections at the gRPC port kept all callers out of a VM of the own program.

Cause: grpcio accepted connections without a maximum and kept them for ever, so they took every descriptor. The class of fault: a listener outside the limits of the process.

Change: connections up to a sixteenth of the descriptors (1,024 by default, more than a cell has VMs). One that begins no HTTP/2 in 2 s, or carries no call for 10 s, is closed; peers connect again with their next call. Besides, 64 calls at a time, and requests of 1 kB at most: one has two numbers. No test shows these two.

--- a/packages/entry/hornbeamstand_entry/edge/descriptors.py
+++ b/packages/entry/hornbeamstand_entry/edge/descriptors.py
@@ -6,6 +6,8 @@
 
 from hornbeamstand_core.records import Record
 
+# Number of descriptors up to which the own program raises the limit it inherits.
+N_DESCRIPTORS_WANTED = 16_384
 # Least number and share of the descriptors that are kept for everything but the
 # connections that are limited here: standard streams, the event loop, listeners, the
 # store's connections, lookups, readiness checks and files. A platform may keep a part
--- a/packages/entry/hornbeamstand_entry/process.py
+++ b/packages/entry/hornbeamstand_entry/process.py
@@ -18,7 +18,11 @@
 
 from . import headers
 from .admin import make_admin_app
-from .edge.descriptors import ConnectionLimits, raise_soft_limit
+from .edge.descriptors import (
+    N_DESCRIPTORS_WANTED,
+    ConnectionLimits,
+    raise_soft_limit,
+)
 from .edge.servers import close_idle_connections, start_server, stop_accepting
 from .front import Front
 from .front_handler import FrontHandler
@@ -48,8 +52,6 @@
 # Share of that for orders and their answers, which are kept for resends.
 ORDERS_SHARE = 0.5
 BYTES_PER_MB = 1 << 20
-# Number of descriptors up to which the limit that the process inherits is raised.
-N_DESCRIPTORS_WANTED = 16_384
 # Maximum number of connections at the address for operators; further ones wait. A few
 # collectors of metrics need one each.
 N_OPERATORS_CONNECTIONS_MAX = 16
--- a/packages/entry/hornbeamstand_entry/tasks/peer_state.py
+++ b/packages/entry/hornbeamstand_entry/tasks/peer_state.py
@@ -12,6 +12,7 @@
 from hornbeamstand_wire.view_codec import view_from_value, view_to_value
 
 from .. import peer_pb2, peer_pb2_grpc
+from ..edge.descriptors import N_DESCRIPTORS_WANTED, raise_soft_limit
 from ..life.addresses import make_address_error
 from ..life.program import StartError
 from .config_watcher import PeerFiles
@@ -21,8 +22,18 @@
 FETCH_TIMEOUT_MS = 1000.0
 # Number of threads that serve FetchState calls.
 N_SERVER_WORKERS = 4
-# No other server may listen at the address of this one.
-SERVER_OPTIONS = (("grpc.so_reuseport", 0),)
+# Maximum number of FetchState calls at a time, above which a peer is refused.
+N_CALLS_MAX = 64
+# Share of the descriptors for connections of peers to this server.
+CONNECTIONS_SHARE = 1 / 16
+# No other server may listen at the address of this one. A request has two numbers. A
+# connection that begins no HTTP/2 in time, or carries no call for longer, is closed.
+SERVER_OPTIONS = (
+    ("grpc.so_reuseport", 0),
+    ("grpc.max_receive_message_length", 1024),
+    ("grpc.server_handshake_timeout_ms", 2000),
+    ("grpc.max_connection_idle_ms", 10_000),
+)
 
 
 def init_grpc():
@@ -38,7 +49,16 @@
 
     Raises AddressError, which is temporary: the caller has bound the address before.
     """
-    server = grpc.server(ThreadPoolExecutor(N_SERVER_WORKERS), options=SERVER_OPTIONS)
+    n_descriptors = min(raise_soft_limit(N_DESCRIPTORS_WANTED), N_DESCRIPTORS_WANTED)
+    n_connections_max = max(1, int(CONNECTIONS_SHARE * n_descriptors))
+    server = grpc.server(
+        ThreadPoolExecutor(N_SERVER_WORKERS),
+        options=(
+            *SERVER_OPTIONS,
+            ("grpc.max_allowed_incoming_connections", n_connections_max),
+        ),
+        maximum_concurrent_rpcs=N_CALLS_MAX,
+    )
     try:
         server.add_insecure_port(address)
     except RuntimeError as error:
--- a/tests/test_crowds_operators.py
+++ b/tests/test_crowds_operators.py
@@ -1,4 +1,4 @@
-"""Clients that hold memory of a VM at the addresses for operators.
+"""Clients that hold memory of a VM at the addresses for operators and peers.
 
 None ends the VM or keeps callers out. The bounds are the memory and the descriptors
 that the settings and the system give the VM.
@@ -56,6 +56,7 @@
         ("platform", "metrics"),
         ("platform", "ready"),
         ("own mode", "admin"),
+        ("own mode", "peer"),
     ],
 )
 def test_connections_for_operators_leave_descriptors_to_callers(
