Blame no target for responses that this VM has no memory for

Cause: a response that found no memory in the budget failed as a broken response, which counts against its target. The class of fault: a lack of this VM's own that is taken for a fault of another.

Change: it fails with the kind `no-memory`, unless it has no stated length and 1 MB or more was read of it, which the target may have sent without end, or states more than could ever be held.

--- a/packages/entry/hornbeamstand_entry/tasks/connections.py
+++ b/packages/entry/hornbeamstand_entry/tasks/connections.py
@@ -21,7 +21,7 @@
 from ..header_numbers import read_count
 from .failures import report_failure
 from .greenlets import spawn
-from .response_messages import ResponseError
+from .response_messages import ResponseError, ResponseMemoryError
 from .response_parser import ERROR_STATUS_MIN, ResponseParser, read_response
 from .sockets import NO_DESCRIPTOR_ERRORS, open_socket, parse_address
 from .task import Task
@@ -174,7 +174,9 @@
         raise
     except (OSError, ResponseError) as error:
         note_unfinished(connection, exchange, address, repr(error))
-        reply(exchange, SendFailure(BROKEN_RESPONSE, True, f"{address} {error!r}"))
+        is_own_lack = isinstance(error, ResponseMemoryError)
+        kind = NO_MEMORY if is_own_lack else BROKEN_RESPONSE
+        reply(exchange, SendFailure(kind, True, f"{address} {error!r}"))
         return False
     note_keep_alive(connection, response)
     note_error(connection, exchange, response)
--- a/packages/entry/hornbeamstand_entry/tasks/response_messages.py
+++ b/packages/entry/hornbeamstand_entry/tasks/response_messages.py
@@ -7,6 +7,10 @@
     """A response that is incomplete, malformed, too long or of unknown length."""
 
 
+class ResponseMemoryError(ResponseError):
+    """A response that this VM has no memory for, though it may be sound."""
+
+
 def find_header(header_items, name, default=None):
     """Return the first value of a header, or the default if it is absent."""
     lower_name = name.lower()
--- a/packages/entry/hornbeamstand_entry/tasks/response_parser.py
+++ b/packages/entry/hornbeamstand_entry/tasks/response_parser.py
@@ -12,7 +12,12 @@
 from geventhttpclient.response import HTTPResponse
 
 from ..clock import make_process_clock
-from .response_messages import CompleteResponse, InterimResponse, ResponseError
+from .response_messages import (
+    CompleteResponse,
+    InterimResponse,
+    ResponseError,
+    ResponseMemoryError,
+)
 
 # Clock of the time that parsing takes.
 CLOCK = make_process_clock()
@@ -37,6 +42,9 @@
 # Number of bytes of chunk sizes that are read in addition for each byte of a body. Each
 # chunk costs time, so that one target could take all of this VM's time with tiny ones.
 CHUNK_OVERHEAD_SHARE = 0.25
+# Size up to which a body without a stated length that finds no memory is not held
+# against its target.
+OPEN_ENDED_MAX_BYTES = 1 << 20
 # Number of the lengths that the parser's signed count of remaining bytes stands for.
 N_LENGTHS = 1 << 64
 # Size at which the bytes of a body begin a new piece.
@@ -275,7 +283,9 @@
             f"response has more than {head_max_bytes} bytes outside its body"
         )
     if not hold.grow_to(n_body_bytes):
-        raise ResponseError("no memory for the response body")
+        may_be_sound = parser.has_stated_length or n_body_bytes < OPEN_ENDED_MAX_BYTES
+        error_class = ResponseMemoryError if may_be_sound else ResponseError
+        raise error_class("no memory for the response body")
 
 
 def feed(parser, data):
--- a/packages/entry/tests/test_failed_allocations.py
+++ b/packages/entry/tests/test_failed_allocations.py
@@ -11,6 +11,7 @@
 from hornbeamstand_core.messages import NO_MEMORY
 from hornbeamstand_entry.clock import make_process_clock
 from hornbeamstand_entry.tasks import connections, memory_errors
+from hornbeamstand_entry.tasks.byte_budget import ByteBudget
 from hornbeamstand_entry.tasks.exchange import Exchange
 from hornbeamstand_entry.tasks.failures import (
     EXIT_TASK_FAILED,
@@ -110,6 +111,14 @@
     assert run_full_process("spawn_supervised") == (EXIT_TASK_FAILED, [])
 
 
+def test_a_response_without_room_in_the_budget_blames_no_target(pool):
+    budget = ByteBudget(100)
+    budget.hold().grow_to(100)
+    pool.rules.answer_budget = budget
+    result = send(pool)
+    assert (result.kind, result.may_have_run) == (NO_MEMORY, True)
+
+
 def test_memory_is_freed_when_the_parser_finds_none(stack, pool, monkeypatch):
     """Guards against failed allocations that pass for malformed responses."""
     noted = []
--- a/packages/entry/tests/test_stated_lengths.py
+++ b/packages/entry/tests/test_stated_lengths.py
@@ -5,7 +5,10 @@
 from hornbeamstand_entry.tasks.byte_budget import ByteBudget
 from hornbeamstand_entry.tasks.connection_rules import ConnectionRules
 from hornbeamstand_entry.tasks.exchange import Exchange
-from hornbeamstand_entry.tasks.response_messages import ResponseError
+from hornbeamstand_entry.tasks.response_messages import (
+    ResponseError,
+    ResponseMemoryError,
+)
 from hornbeamstand_entry.tasks.response_parser import (
     READ_BYTES,
     ResponseParser,
@@ -37,14 +40,15 @@
     return OK + b"Content-Length: %d\r\n\r\n" % length
 
 
-def read(sock, method="GET", limit_bytes=float("inf")):
+def read(sock, method="GET", budget=None):
     exchange = Exchange(method, b"", 0.0, False, MAX_BYTES, SimpleQueue())
-    budget = ByteBudget(limit_bytes)
+    budget = budget or ByteBudget()
+    n_before_bytes = budget.n_held_bytes
     rules = ConnectionRules(answer_budget=budget)
     try:
         return read_response(sock, ResponseParser(), exchange, rules)
     finally:
-        assert budget.n_held_bytes == 0
+        assert budget.n_held_bytes == n_before_bytes
 
 
 @pytest.mark.parametrize(
@@ -76,7 +80,7 @@
 def test_a_response_that_states_more_than_the_memory_is_given_up_at_its_head():
     sock = EndlessSocket(stated(LIMIT_BYTES))
     with pytest.raises(ResponseError, match="no memory for a response body of"):
-        read(sock, limit_bytes=LIMIT_BYTES)
+        read(sock, budget=ByteBudget(LIMIT_BYTES))
     assert sock.n_read_bytes == READ_BYTES
 
 
@@ -98,3 +102,16 @@
     response = read(sock)
     assert response.body == b"abc"
     assert response.should_close()
+
+
+@pytest.mark.parametrize(
+    "head, is_own_lack",
+    [(stated(MAX_BYTES // 4), True), (CHUNKED + b"1000000\r\n", False)],
+)
+def test_only_a_response_that_may_be_sound_is_a_lack_of_memory(head, is_own_lack):
+    """Guards against sound targets that are ejected when callers take the memory."""
+    budget = ByteBudget(LIMIT_BYTES)
+    budget.hold().grow_to(LIMIT_BYTES // 2)
+    with pytest.raises(ResponseError) as caught:
+        read(EndlessSocket(head), budget=budget)
+    assert isinstance(caught.value, ResponseMemoryError) == is_own_lack
