Read little ahead of requests at the peers' port of the own program

Large messages at the gRPC port took more memory than a VM of the own program has.

Cause: grpcio took messages of 4 MB from any number of calls, and lets the window of a connection grow to some megabytes before a message's size is refused. Neither is in a budget.

Change: windows don't grow, and 16 kB of a call are read ahead. A request has two numbers.

--- a/packages/entry/hornbeamstand_entry/tasks/peer_state.py
+++ b/packages/entry/hornbeamstand_entry/tasks/peer_state.py
@@ -28,9 +28,12 @@
 CONNECTIONS_SHARE = 1 / 16
 # No other server may listen at the address of this one. A request has two numbers. A
 # connection that begins no HTTP/2 in time, or carries no call for longer, is closed.
+# Little of a request is read ahead: memory for it is in no budget.
 SERVER_OPTIONS = (
     ("grpc.so_reuseport", 0),
     ("grpc.max_receive_message_length", 1024),
+    ("grpc.http2.bdp_probe", 0),
+    ("grpc.http2.lookahead_bytes", 16_384),
     ("grpc.server_handshake_timeout_ms", 2000),
     ("grpc.max_connection_idle_ms", 10_000),
 )
--- a/tests/test_crowds_operators.py
+++ b/tests/test_crowds_operators.py
@@ -7,6 +7,7 @@
 from contextlib import ExitStack
 
 import gevent
+import grpc
 import pytest
 
 from standins.process_limits import ProcessLimits
@@ -24,6 +25,11 @@
 )
 
 ADMIN_PATH = "/status"
+FETCH_STATE = "/hornbeamstand.Peer/FetchState"
+LARGE_MESSAGE_BYTES = 3_900_000
+N_CHANNELS = 40
+N_CALLS = 5
+CALL_TIMEOUT_S = 6.0
 # Idle time that is longer than the wait for an ordinary request.
 CALLER_IDLE_MS = 60_000
 
@@ -73,3 +79,30 @@
         gevent.sleep(HOLD_S)
         wait_until_served(vm.is_serving)
         assert_holds(vm.process, ip, MEMORY_MB[program], FEW_DESCRIPTORS)
+
+
+def call_with_large_messages(address, stack):
+    """Send large messages to a peers' port at once; return how each call ended."""
+    calls = []
+    for _ in range(N_CHANNELS):
+        options = [("grpc.use_local_subchannel_pool", 1)]
+        channel = stack.enter_context(grpc.insecure_channel(address, options))
+        fetch = channel.unary_unary(FETCH_STATE)
+        calls += [
+            fetch.future(bytes(LARGE_MESSAGE_BYTES), timeout=CALL_TIMEOUT_S)
+            for _ in range(N_CALLS)
+        ]
+    return [call.code() for call in calls]
+
+
+def test_large_messages_at_the_peers_port_end_no_vm(tmp_path):
+    """Guards against calls whose messages are kept until a thread is free."""
+    with PROGRAMS["own mode"](tmp_path) as vm, ExitStack() as stack:
+        limit_memory(vm, MEMORY_MB["own mode"])
+        vm.start()
+        wait_until_served(vm.is_serving)
+        ip, port = vm.address("peer")
+        codes = call_with_large_messages(f"{ip}:{port}", stack)
+        assert grpc.StatusCode.OK not in codes
+        wait_until_served(vm.is_serving)
+        assert_holds(vm.process, ip, MEMORY_MB["own mode"], N_DESCRIPTORS_MAX)
