--- a/standins/edge_cell.py
+++ b/standins/edge_cell.py
@@ -386,6 +386,9 @@
             raw = bytes(response.read())
             items = {name.lower(): value for name, value in response.items()}
             return Response(response.status_code, items, raw)
+        except AssertionError:
+            # The time limit of a test, which may end it in any call.
+            raise
         except Exception:
             # Sockets and the HTTP parser raise unrelated types.
             return Response(0)
