Say once what was written twice around responses and their tests

Cause: the two handlers of an unexpected error in an exchange, the readers of a socket's queues and the set-up of tests stood two to six times; the pool of test_failed_allocations.py was that of test_unexpected_errors.py.

Change: one handler drops the frames of every such error; tasks/sockets.py reads the queues for both users. Tests share the fixture without collections, the pool to a server that answers, the peak of memory and the memory of a cell. No test, check or bound is dropped; exchanges of failed allocations have 1 s in place of 3.

--- a/conftest.py
+++ b/conftest.py
@@ -1,5 +1,6 @@
 """Settings of the property tests, a fixed share of cases or new ones, and fixtures."""
 
+import gc
 from contextlib import ExitStack
 
 import pytest
@@ -40,3 +41,11 @@
     """An exit stack that is closed at the end of the test."""
     with ExitStack() as exit_stack:
         yield exit_stack
+
+
+@pytest.fixture
+def no_collection():
+    """Turn the garbage collector off: what is freed is freed by its last reference."""
+    gc.disable()
+    yield
+    gc.enable()
--- a/packages/entry/hornbeamstand_entry/memory/queued_bytes.py
+++ b/packages/entry/hornbeamstand_entry/memory/queued_bytes.py
@@ -1,11 +1,12 @@
 """What the system holds for connections: bytes unread, or sent and not yet received."""
 
-import fcntl
 import socket
 import termios
 from contextlib import suppress
 from math import inf
 
+from ..tasks.sockets import read_queue_bytes
+
 # Size of the send buffer of a caller's connection, which the system doubles. It grows
 # up to several megabytes otherwise, for a caller that reads nothing.
 SEND_BUFFER_BYTES = 65_536
@@ -19,7 +20,6 @@
 LOOK_INTERVAL_MS = 250.0
 # Requests of ioctl for the unread bytes and the unacknowledged bytes of a socket.
 QUEUE_REQUESTS = (termios.FIONREAD, termios.TIOCOUTQ)
-COUNT_BYTES = 4
 # SO_LINGER with a timeout of 0: what is queued is dropped at the close.
 RESET_AT_CLOSE = b"\1\0\0\0\0\0\0\0"
 
@@ -74,8 +74,7 @@
     n_bytes = 0
     with suppress(AttributeError, OSError, ValueError):
         for request in QUEUE_REQUESTS:
-            raw = fcntl.ioctl(sock.fileno(), request, bytes(COUNT_BYTES))
-            n_bytes += int.from_bytes(raw, "little")
+            n_bytes += read_queue_bytes(sock, request)
     return n_bytes
 
 
--- a/packages/entry/hornbeamstand_entry/tasks/connections.py
+++ b/packages/entry/hornbeamstand_entry/tasks/connections.py
@@ -104,13 +104,10 @@
             is_kept = perform_exchange(
                 connection, exchange, address, pool_task, clock, closed
             )
-        except MemoryError as error:
-            # The frames of its traceback hold what was read last.
-            is_kept = False
-            fail_exchange(exchange, address, error.with_traceback(None))
         except Exception as error:
             is_kept = False
-            fail_exchange(exchange, address, error)
+            # The frames of its traceback hold what was read last.
+            fail_exchange(exchange, address, error.with_traceback(None))
         connection.exchange = None
         if exchange.is_cancelled:
             # The response came before the greenlet could be killed.
--- a/packages/entry/hornbeamstand_entry/tasks/sockets.py
+++ b/packages/entry/hornbeamstand_entry/tasks/sockets.py
@@ -18,7 +18,7 @@
 NO_OPTION_ERRORS = frozenset(
     [errno.ENOPROTOOPT, errno.EOPNOTSUPP, errno.ENOSYS, errno.EPERM, errno.EACCES]
 )
-# Size of the system's count of unread bytes.
+# Size of the system's count of the bytes in a queue.
 COUNT_BYTES = 4
 # Offset and end of tcpi_last_data_recv, in milliseconds, in the system's TCP_INFO.
 LAST_DATA_OFFSET = 52
@@ -85,9 +85,17 @@
     It is infinity if the system can't tell.
     """
     try:
-        raw = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(COUNT_BYTES))
+        return read_queue_bytes(sock, termios.FIONREAD)
     except (OSError, ValueError):
         return inf
+
+
+def read_queue_bytes(sock, request):
+    """Return the length of a queue of a socket, by a request of ioctl.
+
+    Raises OSError or ValueError if the system can't tell.
+    """
+    raw = fcntl.ioctl(sock.fileno(), request, bytes(COUNT_BYTES))
     return int.from_bytes(raw, sys.byteorder)
 
 
--- a/packages/entry/tests/test_answer_memory.py
+++ b/packages/entry/tests/test_answer_memory.py
@@ -1,6 +1,5 @@
 """What is sent to a caller is freed without a collection once it counts no more."""
 
-import gc
 import weakref
 
 import gevent
@@ -19,11 +18,7 @@
 PATIENCE_S = 5.0
 
 
-@pytest.fixture(autouse=True)
-def no_collection():
-    gc.disable()
-    yield
-    gc.enable()
+pytestmark = pytest.mark.usefixtures("no_collection")
 
 
 class Piece(bytearray):
--- a/packages/entry/tests/test_edge_servers.py
+++ b/packages/entry/tests/test_edge_servers.py
@@ -1,6 +1,5 @@
 """HTTP servers of a process when the system lacks something they ask for."""
 
-import gc
 import weakref
 
 import gevent
@@ -48,13 +47,6 @@
     assert resolver.lookups == asked == []
 
 
-@pytest.fixture
-def no_collection():
-    gc.disable()
-    yield
-    gc.enable()
-
-
 def test_a_connection_that_ended_leaves_no_cyclic_garbage(
     stack, monkeypatch, no_collection
 ):
--- a/packages/entry/tests/test_ended_connections.py
+++ b/packages/entry/tests/test_ended_connections.py
@@ -1,6 +1,5 @@
 """A connection that has ended keeps no descriptor open, without a collection."""
 
-import gc
 import weakref
 
 import gevent
@@ -17,11 +16,7 @@
 HEAD = b"GET / HTTP/1.1\r\nHost: h\r\n"
 
 
-@pytest.fixture(autouse=True)
-def no_collection():
-    gc.disable()
-    yield
-    gc.enable()
+pytestmark = pytest.mark.usefixtures("no_collection")
 
 
 def serve_one(stack, sent, idle_ms=5000.0, end=None):
--- a/packages/entry/tests/test_failed_allocations.py
+++ b/packages/entry/tests/test_failed_allocations.py
@@ -6,13 +6,9 @@
 
 import gevent
 import pytest
-from gevent.queue import SimpleQueue
-from gevent.server import StreamServer
 from hornbeamstand_core.messages import NO_MEMORY
-from hornbeamstand_entry.clock import make_process_clock
 from hornbeamstand_entry.tasks import connections, memory_errors
 from hornbeamstand_entry.tasks.byte_budget import ByteBudget
-from hornbeamstand_entry.tasks.exchange import Exchange
 from hornbeamstand_entry.tasks.failures import (
     EXIT_TASK_FAILED,
     handle_loop_failures,
@@ -23,11 +19,10 @@
     note_failed_allocation,
     relieve_with,
 )
-from hornbeamstand_entry.tasks.pools import ConnectionPool
 from hornbeamstand_entry.tasks.response_parser import ResponseParser
 
-REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
-ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+from tests.answering_server import send, start_pool
+
 PATIENCE_MS = 3000.0
 
 
@@ -48,23 +43,7 @@
 
 @pytest.fixture
 def pool(stack):
-    def serve(sock, _):
-        while sock.recv(65536):
-            sock.sendall(ANSWER)
-
-    server = StreamServer(("127.0.0.1", 0), serve)
-    server.start()
-    stack.callback(server.stop, timeout=0)
-    made = ConnectionPool(f"127.0.0.1:{server.server_port}", make_process_clock())
-    made.start(stack)
-    return made
-
-
-def send(pool):
-    not_after_ms = pool.clock.now_ms() + PATIENCE_MS
-    exchange = Exchange("GET", REQUEST, not_after_ms, False, 1000, SimpleQueue())
-    pool.task.post(exchange)
-    return exchange.receive_result(PATIENCE_MS)
+    return start_pool(stack)
 
 
 @pytest.mark.parametrize("failing", [[], ["report_failure"], ["report_failure", "hub"]])
--- a/packages/entry/tests/test_kept_exchanges.py
+++ b/packages/entry/tests/test_kept_exchanges.py
@@ -1,6 +1,5 @@
 """What no longer counts is not kept by a task that waits, without a collection."""
 
-import gc
 import weakref
 from contextlib import ExitStack
 
@@ -28,11 +27,7 @@
     """A message that can be referred to weakly."""
 
 
-@pytest.fixture(autouse=True)
-def no_collection():
-    gc.disable()
-    yield
-    gc.enable()
+pytestmark = pytest.mark.usefixtures("no_collection")
 
 
 def start_exchange(pool, mailbox=None):
--- a/packages/entry/tests/test_request_memory.py
+++ b/packages/entry/tests/test_request_memory.py
@@ -1,7 +1,6 @@
 """What was read of a request is freed without a collection once it counts no more."""
 
 import builtins
-import gc
 import weakref
 
 import gevent
@@ -21,11 +20,7 @@
 PATIENCE_S = 5.0
 
 
-@pytest.fixture(autouse=True)
-def no_collection():
-    gc.disable()
-    yield
-    gc.enable()
+pytestmark = pytest.mark.usefixtures("no_collection")
 
 
 @pytest.fixture
--- a/packages/entry/tests/test_response_memory.py
+++ b/packages/entry/tests/test_response_memory.py
@@ -1,18 +1,12 @@
 """What was read of a response is freed without a collection once it counts no more."""
 
-import gc
 import weakref
 
 import pytest
 
 from tests.partial_responses import N_SENT_BYTES, PATIENCE_MS, PartialReader
 
-
-@pytest.fixture(autouse=True)
-def no_collection():
-    gc.disable()
-    yield
-    gc.enable()
+pytestmark = pytest.mark.usefixtures("no_collection")
 
 
 def begin_response(stack):
--- a/packages/entry/tests/test_unexpected_errors.py
+++ b/packages/entry/tests/test_unexpected_errors.py
@@ -6,7 +6,6 @@
 import gevent
 import pytest
 from gevent import socket
-from gevent.queue import SimpleQueue
 from gevent.server import StreamServer
 from hornbeamstand_core.edge_node_messages import FetchConfig
 from hornbeamstand_core.messages import BROKEN_RESPONSE, CONNECT_FAILED
@@ -16,16 +15,16 @@
 from hornbeamstand_entry.edge.store_client import StoreClient
 from hornbeamstand_entry.edge.store_era import StoreEra
 from hornbeamstand_entry.tasks import connections, datagram_reads, datagrams
-from hornbeamstand_entry.tasks.exchange import Exchange
 from hornbeamstand_entry.tasks.failures import report_failures_to
-from hornbeamstand_entry.tasks.pools import ConnectionPool
 from hornbeamstand_entry.tasks.response_messages import CompleteResponse
 
-REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
-ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-DEADLINE_MS = 3000.0
-# Maximum time until a request whose exchange failed has its result.
-AT_ONCE_MS = 1000.0
+from tests.answering_server import (
+    AT_ONCE_MS,
+    make_exchange,
+    send,
+    start_pool,
+)
+
 # Number of reads in a row that find no memory.
 N_FAILURES = 3
 
@@ -37,30 +36,6 @@
     return found
 
 
-def start_pool(stack):
-    def serve(sock, _):
-        while sock.recv(65536):
-            sock.sendall(ANSWER)
-
-    server = StreamServer(("127.0.0.1", 0), serve)
-    server.start()
-    stack.callback(server.stop, timeout=0)
-    pool = ConnectionPool(f"127.0.0.1:{server.server_port}", make_process_clock())
-    pool.start(stack)
-    return pool
-
-
-def make_exchange(pool, body=b""):
-    until_ms = pool.clock.now_ms() + DEADLINE_MS
-    return Exchange("GET", REQUEST, until_ms, False, 1000, SimpleQueue(), body=body)
-
-
-def send(pool, body=b""):
-    exchange = make_exchange(pool, body)
-    pool.task.post(exchange)
-    return exchange.receive_result(AT_ONCE_MS)
-
-
 class FailingSocket(socket.socket):
     """Fails its first reads, and then reads one datagram."""
 
--- a/standins/edge_cell.py
+++ b/standins/edge_cell.py
@@ -173,6 +173,8 @@
         Folder for settings and logs.
     n_vms : int
         Number of edge processes, spread over three failure domains in turn.
+    memory_mb : int, optional
+        Memory in the settings of the VMs, in place of the usual one.
 
     Attributes
     ----------
@@ -191,9 +193,11 @@
     more_bounds = ""
     memory_mb = MEMORY_MB
 
-    def __init__(self, folder, n_vms=3):
+    def __init__(self, folder, n_vms=3, memory_mb=None):
         self.folder = Path(folder)
         self.n_vms = n_vms
+        if memory_mb is not None:
+            self.memory_mb = memory_mb
         self.stack = ExitStack()
         self.store = Store()
         self.servers = []
--- a/tests/test_crowds_endless.py
+++ b/tests/test_crowds_endless.py
@@ -41,10 +41,7 @@
 
 @pytest.fixture
 def cell(tmp_path):
-    class SmallCell(EdgeCell):
-        memory_mb = MEMORY_MB
-
-    with SmallCell(tmp_path, n_vms=1) as made:
+    with EdgeCell(tmp_path, n_vms=1, memory_mb=MEMORY_MB) as made:
         made.add_server("desk-0", "desk", DOMAINS[0])
         for i, form in enumerate(HELD_FORMS):
             server = EndlessServer(f"shop-{i}", "shop", DOMAINS[0])
--- a/tests/test_platform_endless.py
+++ b/tests/test_platform_endless.py
@@ -8,6 +8,7 @@
 from gevent.server import StreamServer
 
 from standins.edge_cell import DOMAINS, EdgeCell
+from standins.process_limits import peak_memory_mb
 from standins.server import Server
 
 PREFIXES = {
@@ -85,13 +86,6 @@
             gevent.sleep(0)
 
 
-def memory_mb(vm):
-    """Return the highest memory that a VM's process has taken so far."""
-    with open(f"/proc/{vm.process.pid}/status") as file:
-        line = next(line for line in file if line.startswith("VmHWM"))
-    return int(line.split()[1]) / 1024
-
-
 class LargeServer(EndlessServer):
     """A server whose answers have bodies of ``LARGE_BYTES``."""
 
@@ -139,7 +133,7 @@
         others += [cell.send(vm, "/other/x") for vm in cell.vms]
         gevent.sleep(0.05)
     assert [vm.process.poll() for vm in cell.vms] == [None] * len(cell.vms)
-    assert max(memory_mb(vm) for vm in cell.vms) < MEMORY_MAX_MB
+    assert max(peak_memory_mb(vm.process.pid) for vm in cell.vms) < MEMORY_MAX_MB
     assert 200 not in {job.value.status for job in sent}
     assert [(r.status, r.body) for r in others if r.status != 200] == []
 
@@ -175,7 +169,7 @@
         request_large_answers(cell, vm)
     gevent.sleep(1.0)
     assert {cell.send(vm, "/other/x").status for vm in cell.vms} == {200}
-    assert max(memory_mb(vm) for vm in cell.vms) < MEMORY_MAX_MB
+    assert max(peak_memory_mb(vm.process.pid) for vm in cell.vms) < MEMORY_MAX_MB
 
 
 def test_the_memory_of_answers_is_free_again_once_the_callers_have_gone(cell):
@@ -200,7 +194,7 @@
             senders.append(gevent.spawn(send_pieces, sock))
     gevent.joinall(senders, timeout=10.0)
     assert {cell.send(vm, "/other/x").status for vm in cell.vms} == {200}
-    assert max(memory_mb(vm) for vm in cell.vms) < MEMORY_MAX_MB
+    assert max(peak_memory_mb(vm.process.pid) for vm in cell.vms) < MEMORY_MAX_MB
 
 
 def send_pieces(sock):
--- a/tests/test_platform_endless_framing.py
+++ b/tests/test_platform_endless_framing.py
@@ -29,10 +29,7 @@
 
 @pytest.fixture
 def cell(tmp_path):
-    class SmallCell(EdgeCell):
-        memory_mb = MEMORY_MB
-
-    with SmallCell(tmp_path) as made:
+    with EdgeCell(tmp_path, memory_mb=MEMORY_MB) as made:
         made.add_server("desk-0", "desk", DOMAINS[0])
         yield made
 
