Name the call that gets the error of a connection

Three explanations were open: a timer's look or the sender of the request takes the error that the reader then misses, or the parser ends the response. No log line or metric told them apart.

Change: a Stream makes all calls on the socket of a connection that this VM opened and keeps its first error with the step that got it: read, send or look. Three gauges count them, and "response: error elsewhere" names the response whose reader missed its error, and whether it counts as complete. What is returned to requesters is as before.

--- a/packages/entry/hornbeamstand_entry/edge/logs.py
+++ b/packages/entry/hornbeamstand_entry/edge/logs.py
@@ -300,9 +300,9 @@
         """Log that callers are ended or refused because memory is short."""
         self.warning("process: memory short", **relief.describe())
 
-    def response_unfinished(self, unfinished):
-        """Log an UnfinishedResponse of a target or a peer."""
-        self.warning("response: unfinished", **unfinished.describe())
+    def response_read(self, report):
+        """Log what ResponseReads reports of a response of a target or a peer."""
+        self.warning(report.EVENT, **report.describe())
 
     def refused_early(self, request, refusal):
         """Log a request that was refused before its route was looked up."""
--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -123,7 +123,7 @@
         n_descriptors = prepare_descriptors(settings.n_descriptors, log)
         self.connection_limits = ConnectionLimits.from_descriptors(n_descriptors)
         self.open_connections = OpenConnections(self.connection_limits.n_sends_max)
-        self.reads = ResponseReads(log.response_unfinished)
+        self.reads = ResponseReads(log.response_read)
         rules = peer_rules(self.body_budget, self.open_connections, self.reads)
         self.peer_pools = Pools(self.clock, stack, rules)
         self._build_store(stack)
--- a/packages/entry/hornbeamstand_entry/http_server.py
+++ b/packages/entry/hornbeamstand_entry/http_server.py
@@ -23,6 +23,7 @@
     limit_header_time,
 )
 from .tasks.failures import report_failure
+from .tasks.sockets import peek
 
 # Maximum size of the body of a refused request whose connection stays open.
 DROPPED_BODY_MAX_BYTES = 16_384
@@ -361,7 +362,7 @@
 def has_left(sock):
     """Return whether a caller has closed its connection after its request."""
     try:
-        return not sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        return not peek(sock)
     except BlockingIOError:
         return False
     except OSError:
--- a/packages/entry/hornbeamstand_entry/process.py
+++ b/packages/entry/hornbeamstand_entry/process.py
@@ -120,7 +120,7 @@
             id_header=headers.REQUEST_ID,
             answer_budget=self.budget,
             open_connections=OpenConnections(self.connection_limits.n_sends_max),
-            reads=ResponseReads(self._report_unfinished),
+            reads=ResponseReads(self._report_response),
         )
         self.pools = Pools(self.clock, stack, rules)
         self.metrics = Metrics()
@@ -133,9 +133,9 @@
         self._build_front()
         return self
 
-    def _report_unfinished(self, unfinished):
-        """Log an UnfinishedResponse of a target or a peer."""
-        self.log.warning("response: unfinished", **unfinished.describe())
+    def _report_response(self, report):
+        """Log what ResponseReads reports of a response of a target or a peer."""
+        self.log.warning(report.EVENT, **report.describe())
 
     def _decision_log(self):
         """Return the logger of decisions; None if they are not logged."""
--- a/packages/entry/hornbeamstand_entry/tasks/connections.py
+++ b/packages/entry/hornbeamstand_entry/tasks/connections.py
@@ -5,8 +5,6 @@
 and never used again.
 """
 
-import socket
-
 import gevent
 from hornbeamstand_core.messages import (
     BROKEN_RESPONSE,
@@ -24,6 +22,7 @@
 from .response_messages import ResponseError, ResponseMemoryError
 from .response_parser import ERROR_STATUS_MIN, ResponseParser, read_response
 from .sockets import NO_DESCRIPTOR_ERRORS, open_socket, parse_address
+from .streams import Stream
 from .task import Task
 
 # Maximum number of error responses on a connection. A connection with more is closed,
@@ -42,7 +41,7 @@
 
     __slots__ = (
         "task",
-        "sock",
+        "stream",
         "parser",
         "rules",
         "exchange",
@@ -54,7 +53,7 @@
 
     def __init__(self, name, rules):
         self.task = Task(name)
-        self.sock = None
+        self.stream = None
         self.parser = ResponseParser()
         self.rules = rules
         self.idle_max_ms = rules.idle_max_ms
@@ -124,8 +123,8 @@
 
     An exchange may be assigned to a connection that an earlier one has just cancelled.
     """
-    if connection.sock is not None:
-        connection.sock.close()
+    if connection.stream is not None:
+        connection.stream.close()
     connection.rules.open_connections.note_closed(connection)
     exchange = connection.exchange
     if exchange is not None and not exchange.is_cancelled:
@@ -150,8 +149,8 @@
     ``closed`` is the message that the task posts if the connection ends here; a
     timeout is noted in it.
     """
-    is_reused = connection.sock is not None
-    if is_reused and is_unusable(connection.sock):
+    is_reused = connection.stream is not None
+    if is_reused and is_unusable(connection.stream):
         pool_task.post(exchange)
         return False
     if not is_reused:
@@ -171,10 +170,12 @@
         raise
     except (OSError, ResponseError) as error:
         note_unfinished(connection, exchange, address, repr(error))
+        connection.rules.reads.note_error(connection, exchange, address, False)
         is_own_lack = isinstance(error, ResponseMemoryError)
         kind = NO_MEMORY if is_own_lack else BROKEN_RESPONSE
         reply(exchange, SendFailure(kind, True, f"{address} {error!r}"))
         return False
+    connection.rules.reads.note_error(connection, exchange, address, True)
     note_keep_alive(connection, response)
     note_error(connection, exchange, response)
     reply(exchange, response)
@@ -203,15 +204,15 @@
     The connection then can't carry another exchange: the server would read the rest of
     the request as the next one.
     """
-    sock, data = connection.sock, exchange.request_bytes
-    n_sent = sock.send(data)
+    stream, data = connection.stream, exchange.request_bytes
+    n_sent = stream.send(data)
     if n_sent == len(data) and not exchange.body:
         exchange.note_whole_sent()
-        return read_response(sock, connection.parser, exchange, connection.rules)
+        return read_response(stream, connection.parser, exchange, connection.rules)
     parts = [memoryview(data)[n_sent:], exchange.body]
-    sender = spawn(send_rest, sock, parts, exchange)
+    sender = spawn(send_rest, stream, parts, exchange)
     try:
-        response = read_response(sock, connection.parser, exchange, connection.rules)
+        response = read_response(stream, connection.parser, exchange, connection.rules)
         if not (sender.ready() and sender.value):
             response.closes_connection = True
         return response
@@ -219,11 +220,11 @@
         sender.kill(block=False)
 
 
-def send_rest(sock, parts, exchange):
+def send_rest(stream, parts, exchange):
     """Send the parts of a request; returns whether the connection took them."""
     try:
         for part in parts:
-            sock.sendall(part)
+            stream.sendall(part)
         exchange.note_whole_sent()
     except OSError:
         # The reader of the connection notices its end too, after what came before.
@@ -231,7 +232,7 @@
     except Exception as error:
         report_failure("connection", error)
         # The server waits for the rest, and the reader for the server.
-        sock.shutdown(socket.SHUT_RDWR)
+        stream.end()
         return False
     return True
 
@@ -267,12 +268,12 @@
         exchange.report(result)
 
 
-def is_unusable(sock):
+def is_unusable(stream):
     """Return whether an idle connection is closed or has received stray bytes."""
     try:
         # Nothing is to be read from an idle connection, so any bytes are a stray
         # response.
-        sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        stream.peek()
     except BlockingIOError:
         return False
     except OSError:
@@ -288,9 +289,10 @@
     """
     try:
         left_ms = not_after_ms - clock.now_ms()
-        connection.sock = open_socket(parse_address(address), connection.rules, left_ms)
+        sock = open_socket(parse_address(address), connection.rules, left_ms)
     except (OSError, OverflowError, ValueError) as error:
         has_no_descriptor = getattr(error, "errno", None) in NO_DESCRIPTOR_ERRORS
         return NO_DESCRIPTOR if has_no_descriptor else CONNECT_FAILED
+    connection.stream = Stream(sock)
     connection.opened_at_ms = clock.now_ms()
     return None
--- a/packages/entry/hornbeamstand_entry/tasks/exchange.py
+++ b/packages/entry/hornbeamstand_entry/tasks/exchange.py
@@ -1,12 +1,8 @@
 """One request to send over a connection, and its result: messages between tasks."""
 
-import socket
-from contextlib import suppress
-
 from hornbeamstand_core.messages import CANCELLED, SendFailure
 from hornbeamstand_core.records import Record
 
-from .sockets import count_unread_bytes, has_bytes
 from .task import receive, receive_arrived
 
 # Maximum number of turns of the event loop in which the bytes that have arrived for an
@@ -127,13 +123,13 @@
         connection = self.connection
         if connection is None or connection.exchange is not self:
             return False
-        if connection.sock is None or connection.parser is None:
+        if connection.stream is None or connection.parser is None:
             return False
         parser = connection.parser
-        if not parser.has_unparsed and not has_bytes(connection.sock):
+        if not parser.has_unparsed and not connection.stream.has_bytes():
             return False
         if parser.has_stated_length:
-            n_unread_bytes = count_unread_bytes(connection.sock)
+            n_unread_bytes = connection.stream.count_unread_bytes()
             return parser.n_announced_bytes <= max(n_unread_bytes, LARGE_BODY_BYTES)
         return parser.n_body_bytes < LARGE_BODY_BYTES
 
@@ -181,8 +177,7 @@
     def _shut_down_sending(self):
         connection = self.connection
         if connection is not None and connection.exchange is self:
-            with suppress(OSError):
-                connection.sock.shutdown(socket.SHUT_WR)
+            connection.stream.end_sending()
 
     def cancel(self, has_timed_out=False):
         """Cancel the exchange and close the connection that carries it, if any.
--- a/packages/entry/hornbeamstand_entry/tasks/response_reads.py
+++ b/packages/entry/hornbeamstand_entry/tasks/response_reads.py
@@ -1,7 +1,11 @@
 """What is being read of responses, and what was read of incomplete ones."""
 
+from collections import Counter
+
 from hornbeamstand_core.records import Record
 
+from .streams import LOOK, READ, SEND
+
 # Number of bytes read from which on an incomplete response is reported.
 REPORTED_MIN_BYTES = 65_536
 # Maximum length of a reported Content-Length: it may have any number of leading zeros.
@@ -18,6 +22,8 @@
     responses.
     """
 
+    EVENT = "response: unfinished"
+
     __slots__ = (
         "address",
         "request_id",
@@ -61,7 +67,37 @@
         }
 
 
-def report_nothing(unfinished):
+class ErrorElsewhere(Record):
+    """The StreamError of a response whose reader was not the one to get it.
+
+    ``is_complete`` is whether the response counts as complete all the same, and
+    ``n_body_bytes`` the size of the body that was read.
+    """
+
+    EVENT = "response: error elsewhere"
+
+    __slots__ = ("address", "request_id", "error", "is_complete", "n_body_bytes")
+
+    def __init__(self, address, request_id, error, is_complete, n_body_bytes):
+        self.address = address
+        self.request_id = request_id
+        self.error = error
+        self.is_complete = is_complete
+        self.n_body_bytes = n_body_bytes
+
+    def describe(self):
+        """Return the fields of a log line by name."""
+        return {
+            "at": self.address,
+            "request": self.request_id,
+            "step": self.error.step,
+            "reason": self.error.reason,
+            "is_complete": self.is_complete,
+            "n_body_bytes": self.n_body_bytes,
+        }
+
+
+def report_nothing(report):
     """Report no response."""
 
 
@@ -71,17 +107,26 @@
     ``parsers`` are those of the responses that are being read. ``n_unfinished`` counts
     the responses of REPORTED_MIN_BYTES or more that were given up, and
     ``n_unfinished_bytes`` the bytes that were read of them. ``parse_ms`` is the time
-    that the parts of more than PARSE_BYTES of all responses took to parse.
-    ``report(unfinished)`` is called with each UnfinishedResponse.
+    that the parts of more than PARSE_BYTES of all responses took to parse. ``n_errors``
+    counts the errors of connections by the step that got them.
+    ``report(report)`` is called with each UnfinishedResponse and ErrorElsewhere.
     """
 
-    __slots__ = ("parsers", "n_unfinished", "n_unfinished_bytes", "parse_ms", "report")
+    __slots__ = (
+        "parsers",
+        "n_unfinished",
+        "n_unfinished_bytes",
+        "parse_ms",
+        "n_errors",
+        "report",
+    )
 
     def __init__(self, report=report_nothing):
         self.parsers = set()
         self.n_unfinished = 0
         self.n_unfinished_bytes = 0
         self.parse_ms = 0.0
+        self.n_errors = Counter()
         self.report = report
 
     @property
@@ -109,6 +154,23 @@
         )
         self.report(unfinished)
 
+    def note_error(self, connection, exchange, address, is_complete):
+        """Count the error of a connection, if any; report one that its reader missed.
+
+        ``is_complete`` is whether the response to the exchange counts as complete.
+        """
+        error = connection.stream.error
+        if error is None:
+            return
+        self.n_errors[error.step] += 1
+        if error.step != READ:
+            n_body_bytes = connection.parser.n_body_bytes
+            self.report(
+                ErrorElsewhere(
+                    address, exchange.expected_id, error, is_complete, n_body_bytes
+                )
+            )
+
     def gauges(self):
         """Return the functions that read the gauges, by name."""
         return {
@@ -116,4 +178,7 @@
             "responses_unfinished": lambda: self.n_unfinished,
             "response_bytes_unfinished": lambda: self.n_unfinished_bytes,
             "response_parse_ms": lambda: self.parse_ms,
+            "response_errors_read": lambda: self.n_errors[READ],
+            "response_errors_send": lambda: self.n_errors[SEND],
+            "response_errors_look": lambda: self.n_errors[LOOK],
         }
--- a/packages/entry/hornbeamstand_entry/tasks/sockets.py
+++ b/packages/entry/hornbeamstand_entry/tasks/sockets.py
@@ -71,10 +71,22 @@
         sock.getpeername()
 
 
+def peek(sock):
+    """Return a byte that waits to be read at a socket, or none at its end.
+
+    Raises BlockingIOError if neither is there, and OSError if the connection failed.
+    The system then tells no other call of that failure.
+    """
+    return sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+
+
 def has_bytes(sock):
-    """Return whether bytes have arrived at a socket and were not read yet."""
+    """Return whether bytes have arrived from a caller and were not read yet.
+
+    Connections that this VM opened have a Stream, which keeps what this drops.
+    """
     try:
-        return bool(sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        return bool(peek(sock))
     except OSError:
         return False
 
--- a/packages/entry/tests/test_late_responses.py
+++ b/packages/entry/tests/test_late_responses.py
@@ -6,6 +6,7 @@
 from hornbeamstand_entry.tasks.connection_rules import ConnectionRules
 from hornbeamstand_entry.tasks.connections import Connection
 from hornbeamstand_entry.tasks.exchange import LARGE_BODY_BYTES, Exchange
+from hornbeamstand_entry.tasks.streams import Stream
 
 OK = b"HTTP/1.1 200 OK\r\n"
 N_LARGE_BYTES = 8 * LARGE_BODY_BYTES
@@ -20,7 +21,7 @@
     ours, theirs = map(stack.enter_context, socket.socketpair())
     exchange = Exchange("GET", b"", 0.0, False, 1 << 30, SimpleQueue())
     connection = Connection("connection", ConnectionRules())
-    connection.sock = ours
+    connection.stream = Stream(ours)
     connection.exchange = exchange
     connection.parser.begin_exchange("GET")
     if read:
