Let an end of a connection that had failed complete no response

Cause: the system reports an error of a socket once, to whichever call comes first, and a read after it finds an ordinary end. A timer's look for unread bytes or the sender of a request took the reset and dropped it; the reader took the end that was left for the end of a response without a length.

Change: a Stream that has got an error, from any call, raises it in place of an end.

--- a/packages/entry/hornbeamstand_entry/tasks/streams.py
+++ b/packages/entry/hornbeamstand_entry/tasks/streams.py
@@ -1,8 +1,9 @@
 """The byte stream of a connection that this VM opened, which keeps its first error.
 
-The system reports an error of a socket once, to whichever call comes first. Several
-tasks make calls on a connection: one reads, another may send the rest of a request, and
-a timer may look for unread bytes. So all of them make their calls here.
+The system reports an error of a socket once, to whichever call comes first, and a read
+after it finds an ordinary end. Several tasks make calls on a connection: one reads,
+another may send the rest of a request, and a timer may look for unread bytes. So all of
+them make their calls here, and an end that follows an error is that error.
 """
 
 import socket
@@ -31,6 +32,10 @@
         self.reason = reason
 
 
+class BrokenStreamError(OSError):
+    """The end of a stream that had failed before."""
+
+
 class Stream:
     """The socket of a connection, and the first error that any call got from it.
 
@@ -51,8 +56,14 @@
         self._sock.close()
 
     def recv(self, n_max_bytes):
-        """Return bytes once some have arrived, or none at the end of the connection."""
-        return self._call(READ, self._sock.recv, n_max_bytes)
+        """Return bytes once some have arrived, or none once the other side has ended.
+
+        Raises OSError if the connection failed, also if another call got the error.
+        """
+        data = self._call(READ, self._sock.recv, n_max_bytes)
+        if not data and self.error is not None:
+            raise BrokenStreamError(f"{self.error.reason} at step {self.error.step}")
+        return data
 
     def send(self, data):
         """Send some bytes; return their number."""
