Let a connection that its own sender ended complete no response

Callers could get 200 with a part of the body: after an unexpected error the sender of an upload shuts the connection down, so that neither side waits for the other.

Cause: the shutdown makes an end on this side. A reader that waits is woken with an error, but one that parses at that moment finds an ordinary end at its next read, by which a response without a length is complete.

Evidence: the new test of Stream.fail read no error before.

Change: Stream.fail keeps the sender's error before it ends the connection, and a connection that has ended already is no second error.

Measured: 2 new tests; test_an_end_that_this_vm_made_after_an_error_is_no_end failed before. test_open_ended_cuts.py, test_unexpected_errors.py and test_failed_allocations.py pass.

--- a/packages/entry/hornbeamstand_entry/tasks/connections.py
+++ b/packages/entry/hornbeamstand_entry/tasks/connections.py
@@ -232,7 +232,7 @@
     except Exception as error:
         report_failure("connection", error)
         # The server waits for the rest, and the reader for the server.
-        stream.end()
+        stream.fail(error)
         return False
     return True
 
--- a/packages/entry/hornbeamstand_entry/tasks/streams.py
+++ b/packages/entry/hornbeamstand_entry/tasks/streams.py
@@ -99,9 +99,11 @@
         with suppress(OSError):
             self._sock.shutdown(socket.SHUT_WR)
 
-    def end(self):
-        """End the connection for all tasks that wait for it."""
-        self._sock.shutdown(socket.SHUT_RDWR)
+    def fail(self, error):
+        """End the connection for all its tasks, because of an error of the sender."""
+        self._note_error(SEND, error)
+        with suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
 
     def _call(self, step, function, argument):
         try:
--- a/packages/entry/tests/test_open_ended_cuts.py
+++ b/packages/entry/tests/test_open_ended_cuts.py
@@ -7,6 +7,7 @@
 import gevent
 import pytest
 from gevent import socket
+from gevent.event import Event
 from hornbeamstand_core.messages import BROKEN_RESPONSE, SendFailure
 from hornbeamstand_entry.tasks.streams import BrokenStreamError, Stream
 from hypothesis import given
@@ -62,6 +63,20 @@
     assert is_failed_send(target.receive_result())
 
 
+def test_a_response_whose_upload_failed_here_is_not_complete(stack, monkeypatch):
+    """Guards against a 200 with a part of the body, if this VM ends the connection."""
+    failing = Event()
+
+    def find_no_memory(stream, data):
+        failing.wait()
+        raise MemoryError
+
+    monkeypatch.setattr(Stream, "sendall", find_no_memory)
+    target = OpenEndedTarget(stack, upload=b"x")
+    failing.set()
+    assert is_failed_send(target.receive_result())
+
+
 def look(target):
     target.exchange.may_have_arrived()
 
@@ -146,6 +161,15 @@
         stream.recv(1)
 
 
+def test_an_end_that_this_vm_made_after_an_error_is_no_end():
+    """Guards against a 200 with a part of the body, if the reader was not waiting."""
+    ours, theirs = socket.socketpair()
+    with closing(Stream(ours)) as stream, theirs:
+        stream.fail(MemoryError())
+        with pytest.raises(BrokenStreamError):
+            stream.recv(1)
+
+
 def test_an_end_without_an_error_is_an_end():
     ours, theirs = socket.socketpair()
     with closing(Stream(ours)) as stream, theirs:
