Let no late write of a target replace a later one

Cause: the store may do a write seconds late whose answer was lost. TargetTable.put let any entry of the same start replace the known one, and one of an earlier start at once; sequences were compared only after the store had come back from a copy.

Change: an entry that was overtaken by what is known of its start changes nothing: by changes, reads and copies of peers, and after a removal. One of an earlier start waits 4.5 s for the held start to write again, which it does if it is alive; a target whose clock went back counts after that.

--- a/packages/core/hornbeamstand_core/controllers/store/store_records.py
+++ b/packages/core/hornbeamstand_core/controllers/store/store_records.py
@@ -116,7 +116,8 @@
 
     def expire(self, now_ms):
         """End what is kept provisionally; return state changes for the log."""
-        return self._domains.expire(now_ms) + self._targets.expire(now_ms)
+        out = self._domains.expire(now_ms) + self._targets.expire(now_ms)
+        return out + self._table.expire_earlier_starts(now_ms)
 
     # Records.
 
--- a/packages/core/hornbeamstand_core/controllers/targets/known_targets.py
+++ b/packages/core/hornbeamstand_core/controllers/targets/known_targets.py
@@ -4,6 +4,8 @@
 of one. The start and the sequence of an entry tell which of two is the later one.
 """
 
+from .earlier_starts import is_later, is_overtaken
+
 # Time for which a target is remembered after it was removed, at least. It is at most
 # twice as long.
 REMEMBERED_MS = 60_000.0
@@ -126,6 +128,13 @@
             return False
         return not is_later(entry, known.entry)
 
+    def is_overtaken(self, entry):
+        """Return whether a removed target had left after it wrote an entry."""
+        known = self._recent.get(entry.key) or self._earlier.get(entry.key)
+        if known is None or not known.has_left:
+            return False
+        return is_overtaken(entry, known.entry)
+
     def compare(self, entry):
         """Return whether an entry is NEWER than what was known, or OUTDATED.
 
@@ -170,12 +179,6 @@
             self._before_era[key] = None
 
 
-def is_later(entry, other):
-    """Return whether an entry is of a later start or has a later sequence."""
-    written = (entry.started_wall_ms, entry.sequence)
-    return written > (other.started_wall_ms, other.sequence)
-
-
 def last_at_address(known_targets):
     """Return a dict of address to the KnownTarget that was the last to start there."""
     by_address = {}
--- a/packages/core/hornbeamstand_core/controllers/targets/target_recovery.py
+++ b/packages/core/hornbeamstand_core/controllers/targets/target_recovery.py
@@ -15,6 +15,7 @@
 )
 from .copy_rounds import CopyRounds
 from .dropped_targets import DroppedTargets
+from .target_table import is_same_start
 
 # Time that a read of the store takes at most while the store is in order. A store that
 # is silent is known to be unavailable only much later.
@@ -272,7 +273,10 @@
             if self._table.known_targets.has_left_since(held.entry):
                 continue
             out += self._table.put(held.entry, now_ms)
-            target = self._table.by_key[held.entry.key]
+            target = self._table.by_key.get(held.entry.key)
+            if target is None or not is_same_start(target.entry, held.entry):
+                # The copy is of another start than the one that is known.
+                continue
             target.is_leaving = target.is_leaving or held.is_leaving
             if held.pause_ms > 0.0:
                 target.paused_until_ms = now_ms + held.pause_ms
--- a/packages/core/hornbeamstand_core/controllers/targets/target_table.py
+++ b/packages/core/hornbeamstand_core/controllers/targets/target_table.py
@@ -8,6 +8,7 @@
 from ...discovery import DRAINING
 from ...edge_messages import StateChange
 from .discovered_target import DiscoveredTarget
+from .earlier_starts import EarlierStarts, is_earlier_start, is_overtaken
 from .kept_notices import KeptNotices
 from .known_targets import KnownTargets
 
@@ -40,6 +41,7 @@
         "kept_notices",
         "known_targets",
         "is_filled",
+        "_earlier_starts",
     )
 
     def __init__(self, find_service):
@@ -53,6 +55,7 @@
         self.kept_notices = KeptNotices()
         self.known_targets = KnownTargets()
         self.is_filled = False
+        self._earlier_starts = EarlierStarts()
 
     def note_store_unavailable(self, now_ms):
         """Treat targets as suspect from now on when their entries are removed."""
@@ -66,15 +69,48 @@
         self.suspect_until_ms = available_at_ms + REREGISTER_MS
 
     def put(self, entry, now_ms):
-        """Add or update the target of an entry; return state changes for the log."""
-        self._suspect_keys.discard(entry.key)
+        """Add or update the target of an entry; return state changes for the log.
+
+        The store may do a write late, after later ones. An entry that was overtaken by
+        what is known of its start changes nothing, and one of an earlier start than the
+        held one waits until that has had time to write again.
+        """
         target = self.by_key.get(entry.key)
+        if self._is_overtaken(target, entry):
+            return [outdated(entry, "written before what is known")]
+        if target is not None and is_earlier_start(entry, target.entry):
+            self._earlier_starts.note(entry, now_ms)
+            return [outdated(entry, "an earlier start")]
+        return self._replace(target, entry, now_ms)
+
+    def _is_overtaken(self, target, entry):
+        if target is not None:
+            return is_overtaken(entry, target.entry)
+        return self.known_targets.is_overtaken(entry)
+
+    def _replace(self, target, entry, now_ms):
+        """Let an entry take the place of the target that is held, or None."""
+        self._suspect_keys.discard(entry.key)
+        self._earlier_starts.forget(entry.key)
         if target is not None and is_same_start(target.entry, entry):
             return self._update(target, entry, now_ms)
         if target is not None:
             self._remove_from_service(target)
         return self._add(entry, now_ms)
 
+    def expire_earlier_starts(self, now_ms):
+        """Use the entries of earlier starts whose later start has stayed silent.
+
+        While the store is away, the later start can't write. Returns state changes for
+        the log.
+        """
+        if now_ms < self.suspect_until_ms:
+            return []
+        out = []
+        for entry in self._earlier_starts.take_due(now_ms):
+            out += self._replace(self.by_key.get(entry.key), entry, now_ms)
+        return out
+
     def _add(self, entry, now_ms):
         target = DiscoveredTarget(entry, now_ms)
         target.is_open = entry.state != DRAINING
@@ -154,6 +190,7 @@
                 StateChange("target", "doubted", target.entry.target_id, "store away")
             ]
         del self.by_key[key]
+        self._earlier_starts.forget(key)
         self._remove_from_service(target)
         self._keep_notices(target)
         self.known_targets.note_removed(target.entry, True)
@@ -181,6 +218,7 @@
             self.known_targets.note_removed(target.entry, not target.is_offered)
         self.by_key.clear()
         self._suspect_keys.clear()
+        self._earlier_starts.clear()
         self.is_filled = False
 
     def replace_all(self, entries, now_ms, kept_keys=()):
@@ -213,6 +251,11 @@
                 target.extend_cold(service.rules.cold_ms, now_ms)
 
 
+def outdated(entry, detail):
+    """Return the StateChange for the log of an entry that changes nothing now."""
+    return StateChange("target", "outdated entry", entry.target_id, detail)
+
+
 def is_same_start(old, new):
     """Return whether two entries belong to the same start of the same target."""
     if old.started_wall_ms != new.started_wall_ms or old.address != new.address:
