Leave out what an earlier start of a target answered to a load probe

Callers would get 503 for want of targets: a restarted target, marked as leaving by an answer of its earlier start, gets no request until it starts again.

Cause: the result of a load probe named its target, but not the start that was probed. A VM that was late may read the entry of the new start before the answer of the old one.

Evidence: the new test got a refusal before.

Change: SendProbe and LoadProbeResult state the start, and a result of another start is left out, as notices of peers are. ProbesNeeded holds the SendProbes, which three places made one by one.

Measured: test_the_answer_of_an_earlier_start_to_a_load_probe_says_nothing_of_a_newer_one failed before and passes, with all tests of packages/core and packages/entry.

--- a/packages/core/hornbeamstand_core/balancer_messages.py
+++ b/packages/core/hornbeamstand_core/balancer_messages.py
@@ -50,15 +50,20 @@
 
 
 class SendProbe(Record):
-    """Send a probe to a target's health endpoint."""
+    """Send a probe to a target's health endpoint.
 
-    __slots__ = ("service_name", "target_id", "address", "path")
+    ``started_wall_ms`` is the start of the target that is probed, or None if it is
+    unknown.
+    """
+
+    __slots__ = ("service_name", "target_id", "address", "path", "started_wall_ms")
 
-    def __init__(self, service_name, target_id, address, path):
+    def __init__(self, service_name, target_id, address, path, started_wall_ms=None):
         self.service_name = service_name
         self.target_id = target_id
         self.address = address
         self.path = path
+        self.started_wall_ms = started_wall_ms
 
 
 class ProbeResult(Record):
--- a/packages/core/hornbeamstand_core/controllers/load/capacity.py
+++ b/packages/core/hornbeamstand_core/controllers/load/capacity.py
@@ -286,11 +286,12 @@
     def note_load(self, message, now_ms):
         """Update a target from the result of a load probe.
 
-        Returns the messages of the waiting requests that can be served now.
+        One of another start of the target is left out; see ``has_start``. Returns the
+        messages of the waiting requests that can be served now.
         """
-        target = self.targets.get(message.target_id)
-        if target is None:
+        if not self.has_start(message.target_id, message.started_wall_ms):
             return []
+        target = self.targets[message.target_id]
         if not message.is_answered:
             # A target that reports no load may let a probe wait for a slot.
             if target.may_report:
--- a/packages/core/hornbeamstand_core/controllers/targets/load_probing.py
+++ b/packages/core/hornbeamstand_core/controllers/targets/load_probing.py
@@ -64,9 +64,24 @@
 
 def request_probes(service, message, targets):
     """Return the reply that asks to probe the targets and then to acquire again."""
-    pairs = [(item.entry.target_id, item.entry.address) for item in targets]
-    needed = ProbesNeeded(service.name, health_path(service), pairs)
-    return [DeferredReply(message.request_id, needed)]
+    return [
+        DeferredReply(message.request_id, ProbesNeeded(make_probes(service, targets)))
+    ]
+
+
+def make_probes(service, targets):
+    """Return a SendProbe for each of some targets of a service."""
+    path = health_path(service)
+    return [
+        SendProbe(
+            service.name,
+            target.entry.target_id,
+            target.entry.address,
+            path,
+            target.entry.started_wall_ms,
+        )
+        for target in targets
+    ]
 
 
 def probes_for_waiting(service, now_ms):
@@ -92,11 +107,7 @@
     )
     for target in to_probe:
         target.probed_at_ms = now_ms
-    path = health_path(service)
-    return [
-        SendProbe(service.name, target.entry.target_id, target.entry.address, path)
-        for target in to_probe
-    ]
+    return make_probes(service, to_probe)
 
 
 def cold_check(service, target, now_ms):
@@ -112,9 +123,7 @@
     if now_ms - target.checked_at_ms < COLD_CHECK_INTERVAL_MS:
         return []
     target.checked_at_ms = now_ms
-    entry = target.entry
-    path = health_path(service)
-    return [SendProbe(service.name, entry.target_id, entry.address, path)]
+    return make_probes(service, [target])
 
 
 def is_probe_due(target, now_ms):
--- a/packages/core/hornbeamstand_core/load_probe_messages.py
+++ b/packages/core/hornbeamstand_core/load_probe_messages.py
@@ -4,17 +4,12 @@
 
 
 class ProbesNeeded(Record):
-    """Targets to probe for their load before the slot is requested again.
+    """The load probes to send before the slot is requested again, as SendProbes."""
 
-    ``targets`` are pairs of target id and address.
-    """
-
-    __slots__ = ("service_name", "path", "targets")
+    __slots__ = ("probes",)
 
-    def __init__(self, service_name, path, targets):
-        self.service_name = service_name
-        self.path = path
-        self.targets = targets
+    def __init__(self, probes):
+        self.probes = probes
 
 
 class ProbeLoads(Record):
--- a/packages/core/tests/load_player.py
+++ b/packages/core/tests/load_player.py
@@ -73,9 +73,9 @@
             caller = by_id[out.request_id]
             if isinstance(out.reply, Permit):
                 start(caller, out.reply)
-            elif hasattr(out.reply, "targets"):
-                for target_id, _ in out.reply.targets:
-                    report(target_id)
+            elif hasattr(out.reply, "probes"):
+                for probe in out.reply.probes:
+                    report(probe.target_id)
                 message.n_probe_rounds += 1
                 acquire(message)
             else:
--- a/packages/core/tests/test_capacity.py
+++ b/packages/core/tests/test_capacity.py
@@ -110,7 +110,7 @@
     harness.now_ms += 100.0
     reply = harness.acquire(n_probe_rounds=0)
     assert needs_probes(reply)
-    assert {target_id for target_id, _ in reply.targets} == {"t1", "t2"}
+    assert {probe.target_id for probe in reply.probes} == {"t1", "t2"}
 
 
 def test_a_target_that_is_known_to_be_fast_needs_no_probe():
--- a/packages/core/tests/test_load_probing.py
+++ b/packages/core/tests/test_load_probing.py
@@ -12,7 +12,7 @@
     harness = ServiceHarness([make_entry("t1"), make_entry("t2"), make_entry("t3")])
     reply = harness.acquire(n_probe_rounds=0)
     assert needs_probes(reply)
-    assert {target_id for target_id, _ in reply.targets} == {"t1", "t2", "t3"}
+    assert {probe.target_id for probe in reply.probes} == {"t1", "t2", "t3"}
     harness.report_load("t1", 5.0)
     harness.report_load("t2", 1.0)
     harness.report_load("t3", 5.0)
@@ -35,11 +35,11 @@
     harness.report_load("t1", slowdown=1.0)
     harness.release(harness.acquire(), report=LoadReport(0, 0, 3, 1.0))
     reply = harness.acquire(n_probe_rounds=0)
-    assert [target_id for target_id, _ in reply.targets] == ["t2"]
+    assert [probe.target_id for probe in reply.probes] == ["t2"]
     harness.report_load("t2", slowdown=4.0)
     assert harness.acquire(n_probe_rounds=1).target_id == "t1"
     reply = harness.acquire(n_probe_rounds=0)
-    assert [target_id for target_id, _ in reply.targets] == ["t3"]
+    assert [probe.target_id for probe in reply.probes] == ["t3"]
     harness.report_load("t3", slowdown=1.0)
     assert harness.acquire(n_probe_rounds=1).target_id == "t3"
 
--- a/packages/core/tests/test_target_notices.py
+++ b/packages/core/tests/test_target_notices.py
@@ -22,10 +22,10 @@
     return harness.service.release(Release(permit, response), harness.now_ms)
 
 
-def report(harness, name, notice):
+def report(harness, name, notice, started_wall_ms=None):
     """Deliver the answer to a load probe that has a notice; return the messages."""
     load = LoadReport(0, 0, 3, 1.0)
-    result = LoadProbeResult("shop", name, load, True, notice)
+    result = LoadProbeResult("shop", name, load, True, notice, started_wall_ms)
     return harness.service.note_load(result, harness.now_ms)
 
 
@@ -92,6 +92,16 @@
     assert is_permit(harness.acquire())
 
 
+def test_the_answer_of_an_earlier_start_to_a_load_probe_says_nothing_of_a_newer_one():
+    """Guards against a restarted target that gets no request again."""
+    harness = ServiceHarness([make_entry("t1", started_wall_ms=1)])
+    harness.table.put(make_entry("t1", started_wall_ms=2), harness.now_ms)
+    report(harness, "t1", TargetNotice(True), started_wall_ms=1)
+    assert is_permit(harness.acquire())
+    report(harness, "t1", TargetNotice(True), started_wall_ms=2)
+    assert isinstance(harness.acquire(), Refusal)
+
+
 def test_a_newer_start_of_a_leaving_target_is_used_again():
     harness = ServiceHarness([make_entry("t1")])
     report(harness, "t1", TargetNotice(True))
@@ -107,7 +117,7 @@
     harness.now_ms += PAUSE_MS - 1.0
     reply = harness.acquire(n_probe_rounds=0)
     assert needs_probes(reply)
-    assert [target_id for target_id, _ in reply.targets] == ["t2"]
+    assert [probe.target_id for probe in reply.probes] == ["t2"]
     assert not is_permit(send_to(harness, "t1"))
     harness.now_ms += 1.0
     assert send_to(harness, "t1").target_id == "t1"
--- a/packages/core/tests/test_uneven_targets.py
+++ b/packages/core/tests/test_uneven_targets.py
@@ -46,7 +46,7 @@
     busy = next(t for t in harness.service.targets.values() if t.started_at_ms)
     harness.report_load(busy.entry.target_id, 1.0, n_running=1)
     needed = harness.acquire(n_probe_rounds=0)
-    assert busy.entry.target_id not in [target_id for target_id, _ in needed.targets]
+    assert busy.entry.target_id not in [probe.target_id for probe in needed.probes]
 
 
 def test_no_hedge_slows_the_requests_of_its_target_down():
--- a/packages/entry/hornbeamstand_entry/edge/load_probes.py
+++ b/packages/entry/hornbeamstand_entry/edge/load_probes.py
@@ -138,9 +138,21 @@
     load = result.get(dialect.headers.load)
     report = dialect.decode_load(load) if load is not None else None
     notice = dialect.decode_notice(result.status_code, result.get)
-    return LoadProbeResult(probe.service_name, probe.target_id, report, True, notice)
+    return LoadProbeResult(
+        probe.service_name,
+        probe.target_id,
+        report,
+        notice=notice,
+        started_wall_ms=probe.started_wall_ms,
+    )
 
 
 def unanswered_result(probe):
     """Return the LoadProbeResult of a probe that got no answer."""
-    return LoadProbeResult(probe.service_name, probe.target_id, None, False)
+    return LoadProbeResult(
+        probe.service_name,
+        probe.target_id,
+        None,
+        is_answered=False,
+        started_wall_ms=probe.started_wall_ms,
+    )
--- a/packages/entry/hornbeamstand_entry/edge/performers.py
+++ b/packages/entry/hornbeamstand_entry/edge/performers.py
@@ -199,13 +199,11 @@
         )
 
     def probe_loads(effect, context):
-        needed = effect.needed
         until_ms = clock.now_ms() + LOAD_PROBE_WAIT_MS
         outstanding = set()
-        for target_id, address in needed.targets:
-            key = SendProbe(needed.service_name, target_id, address, needed.path)
-            exchange = start_load_probe(key, target_pools, until_ms, context.mailbox)
-            context.key_by_exchange[exchange] = key
+        for probe in effect.needed.probes:
+            exchange = start_load_probe(probe, target_pools, until_ms, context.mailbox)
+            context.key_by_exchange[exchange] = probe
             outstanding.add(exchange)
         while outstanding:
             message = receive(context.mailbox, until_ms - clock.now_ms())
--- a/packages/entry/tests/test_load_probes.py
+++ b/packages/entry/tests/test_load_probes.py
@@ -48,7 +48,7 @@
         control_task, pools, None, make_dialect(), metrics, None, clock, None, None
     )
     context = SimpleNamespace(mailbox=SimpleQueue(), key_by_exchange={}, pending=[])
-    needed = ProbesNeeded("shop", "/health", [("t1", "127.0.0.1:1")])
+    needed = ProbesNeeded([SendProbe("shop", "t1", "127.0.0.1:1", "/health")])
     performers[ProbeLoads](ProbeLoads(needed), context)
     assert results.empty()
 
