Let no answer to an earlier request open a draining target of the own program

Callers' requests could reach a target that had said that it drains, or find a restarted one closed until its next probe.

Cause: in the product's own mode the state and the start id of any answer replaced the known ones, though answers on several connections, and those of probes, may come in another order than they were sent.

Change: a report that takes back that its target drains, or its start, counts only if its request was sent after the known one had come. A later probe or answer says it again.

--- a/packages/core/hornbeamstand_core/controllers/owned_targets/results.py
+++ b/packages/core/hornbeamstand_core/controllers/owned_targets/results.py
@@ -4,7 +4,12 @@
 """
 
 from ...messages import CANCELLED, LACKS_OF_VM, STATUS_ERROR, TIMED_OUT, SendFailure
-from .cold_start import count_good_completion, enter_cold, note_start
+from .cold_start import (
+    count_good_completion,
+    enter_cold,
+    has_restarted,
+    note_start,
+)
 from .health import note_failure, note_latency, note_success
 from .target_state import COLD, DRAINING, READY
 
@@ -26,7 +31,7 @@
         learn_failure(service, state, result, latency_ms, now_ms)
         return
     if result.report is not None:
-        note_report(state, result.report, rules)
+        note_report(state, result.report, rules, now_ms - latency_ms, now_ms)
     if result.did_not_run:
         service.adjust_limit(state, latency_ms, service.baseline, True)
         return
@@ -59,11 +64,27 @@
     note_failure(state, now_ms, service.spec.cold_start)
 
 
-def note_report(state, report, rules):
-    """Update a target's phase from the state and start id that it reports."""
+def note_report(state, report, rules, sent_at_ms, now_ms):
+    """Update a target's phase from the state and start id that it reports.
+
+    A report is left out if it contradicts one that came after its request was sent: it
+    may be the older one.
+    """
+    is_contradiction = contradicts(state, report)
+    if is_contradiction and sent_at_ms < state.reported_at_ms:
+        return
+    begins_to_drain = report.state == DRAINING and state.phase != DRAINING
+    if is_contradiction or begins_to_drain:
+        state.reported_at_ms = now_ms
     if report.state == DRAINING:
         state.phase = DRAINING
         return
     if state.phase == DRAINING:
         enter_cold(state, rules)
     note_start(state, report, rules)
+
+
+def contradicts(state, report):
+    """Return whether a report takes back that its target drains, or its start."""
+    is_open_again = state.phase == DRAINING and report.state != DRAINING
+    return is_open_again or has_restarted(state, report)
--- a/packages/core/hornbeamstand_core/controllers/owned_targets/service.py
+++ b/packages/core/hornbeamstand_core/controllers/owned_targets/service.py
@@ -338,7 +338,9 @@
         if message.report is None:
             note_failure(state, now_ms, self.spec.cold_start)
             return []
-        note_report(state, message.report, self.spec.cold_start)
+        sent_at_ms = now_ms - message.latency_ms
+        rules = self.spec.cold_start
+        note_report(state, message.report, rules, sent_at_ms, now_ms)
         if now_ms < state.ejected_until_ms:
             state.ejected_until_ms = now_ms
         return self.drain(now_ms)
--- a/packages/core/hornbeamstand_core/controllers/owned_targets/target_state.py
+++ b/packages/core/hornbeamstand_core/controllers/owned_targets/target_state.py
@@ -29,8 +29,9 @@
     start. ``latency_ms`` is the moving average of the latency, None before the first
     completion since a cold start began, and ``sampled_at_ms`` is the time of its last
     sample. ``start_id`` is the last one that the target reported; it differs between
-    two starts of the target. ``ejection_ms`` is the duration of the last ejection, and
-    0 after a success.
+    two starts of the target. ``reported_at_ms`` is when it last reported another start,
+    or that it drains or no longer does. ``ejection_ms`` is the duration of the last
+    ejection, and 0 after a success.
     """
 
     __slots__ = (
@@ -48,6 +49,7 @@
         "latency_ms",
         "sampled_at_ms",
         "start_id",
+        "reported_at_ms",
         "ejected_until_ms",
         "ejection_ms",
         "probed_at_ms",
@@ -70,6 +72,7 @@
         self.latency_ms = None
         self.sampled_at_ms = 0.0
         self.start_id = ""
+        self.reported_at_ms = float("-inf")
         self.ejected_until_ms = 0.0
         self.ejection_ms = 0.0
         self.probed_at_ms = float("-inf")
