Let no heartbeat that was overtaken take a planned stop back

Callers could be named a VM that is about to end, and peers relay to it, until its next heartbeat.

Cause: heartbeats are datagrams, which may overtake each other, and any one of the same start replaced the last.

Evidence: the new test; found by looking at every place where an older statement can replace a newer one (docs/design/0010).

Change: a planned stop is kept for the start that has stated it. The other fields of a heartbeat can't tell which one is older, and the next one corrects them.

Measured: test_a_heartbeat_that_was_overtaken_takes_no_planned_stop_back failed before and passes, with all tests of packages/core.

--- a/packages/core/hornbeamstand_core/controllers/peers/peer_records.py
+++ b/packages/core/hornbeamstand_core/controllers/peers/peer_records.py
@@ -84,6 +84,16 @@
     return max((peer.heartbeat.config_version for peer in peers), default=0)
 
 
+def keep_stop(heartbeat, last):
+    """Set in a heartbeat that its VM stops, if the last one of the same start said so.
+
+    A planned stop is for good, and datagrams may overtake each other. ``last`` is None
+    if there was none.
+    """
+    if last is not None and last.start_id == heartbeat.start_id:
+        heartbeat.is_stopping = heartbeat.is_stopping or last.is_stopping
+
+
 def describe_end(earlier, heartbeat):
     """Return a StateChange if an earlier start of a VM ended without a planned stop.
 
--- a/packages/core/hornbeamstand_core/controllers/peers/peer_view.py
+++ b/packages/core/hornbeamstand_core/controllers/peers/peer_view.py
@@ -20,7 +20,7 @@
     interval_ms,
     silence_max_ms,
 )
-from .peer_records import Contact, Peer, describe_end
+from .peer_records import Contact, Peer, describe_end, keep_stop
 from .ranking import N_PREFERRED, Ranking, preference
 from .settling import Settling
 
@@ -135,6 +135,7 @@
         self._heard_own_delay_ms = 0.0
         self.note_contact(heartbeat.ip)
         contact = self.contacts[heartbeat.ip]
+        keep_stop(heartbeat, contact.last_heartbeat)
         self._note_domain(contact, heartbeat.failure_domain)
         earlier, contact.last_heartbeat = contact.last_heartbeat, heartbeat
         known = self.peers.get(heartbeat.ip)
--- a/packages/core/tests/test_edge_peers.py
+++ b/packages/core/tests/test_edge_peers.py
@@ -43,6 +43,16 @@
     assert node.named_ips("h", "a", 1000.0) == ["10.0.0.1"]
 
 
+def test_a_heartbeat_that_was_overtaken_takes_no_planned_stop_back():
+    """Guards against callers that are sent to a VM which is about to end."""
+    node = make_serving_node()
+    node.handle(make_heartbeat("10.0.0.2", is_stopping=True), 0.0)
+    node.handle(make_heartbeat("10.0.0.2"), 1.0)
+    assert node.named_ips("h", "a", 1.0) == ["10.0.0.1"]
+    node.handle(make_heartbeat("10.0.0.2", start_id=2), 2.0)
+    assert not node.peers.peers["10.0.0.2"].heartbeat.is_stopping
+
+
 def test_the_time_in_which_a_vm_did_not_run_is_no_silence_of_its_peers():
     """Guards against relayed requests that are given up though their peer answers."""
     node = make_serving_node()
