Check that followers reach the store, and try it when none does

Cause: VMs that don't follow the store trust those that do. When cuts take all followers of a domain, these say that they watch until their waiting watches fail, after 2.6 to 3.5 s, and the others then wait for one more second, as if the store were away for all.

Change: one follower of a domain reads its own entry every 0.4 s, stale, a tenth of a call; without an answer in 0.3 s it tells its domain at once, and the others that watch check too. VMs without an informed peer try the store after 0.1 s, 25 ms one after another, 16 at most, and stop if it is away for them as well. A VM that begins to watch says so once the store has answered it.

--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -25,6 +25,7 @@
     RetryLimits,
     SendEdgeHeartbeat,
     StopEdge,
+    StoreChecked,
 )
 from ..key_messages import CheckKey
 from ..messages import Release, Withdraw
@@ -146,6 +147,7 @@
             StoreSnapshot: self._apply_update,
             StoreUnavailable: self._note_store_unavailable,
             StoreAvailable: self._note_store_available,
+            StoreChecked: self._store.note_checked,
             StoreEraNoted: self._records.note_era,
             TargetsFetched: self._take_targets,
             TargetsConfirmed: self._take_targets,
@@ -270,8 +272,10 @@
         return self.recovery.handle(message, now_ms) + self._drain_all(now_ms)
 
     def _apply_update(self, message, now_ms):
-        if type(message) is StoreSnapshot and message.has_targets:
-            self.recovery.note_read(now_ms)
+        if type(message) is StoreSnapshot:
+            self._store.note_answer(now_ms)
+            if message.has_targets:
+                self.recovery.note_read(now_ms)
         out = self._records.apply(message, now_ms)
         self.watch_scope.note_update()
         return out + self._begin_serving(now_ms) + self._drain_all(now_ms)
@@ -308,6 +312,7 @@
         out = []
         if self.peers.is_new_start(heartbeat):
             out += self.peer_failures.forget(heartbeat.ip)
+        out += self._store.checks.note_heartbeat(heartbeat, now_ms)
         out += self.peers.note_heartbeat(heartbeat, now_ms)
         if heartbeat.config_version > self.routing.version:
             self.watch_scope.note_behind(now_ms)
@@ -342,12 +347,13 @@
         out += self._records.expire(now_ms)
         if now_ms >= self._next_round_ms:
             self._next_round_ms = now_ms + HEARTBEAT_ROUND_MS
-            self._store.update_watching()
+            out += self._store.update_watching(now_ms)
             out += self.peers.heartbeat_round(self._service_names(), now_ms)
             self.peer_failures.keep_only(self.peers.peers)
             lacks_owners = self.owner_paths.are_lost
             is_owner = lacks_owners or self._owns_any_service(now_ms)
             out += self._store.update_scope(is_owner, lacks_owners, now_ms)
+        out += self._store.checks.tick(now_ms)
         out += self.watch_scope.request_resync(self.revision, now_ms)
         return out + self.recovery.update(self._store.is_unavailable, now_ms)
 
--- a/packages/core/hornbeamstand_core/controllers/peers/peer_view.py
+++ b/packages/core/hornbeamstand_core/controllers/peers/peer_view.py
@@ -242,15 +242,36 @@
         rank = ranked.index(self.me.ip) if self.me.ip in ranked else 0
         return max(0, rank - N_PREFERRED)
 
-    def n_local_watching(self, now_ms):
-        """Return how many peers of this failure domain watch the store."""
-        return sum(
-            peer.heartbeat.is_watching
-            and peer.heartbeat.failure_domain == self.me.failure_domain
+    def is_local(self, heartbeat):
+        """Return whether a heartbeat is of a VM of this failure domain."""
+        return heartbeat.failure_domain == self.me.failure_domain
+
+    def local_watching(self, now_ms):
+        """Return the heartbeats of the peers of this domain that watch the store."""
+        return [
+            peer.heartbeat
+            for peer in self.peers.values()
+            if peer.heartbeat.is_watching
+            and self.is_local(peer.heartbeat)
             and not peer.heartbeat.is_stopping
             and not self.is_silent(peer, now_ms)
-            for peer in self.peers.values()
-        )
+        ]
+
+    def is_first_watching(self, now_ms):
+        """Return whether this VM watches, as the first by address in its domain."""
+        if not self.is_watching:
+            return False
+        return all(self.me.ip < item.ip for item in self.local_watching(now_ms))
+
+    def tell_local(self, now_ms):
+        """Return this VM's heartbeat for each peer of its failure domain."""
+        heartbeat = self.own_heartbeat(now_ms)
+        out = []
+        for ip, peer in self.peers.items():
+            if self.is_local(peer.heartbeat):
+                peer.sent_at_ms = now_ms
+                out.append(SendEdgeHeartbeat(ip, heartbeat))
+        return out
 
     def _update_preferred(self, service_names, now_ms):
         was_preferred = self.is_preferred
--- a/packages/core/hornbeamstand_core/controllers/store/store_following.py
+++ b/packages/core/hornbeamstand_core/controllers/store/store_following.py
@@ -5,13 +5,19 @@
 """
 
 from ...edge_messages import StateChange
-from ...edge_node_messages import WATCH_NOTHING, SetWatch
+from ...edge_node_messages import WATCH_NOTHING, Resync, SetWatch
+from .store_checks import StoreChecks
+
+# Maximum age of the store's last answer with which a VM that begins to watch says so
+# before it has got another one.
+ANSWER_MAX_AGE_MS = 1000.0
 
 
 class StoreFollowing:
     """The store as this VM sees it, and what follows for its targets and peers.
 
-    ``is_unavailable`` is set while this VM can't reach the store.
+    ``is_unavailable`` is set while this VM can't reach the store, and ``is_doubtful``
+    while it has not shown that it does: peers then don't rely on it for new versions.
 
     Parameters
     ----------
@@ -30,7 +36,10 @@
         "table",
         "watch_scope",
         "recovery",
+        "checks",
         "is_unavailable",
+        "is_doubtful",
+        "_answered_at_ms",
         "_available_to_peer_at_ms",
     )
 
@@ -39,7 +48,10 @@
         self.table = table
         self.watch_scope = watch_scope
         self.recovery = recovery
+        self.checks = StoreChecks(peers)
         self.is_unavailable = False
+        self.is_doubtful = False
+        self._answered_at_ms = float("-inf")
         # When a peer's heartbeat first showed that the store, which is unavailable to
         # this VM, is available to that peer, or None.
         self._available_to_peer_at_ms = None
@@ -49,12 +61,45 @@
         if self.is_unavailable:
             return []
         self.is_unavailable = True
+        self.watch_scope.note_unavailable()
         self._available_to_peer_at_ms = None
         self.table.note_store_unavailable(now_ms)
         return [StateChange("store", "away", "", detail)]
 
+    def note_answer(self, now_ms):
+        """Record an answer of the store to a read or a watch."""
+        self._answered_at_ms = now_ms
+        self.is_doubtful = False
+        self.checks.note_answer(now_ms)
+
+    def note_checked(self, message, now_ms):
+        """Record whether the store has answered a check; return messages.
+
+        Without an answer, peers are told at once not to rely on this VM. A watch that
+        has lasted for a while is begun anew, which shows whether the store is there.
+        """
+        self.checks.note_checked(message.is_answered)
+        if self.watch_scope.scope == WATCH_NOTHING:
+            return []
+        if message.is_answered:
+            self.is_doubtful = False
+            return self.update_watching(now_ms)
+        self.watch_scope.note_unavailable()
+        if not self.peers.is_watching:
+            return []
+        self.is_doubtful = True
+        return [
+            StateChange("store", "in doubt", "", "no answer to a check"),
+            Resync(self.peers.revision),
+            *self.update_watching(now_ms),
+        ]
+
     def note_available(self, now_ms):
         """Record that the store can be reached; return messages."""
+        self.note_answer(now_ms)
+        return self._end_unavailable(now_ms) + self.update_watching(now_ms)
+
+    def _end_unavailable(self, now_ms):
         if not self.is_unavailable:
             return []
         self.is_unavailable = False
@@ -99,11 +144,30 @@
             self.table.clear()
         # The store's changes since targets that are not from the store are unknown.
         has_targets = self.table.is_filled and not self.recovery.is_old
+        was_watching = self.watch_scope.scope != WATCH_NOTHING
         out = self.watch_scope.update_scope(is_owner, lacks_owners, has_targets, now_ms)
-        self.update_watching()
-        return out
+        if not was_watching and self.watch_scope.scope != WATCH_NOTHING:
+            out += self._begin_watching(now_ms)
+        return out + self.update_watching(now_ms)
+
+    def _begin_watching(self, now_ms):
+        """Return a check, unless the store has answered this VM shortly before.
+
+        The watch itself has no answer before there are changes.
+        """
+        if now_ms - self._answered_at_ms <= ANSWER_MAX_AGE_MS:
+            return []
+        self.is_doubtful = True
+        return self.checks.check(now_ms)
+
+    def update_watching(self, now_ms):
+        """Let the heartbeats say whether this VM watches the store.
 
-    def update_watching(self):
-        """Let the heartbeats say whether this VM watches the store."""
-        is_watching = self.watch_scope.scope != WATCH_NOTHING
-        self.peers.is_watching = is_watching and not self.is_unavailable
+        Returns those that tell the peers of this failure domain of a change at once.
+        """
+        is_hindered = self.is_unavailable or self.is_doubtful
+        is_watching = self.watch_scope.scope != WATCH_NOTHING and not is_hindered
+        if is_watching == self.peers.is_watching:
+            return []
+        self.peers.is_watching = is_watching
+        return self.peers.tell_local(now_ms)
--- a/packages/core/hornbeamstand_core/controllers/store/watch_scope.py
+++ b/packages/core/hornbeamstand_core/controllers/store/watch_scope.py
@@ -28,6 +28,12 @@
 N_INFORMED_PEERS_MIN = 1
 # Maximum time with fewer informed peers before a VM watches the operators' keys itself.
 UNINFORMED_MAX_MS = 1000.0
+# The same time, and the additional one, for the first try after all informed peers were
+# lost. They may be cut off while this VM is not, so it must not wait for long.
+FIRST_TRY_MS = 100.0
+FIRST_TRY_STAGGER_MS = 25.0
+# Number of VMs that make such a try. If the store is down for all, it is in vain.
+N_FIRST_TRIES_MAX = 16
 # Additional time for each VM that is not preferred and ranks before this one. The VMs
 # thus call the store one after another. While the store is down for all of them, most
 # need not try.
@@ -74,6 +80,7 @@
         "_self_watch_until_ms",
         "_has_delayed_read",
         "_peer_era",
+        "_may_try_first",
     )
 
     def __init__(self, peers, is_seed):
@@ -89,6 +96,9 @@
         self._has_delayed_read = False
         # The latest era of the store that a peer has stated.
         self._peer_era = 0
+        # Set while peers are informed, and after that until this VM has found that it
+        # can't reach the store either.
+        self._may_try_first = False
 
     def note_serving(self, now_ms):
         """Record that this VM has read a configuration and the targets, and serves."""
@@ -111,9 +121,13 @@
         """Return whether this VM may serve although it never read the targets."""
         return (
             self.first_read_delay_ms > 0.0
-            and self.peers.n_local_watching(now_ms) >= N_INFORMED_PEERS_MIN
+            and len(self.peers.local_watching(now_ms)) >= N_INFORMED_PEERS_MIN
         )
 
+    def note_unavailable(self):
+        """Record that this VM can't reach the store."""
+        self._may_try_first = False
+
     def note_update(self):
         """Record that the store or a peer delivered an update."""
         self._behind_since_ms = None
@@ -189,12 +203,30 @@
         )
 
     def _has_informed_peers(self, now_ms):
-        if self.peers.n_local_watching(now_ms) >= N_INFORMED_PEERS_MIN:
+        if self._n_informed_peers(now_ms) >= N_INFORMED_PEERS_MIN:
             self._informed_at_ms = now_ms
+            self._may_try_first = True
         if now_ms < self._self_watch_until_ms:
             return False
-        delay_ms = self.peers.n_ranked_before(now_ms) * WATCH_STAGGER_MS
-        return now_ms - self._informed_at_ms < UNINFORMED_MAX_MS + delay_ms
+        return now_ms - self._informed_at_ms < self._uninformed_max_ms(now_ms)
+
+    def _n_informed_peers(self, now_ms):
+        """Return how many peers this VM can learn new versions from.
+
+        Of several VMs that watch only because no other one did, the first one goes on.
+        """
+        watching = self.peers.local_watching(now_ms)
+        if self.scope != WATCH_OPERATOR_KEYS:
+            return len(watching)
+        own_ip = self.peers.me.ip
+        return sum(item.is_preferred or item.ip < own_ip for item in watching)
+
+    def _uninformed_max_ms(self, now_ms):
+        """Return the time without informed peers after which this VM watches itself."""
+        n_before = self.peers.n_ranked_before(now_ms)
+        if self._may_try_first and n_before < N_FIRST_TRIES_MAX:
+            return FIRST_TRY_MS + n_before * FIRST_TRY_STAGGER_MS
+        return UNINFORMED_MAX_MS + n_before * WATCH_STAGGER_MS
 
     def needs_targets(self, now_ms):
         """Return whether the targets that were read are still needed."""
--- a/packages/core/hornbeamstand_core/edge_node_messages.py
+++ b/packages/core/hornbeamstand_core/edge_node_messages.py
@@ -17,12 +17,12 @@
     has begun; ``is_settled`` if it has been up long enough to become an owner;
     ``is_preferred`` if it is among the first VMs of a service's ranking and sends
     heartbeats at the short interval; ``is_watching`` if it watches at least the
-    operators' keys and the store is available to it; ``is_overloaded`` if its processor
-    does not keep up with its work. ``capacity`` is its size class,
-    greater for larger VMs; ``n_peers`` is the number of peers that it receives
-    heartbeats from. ``config_version`` is the version of its configuration, and
-    ``revision`` the latest revision that it has seen in the store's era ``era``, which
-    is 0 if the store states none.
+    operators' keys and has no reason to doubt that it reaches the store;
+    ``is_overloaded`` if its processor does not keep up with its work. ``capacity`` is
+    its size class, greater for larger VMs; ``n_peers`` is the number of peers that it
+    receives heartbeats from. ``config_version`` is the version of its configuration,
+    and ``revision`` the latest revision that it has seen in the store's era ``era``,
+    which is 0 if the store states none.
     """
 
     __slots__ = (
@@ -149,6 +149,24 @@
         self.revision = revision
 
 
+class CheckStore(Record):
+    """Find out by a cheap call whether the store answers within ``timeout_ms``."""
+
+    __slots__ = ("timeout_ms",)
+
+    def __init__(self, timeout_ms):
+        self.timeout_ms = timeout_ms
+
+
+class StoreChecked(Record):
+    """The result of a CheckStore."""
+
+    __slots__ = ("is_answered",)
+
+    def __init__(self, is_answered):
+        self.is_answered = is_answered
+
+
 class SetWatch(Record):
     """Set what is watched: WATCH_ALL, WATCH_OPERATOR_KEYS or WATCH_NOTHING.
 
--- a/packages/entry/hornbeamstand_entry/edge/process.py
+++ b/packages/entry/hornbeamstand_entry/edge/process.py
@@ -6,6 +6,7 @@
 from hornbeamstand_core.controllers.load.stop_limit import StopLimit
 from hornbeamstand_core.edge_messages import StateChange
 from hornbeamstand_core.edge_node_messages import (
+    CheckStore,
     DelayFirstRead,
     FetchConfig,
     Resync,
@@ -47,6 +48,7 @@
     EdgeHandler,
     start_server,
 )
+from .store_checker import StoreChecker
 from .store_client import StoreClient
 from .store_era import StoreEra
 from .store_watcher import StoreWatcher
@@ -152,6 +154,8 @@
         )
         key, value = dialect.vm_item(settings.vm_id, settings.ip)
         self.registration = Registration(self.store, key, value, self.log)
+        checker = StoreChecker(self.store, key, self.control_task, self.log)
+        self.control_task.connect(CheckStore, checker.post)
         heartbeats = HeartbeatTask(
             settings.ip,
             settings.peer_port,
@@ -194,6 +198,7 @@
         copies.start(stack)
         self.registration.start(stack)
         self.store_watcher.start(stack)
+        checker.start(stack)
 
     def note_state_change(self, change):
         """Log and count a StateChange."""
--- a/packages/entry/hornbeamstand_entry/edge/store_client.py
+++ b/packages/entry/hornbeamstand_entry/edge/store_client.py
@@ -56,7 +56,7 @@
         self.eras = eras
         self.n_calls = 0
 
-    def _call(self, step, request, decode):
+    def _call(self, step, request, decode, timeout_ms=None):
         self.n_calls += 1
         items = [("Host", self.address)]
         if request.body:
@@ -64,7 +64,7 @@
         request_bytes = encode_request(
             request.method, request.path, items, request.body
         )
-        timeout_ms = self.timeout_ms + request.wait_ms
+        timeout_ms = (timeout_ms or self.timeout_ms) + request.wait_ms
         answer = call(
             self.pools,
             self.clock,
@@ -122,6 +122,11 @@
                 page.revision = revision
                 return Ok(page)
 
+    def check(self, key, timeout_ms):
+        """Read one key, which may be stale; return Ok if the store answers in time."""
+        request = self.codec.range_request(key, "", True)
+        return self._call("store.check", request, self.codec.decode_page, timeout_ms)
+
     def watch(self, prefix, revision, wait_ms):
         """Return a StorePage with the changes after a revision.
 
--- a/packages/entry/tests/test_edge_store_client.py
+++ b/packages/entry/tests/test_edge_store_client.py
@@ -109,3 +109,19 @@
     _, results, reports = read_in_eras(monkeypatch, ["3", far, "4", "4"])
     assert [result.is_ok() for result in results] == [True, True, False, True]
     assert reports == [StoreEraNoted(3), StoreEraNoted(4, 3)]
+
+
+def test_a_check_waits_no_longer_than_it_is_told_and_may_be_stale(monkeypatch):
+    """Guards against peers that rely for seconds on a VM which is cut off."""
+    client = make_client(monkeypatch, [StorePage([], 7, "")])
+    waits_ms, are_stale = [], []
+    monkeypatch.setattr(
+        store_client, "call", lambda *args, **options: waits_ms.append(args[5])
+    )
+    request = client.codec.range_request
+    client.codec.range_request = lambda *args: (
+        are_stale.append(args[2]) or request("", "")
+    )
+    result = client.check("vm", 30.0)
+    assert "no answer within 30 ms" in str(result.err_value)
+    assert (waits_ms, are_stale) == ([30.0], [True])
