Check again while a VM that watches has not shown that it reaches the store

Cause: if the check at the begin of a watch found no answer, because the store was slow for a moment, none followed: the VM said that it doesn't watch until its watch had changes. Others would make calls in its place.

Change: in doubt, and while the store is not known to be away, checks go on at their interval. What a domain's VMs say of their watches moves from PeerView, which had grown, to peers/watching.py.

Measured: test_a_follower_whose_first_check_fails_checks_again failed before and passes, with all tests of packages/core.

--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -353,7 +353,7 @@
             lacks_owners = self.owner_paths.are_lost
             is_owner = lacks_owners or self._owns_any_service(now_ms)
             out += self._store.update_scope(is_owner, lacks_owners, now_ms)
-        out += self._store.checks.tick(now_ms)
+        out += self._store.tick(now_ms)
         out += self.watch_scope.request_resync(self.revision, now_ms)
         return out + self.recovery.update(self._store.is_unavailable, now_ms)
 
--- a/packages/core/hornbeamstand_core/controllers/peers/peer_view.py
+++ b/packages/core/hornbeamstand_core/controllers/peers/peer_view.py
@@ -230,7 +230,7 @@
     def expedite_local(self):
         """Make heartbeats to the peers of this failure domain due in the next round."""
         for peer in self.peers.values():
-            if peer.heartbeat.failure_domain == self.me.failure_domain:
+            if self.is_local(peer.heartbeat):
                 peer.sent_at_ms = -inf
 
     def n_ranked_before(self, now_ms):
@@ -246,33 +246,6 @@
         """Return whether a heartbeat is of a VM of this failure domain."""
         return heartbeat.failure_domain == self.me.failure_domain
 
-    def local_watching(self, now_ms):
-        """Return the heartbeats of the peers of this domain that watch the store."""
-        return [
-            peer.heartbeat
-            for peer in self.peers.values()
-            if peer.heartbeat.is_watching
-            and self.is_local(peer.heartbeat)
-            and not peer.heartbeat.is_stopping
-            and not self.is_silent(peer, now_ms)
-        ]
-
-    def is_first_watching(self, now_ms):
-        """Return whether this VM watches, as the first by address in its domain."""
-        if not self.is_watching:
-            return False
-        return all(self.me.ip < item.ip for item in self.local_watching(now_ms))
-
-    def tell_local(self, now_ms):
-        """Return this VM's heartbeat for each peer of its failure domain."""
-        heartbeat = self.own_heartbeat(now_ms)
-        out = []
-        for ip, peer in self.peers.items():
-            if self.is_local(peer.heartbeat):
-                peer.sent_at_ms = now_ms
-                out.append(SendEdgeHeartbeat(ip, heartbeat))
-        return out
-
     def _update_preferred(self, service_names, now_ms):
         was_preferred = self.is_preferred
         self.is_preferred = any(
@@ -287,7 +260,7 @@
         local = [
             peer
             for peer in self.peers.values()
-            if peer.heartbeat.failure_domain == self.me.failure_domain
+            if self.is_local(peer.heartbeat)
             and peer.heartbeat.capacity >= self.me.capacity
             and peer.heartbeat.is_serving
             and not peer.heartbeat.is_stopping
--- a/packages/core/hornbeamstand_core/controllers/store/store_checks.py
+++ b/packages/core/hornbeamstand_core/controllers/store/store_checks.py
@@ -7,6 +7,7 @@
 """
 
 from ...edge_node_messages import CheckStore
+from ..peers.watching import is_first_watching
 
 # Interval of the checks of the VM that makes them for its failure domain.
 CHECK_INTERVAL_MS = 400.0
@@ -37,11 +38,15 @@
         self._has_failed = False
         self._slow_until_ms = float("-inf")
 
-    def tick(self, now_ms):
-        """Return a list with a CheckStore if this VM has to make one now."""
+    def tick(self, is_doubtful, now_ms):
+        """Return a list with a CheckStore if this VM has to make one now.
+
+        ``is_doubtful`` is set while it watches, but can't say yet that it reaches the
+        store.
+        """
         if now_ms - self._asked_at_ms < CHECK_INTERVAL_MS:
             return []
-        if not self.peers.is_first_watching(now_ms):
+        if not is_doubtful and not is_first_watching(self.peers, now_ms):
             return []
         return self.check(now_ms)
 
--- a/packages/core/hornbeamstand_core/controllers/store/store_following.py
+++ b/packages/core/hornbeamstand_core/controllers/store/store_following.py
@@ -6,6 +6,7 @@
 
 from ...edge_messages import StateChange
 from ...edge_node_messages import WATCH_NOTHING, Resync, SetWatch
+from ..peers.watching import set_watching
 from .store_checks import StoreChecks
 
 # Maximum age of the store's last answer with which a VM that begins to watch says so
@@ -72,6 +73,12 @@
         self.is_doubtful = False
         self.checks.note_answer(now_ms)
 
+    def tick(self, now_ms):
+        """Return a list with a CheckStore if this VM has to make one now."""
+        is_watching = self.watch_scope.scope != WATCH_NOTHING
+        is_unsure = is_watching and self.is_doubtful and not self.is_unavailable
+        return self.checks.tick(is_unsure, now_ms)
+
     def note_checked(self, message, now_ms):
         """Record whether the store has answered a check; return messages.
 
@@ -161,13 +168,7 @@
         return self.checks.check(now_ms)
 
     def update_watching(self, now_ms):
-        """Let the heartbeats say whether this VM watches the store.
-
-        Returns those that tell the peers of this failure domain of a change at once.
-        """
+        """Let the heartbeats say whether this VM watches the store; return messages."""
         is_hindered = self.is_unavailable or self.is_doubtful
         is_watching = self.watch_scope.scope != WATCH_NOTHING and not is_hindered
-        if is_watching == self.peers.is_watching:
-            return []
-        self.peers.is_watching = is_watching
-        return self.peers.tell_local(now_ms)
+        return set_watching(self.peers, is_watching, now_ms)
--- a/packages/core/hornbeamstand_core/controllers/store/watch_scope.py
+++ b/packages/core/hornbeamstand_core/controllers/store/watch_scope.py
@@ -15,6 +15,7 @@
     Resync,
     SetWatch,
 )
+from ..peers.watching import watching_peers
 
 # Wait from the start of serving until a preferred VM watches all keys. Peers have
 # replied to its first heartbeats by then, so it knows whether it is still preferred.
@@ -121,7 +122,7 @@
         """Return whether this VM may serve although it never read the targets."""
         return (
             self.first_read_delay_ms > 0.0
-            and len(self.peers.local_watching(now_ms)) >= N_INFORMED_PEERS_MIN
+            and len(watching_peers(self.peers, now_ms)) >= N_INFORMED_PEERS_MIN
         )
 
     def note_unavailable(self):
@@ -215,7 +216,7 @@
 
         Of several VMs that watch only because no other one did, the first one goes on.
         """
-        watching = self.peers.local_watching(now_ms)
+        watching = watching_peers(self.peers, now_ms)
         if self.scope != WATCH_OPERATOR_KEYS:
             return len(watching)
         own_ip = self.peers.me.ip
--- a/packages/core/hornbeamstand_core/controllers/targets/target_table.py
+++ b/packages/core/hornbeamstand_core/controllers/targets/target_table.py
@@ -89,7 +89,7 @@
         return self.known_targets.is_overtaken(entry)
 
     def _replace(self, target, entry, now_ms):
-        """Let an entry take the place of the target that is held, or None."""
+        """Add the target of an entry, or update the one that is held, if any."""
         self._suspect_keys.discard(entry.key)
         self._earlier_starts.forget(entry.key)
         if target is not None and is_same_start(target.entry, entry):
--- a/packages/core/tests/test_cut_followers.py
+++ b/packages/core/tests/test_cut_followers.py
@@ -2,6 +2,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from tests.edge_nodes import make_serving_node, messages_of_kind, run_with_peers
 
 from hornbeamstand_core.controllers.store.store_checks import (
     CHECK_INTERVAL_MS,
@@ -11,8 +12,9 @@
     UNINFORMED_MAX_MS,
     WATCH_STAGGER_MS,
 )
+from hornbeamstand_core.edge_node_messages import CheckStore, EdgeTick, StoreChecked
 
-from .store_cell import StoreCell
+from .store_cell import TICK_MS, StoreCell
 
 N_VMS = 6
 SETTLED_MS = 6000.0
@@ -52,6 +54,28 @@
     assert 10 <= len(cell.checked_at_ms) <= 10_000.0 / CHECK_INTERVAL_MS
 
 
+def tick_until_check(node, now_ms, wait_ms):
+    """Return the time of the next check; it must come in time."""
+    until_ms = now_ms + wait_ms
+    while now_ms <= until_ms:
+        now_ms += TICK_MS
+        if messages_of_kind(node.handle(EdgeTick(), now_ms), CheckStore):
+            return now_ms
+    raise AssertionError("no check in time")
+
+
+def test_a_follower_whose_first_check_fails_checks_again():
+    """Guards against a VM that watches and says for long that it doesn't."""
+    node = make_serving_node()
+    run_with_peers(node, SETTLED_MS)
+    now_ms = tick_until_check(node, SETTLED_MS, SETTLED_MS)
+    assert not node.peers.is_watching
+    node.handle(StoreChecked(False), now_ms + CHECK_TIMEOUT_MS)
+    now_ms = tick_until_check(node, now_ms + CHECK_TIMEOUT_MS, CHECK_INTERVAL_MS)
+    node.handle(StoreChecked(True), now_ms)
+    assert node.peers.is_watching
+
+
 def test_one_vm_follows_in_place_of_followers_that_are_cut_off():
     cell = make_cell()
     followers = cell.watching()
