Say what the order of entries and the errors of streams are

Cause: a reader of the change stumbles over two functions called note_error, and over a module that says less than it holds.

Change: names and doc comments; no behaviour.

Measured: the tests of the modules pass.

--- a/packages/core/hornbeamstand_core/controllers/targets/earlier_starts.py
+++ b/packages/core/hornbeamstand_core/controllers/targets/earlier_starts.py
@@ -1,8 +1,9 @@
-"""Entries of targets whose start is earlier than the one that is held.
+"""The order of a target's entries, and those of an earlier start than the held one.
 
-Such an entry may be an old write that the store has done late, after its target has
-started again. The start that is held then writes its own entry again within a few
-intervals. Otherwise the target has started anew with a clock that had gone back.
+The store may do a write late, after later ones. Within a start, sequences tell which
+entry is the later one. An entry of an earlier start may be such a late write; the start
+that is held then writes its own entry again within a few intervals. Otherwise the
+target has started anew with a clock that had gone back.
 """
 
 # Time within which a target that is alive writes its entry again once the store has
--- a/packages/entry/hornbeamstand_entry/tasks/connections.py
+++ b/packages/entry/hornbeamstand_entry/tasks/connections.py
@@ -53,6 +53,7 @@
 
     def __init__(self, name, rules):
         self.task = Task(name)
+        # The Stream of the socket, or None until the connection is open.
         self.stream = None
         self.parser = ResponseParser()
         self.rules = rules
@@ -170,12 +171,12 @@
         raise
     except (OSError, ResponseError) as error:
         note_unfinished(connection, exchange, address, repr(error))
-        connection.rules.reads.note_error(connection, exchange, address, False)
+        connection.rules.reads.note_stream_error(connection, exchange, address, False)
         is_own_lack = isinstance(error, ResponseMemoryError)
         kind = NO_MEMORY if is_own_lack else BROKEN_RESPONSE
         reply(exchange, SendFailure(kind, True, f"{address} {error!r}"))
         return False
-    connection.rules.reads.note_error(connection, exchange, address, True)
+    connection.rules.reads.note_stream_error(connection, exchange, address, True)
     note_keep_alive(connection, response)
     note_error(connection, exchange, response)
     reply(exchange, response)
@@ -227,7 +228,7 @@
             stream.sendall(part)
         exchange.note_whole_sent()
     except OSError:
-        # The reader of the connection notices its end too, after what came before.
+        # The stream keeps the error for its reader, behind what came before.
         return False
     except Exception as error:
         report_failure("connection", error)
--- a/packages/entry/hornbeamstand_entry/tasks/response_reads.py
+++ b/packages/entry/hornbeamstand_entry/tasks/response_reads.py
@@ -154,7 +154,7 @@
         )
         self.report(unfinished)
 
-    def note_error(self, connection, exchange, address, is_complete):
+    def note_stream_error(self, connection, exchange, address, is_complete):
         """Count the error of a connection, if any; report one that its reader missed.
 
         ``is_complete`` is whether the response to the exchange counts as complete.
