Keep the result of a load probe with the other messages of load probes

Change: LoadProbeResult moves there; no behaviour.

Measured: all tests of packages/core pass, with those of load probes, performers, imports and docs; formatter and linter are clean.

--- a/packages/core/hornbeamstand_core/controllers/edge.py
+++ b/packages/core/hornbeamstand_core/controllers/edge.py
@@ -12,7 +12,6 @@
 from ..edge_messages import (
     AcquireSlot,
     FindRoute,
-    LoadProbeResult,
     NoticeRelayed,
     StateChange,
 )
@@ -28,6 +27,7 @@
     StoreChecked,
 )
 from ..key_messages import CheckKey
+from ..load_probe_messages import LoadProbeResult
 from ..messages import Release, Withdraw
 from ..relay_messages import CheckPeerAlive, FindOwner, RelayEnded
 from ..target_copy_messages import TargetsConfirmed, TargetsFetched
--- a/packages/core/hornbeamstand_core/edge_messages.py
+++ b/packages/core/hornbeamstand_core/edge_messages.py
@@ -301,41 +301,6 @@
         self.started_wall_ms = started_wall_ms
 
 
-class LoadProbeResult(Record):
-    """The result of a load probe.
-
-    ``report`` is None if no load figures came; ``is_answered`` distinguishes a target
-    that answered without them from one that did not answer. ``notice`` is the
-    TargetNotice of the answer, or None. ``started_wall_ms`` is the start of the target
-    that was probed, or None if it is unknown.
-    """
-
-    __slots__ = (
-        "service_name",
-        "target_id",
-        "report",
-        "is_answered",
-        "notice",
-        "started_wall_ms",
-    )
-
-    def __init__(
-        self,
-        service_name,
-        target_id,
-        report,
-        is_answered=True,
-        notice=None,
-        started_wall_ms=None,
-    ):
-        self.service_name = service_name
-        self.target_id = target_id
-        self.report = report
-        self.is_answered = is_answered
-        self.notice = notice
-        self.started_wall_ms = started_wall_ms
-
-
 class StartSend(Record):
     """Start sending the request to the permit's target; no reply.
 
--- a/packages/core/hornbeamstand_core/load_probe_messages.py
+++ b/packages/core/hornbeamstand_core/load_probe_messages.py
@@ -1,4 +1,4 @@
-"""Messages of the load probes that a request sends before it gets a slot."""
+"""Messages of load probes, such as those that a request sends to get a slot."""
 
 from .records import Record
 
@@ -23,3 +23,38 @@
 
     def __init__(self, needed):
         self.needed = needed
+
+
+class LoadProbeResult(Record):
+    """The result of a load probe.
+
+    ``report`` is None if no load figures came; ``is_answered`` distinguishes a target
+    that answered without them from one that did not answer. ``notice`` is the
+    TargetNotice of the answer, or None. ``started_wall_ms`` is the start of the target
+    that was probed, or None if it is unknown.
+    """
+
+    __slots__ = (
+        "service_name",
+        "target_id",
+        "report",
+        "is_answered",
+        "notice",
+        "started_wall_ms",
+    )
+
+    def __init__(
+        self,
+        service_name,
+        target_id,
+        report,
+        is_answered=True,
+        notice=None,
+        started_wall_ms=None,
+    ):
+        self.service_name = service_name
+        self.target_id = target_id
+        self.report = report
+        self.is_answered = is_answered
+        self.notice = notice
+        self.started_wall_ms = started_wall_ms
--- a/packages/core/tests/test_shared_notices.py
+++ b/packages/core/tests/test_shared_notices.py
@@ -19,12 +19,12 @@
 )
 from hornbeamstand_core.discovery import ConfigEntry
 from hornbeamstand_core.edge_messages import (
-    LoadProbeResult,
     LoadReport,
     NoticeRelayed,
     TargetNotice,
 )
 from hornbeamstand_core.edge_node_messages import EdgeTick, SendNotice
+from hornbeamstand_core.load_probe_messages import LoadProbeResult
 from hornbeamstand_core.messages import Refusal, Release, UpstreamResponse
 
 OWNER_IPS = ["10.0.0.8", "10.0.0.9"]
--- a/packages/core/tests/test_target_notices.py
+++ b/packages/core/tests/test_target_notices.py
@@ -5,11 +5,11 @@
 
 from hornbeamstand_core.balancer_messages import SendProbe
 from hornbeamstand_core.edge_messages import (
-    LoadProbeResult,
     LoadReport,
     StateChange,
     TargetNotice,
 )
+from hornbeamstand_core.load_probe_messages import LoadProbeResult
 from hornbeamstand_core.messages import Refusal, Release, UpstreamResponse
 
 PAUSE_MS = 5000.0
--- a/packages/entry/hornbeamstand_entry/edge/load_probes.py
+++ b/packages/entry/hornbeamstand_entry/edge/load_probes.py
@@ -6,7 +6,7 @@
 """
 
 from hornbeamstand_core.balancer_messages import SendProbe
-from hornbeamstand_core.edge_messages import LoadProbeResult
+from hornbeamstand_core.load_probe_messages import LoadProbeResult
 from hornbeamstand_core.messages import LACKS_OF_VM, TIMED_OUT, SendFailure
 
 from ..encoding import encode_request
--- a/tests/edge_parts.py
+++ b/tests/edge_parts.py
@@ -8,11 +8,10 @@
 from hornbeamstand_core.edge_messages import (
     FIRST,
     AcquireSlot,
-    LoadProbeResult,
     LoadReport,
 )
 from hornbeamstand_core.edge_node_messages import RetryLimits
-from hornbeamstand_core.load_probe_messages import ProbesNeeded
+from hornbeamstand_core.load_probe_messages import LoadProbeResult, ProbesNeeded
 from hornbeamstand_core.messages import Permit, Release, UpstreamResponse
 from hornbeamstand_core.routes import ServiceRules
 
